--- /dev/null
+++ b/src/bin/bramleyctl/main.rs
@@ -0,0 +1,12 @@
+//! The operators' tool.
+
+#![deny(unsafe_code)]
+
+mod args;
+mod client;
+mod controller;
+mod printer;
+
+fn main() -> std::process::ExitCode {
+    controller::run(argh::from_env())
+}
--- /dev/null
+++ b/src/call/mod.rs
@@ -0,0 +1,14 @@
+//! A call between entry and guard, its answer, and what is said when there is
+//! no answer.
+
+mod attempt;
+mod head;
+mod reason;
+mod refusal;
+mod reply;
+
+pub use attempt::{Attempt, Planned, Sent};
+pub use head::{Call, CallHead, OnceCall};
+pub use reason::Reason;
+pub use refusal::{GuardNews, Refusal};
+pub use reply::{Reply, ReplyHead};
--- /dev/null
+++ b/src/call/reason.rs
@@ -0,0 +1,162 @@
+//! Why a call has no answer of a backend server.
+
+use std::fmt;
+use std::str::FromStr;
+
+use http::StatusCode;
+
+use crate::error::Error;
+use crate::policy::admission::Shed;
+use crate::policy::once::Refuse;
+
+/// Why a call has no answer of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// It was shed.
+    Shed(Shed),
+    /// It must run at most once, and that could not be ensured.
+    Once(Refuse),
+    /// The call is not well formed.
+    BadRequest,
+    /// The body is larger than is taken.
+    TooLarge,
+    /// The body ended before its end.
+    RequestCut,
+    /// No such service is declared.
+    NoSuchService,
+    /// The caller may not use this class.
+    Forbidden,
+    /// The chain of calls is too deep.
+    TooDeep,
+    /// The daemon has no configuration yet.
+    NoConfig,
+    /// No backend server of the service can be reached.
+    Unreachable,
+    /// The instance that was meant has been replaced by another.
+    Replaced,
+    /// The connection was lost before the answer was whole.
+    Cut,
+    /// The answer made no sense.
+    Garbage,
+    /// The deadline passed.
+    Timeout,
+}
+
+const PLAIN: [Reason; 12] = [
+    Reason::BadRequest,
+    Reason::TooLarge,
+    Reason::RequestCut,
+    Reason::NoSuchService,
+    Reason::Forbidden,
+    Reason::TooDeep,
+    Reason::NoConfig,
+    Reason::Unreachable,
+    Reason::Replaced,
+    Reason::Cut,
+    Reason::Garbage,
+    Reason::Timeout,
+];
+
+const SHED: [Shed; 5] = [
+    Shed::Overload,
+    Shed::Downstream,
+    Shed::Deadline,
+    Shed::Cancelled,
+    Shed::Leaving,
+];
+
+const ONCE: [Refuse; 11] = [
+    Refuse::NotOwned,
+    Refuse::OwnerLost,
+    Refuse::OwnerUnreachable,
+    Refuse::WrongOwner,
+    Refuse::Forgotten,
+    Refuse::BodyDiffers,
+    Refuse::OutcomeLost,
+    Refuse::Unseen,
+    Refuse::NoPlatform,
+    Refuse::LedgerFull,
+    Refuse::AnswerNotKept,
+];
+
+impl Reason {
+    /// Returns the text that stands in answers, logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Shed(shed) => shed.as_str(),
+            Self::Once(refuse) => refuse.as_str(),
+            Self::BadRequest => "bad-request",
+            Self::TooLarge => "body-too-large",
+            Self::RequestCut => "request-cut",
+            Self::NoSuchService => "no-such-service",
+            Self::Forbidden => "class-not-allowed",
+            Self::TooDeep => "chain-too-deep",
+            Self::NoConfig => "no-configuration",
+            Self::Unreachable => "unreachable",
+            Self::Replaced => "instance-replaced",
+            Self::Cut => "answer-cut",
+            Self::Garbage => "answer-garbled",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    /// Returns the status of the answer to the caller.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::Shed(Shed::Deadline) | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Shed(_) | Self::NoConfig | Self::Unreachable | Self::Replaced => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Once(Refuse::BodyDiffers) => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Once(
+                Refuse::Forgotten | Refuse::OwnerLost | Refuse::OutcomeLost | Refuse::AnswerNotKept,
+            ) => StatusCode::CONFLICT,
+            Self::Once(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BadRequest | Self::RequestCut => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoSuchService => StatusCode::NOT_FOUND,
+            Self::Forbidden => StatusCode::FORBIDDEN,
+            Self::TooDeep => StatusCode::LOOP_DETECTED,
+            Self::Cut | Self::Garbage => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Tells whether the cause is that there is more work than capacity.
+    pub const fn is_overload(self) -> bool {
+        matches!(self, Self::Shed(shed) if shed.is_overload())
+    }
+
+    /// Tells whether another attempt elsewhere may fare better.
+    pub const fn may_differ_elsewhere(self) -> bool {
+        matches!(
+            self,
+            Self::Shed(Shed::Leaving)
+                | Self::Unreachable
+                | Self::Replaced
+                | Self::Cut
+                | Self::Garbage
+                | Self::NoConfig
+        )
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for Reason {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let shed = SHED.into_iter().map(Self::Shed);
+        let once = ONCE.into_iter().map(Self::Once);
+        PLAIN
+            .into_iter()
+            .chain(shed)
+            .chain(once)
+            .find(|reason| reason.as_str() == text)
+            .ok_or_else(|| Error::value("reason", format!("\"{text}\" is not known")))
+    }
+}
--- /dev/null
+++ b/src/call/reply.rs
@@ -0,0 +1,31 @@
+//! A backend server's answer on its way back.
+
+use http::{HeaderMap, StatusCode};
+
+use super::GuardNews;
+use crate::model::Retries;
+use crate::web::Payload;
+
+/// What travels with an answer besides its body.
+#[derive(Clone, Debug)]
+pub struct ReplyHead {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers for the caller.
+    pub headers: HeaderMap,
+    /// Retries that come home.
+    pub account: Retries,
+    /// What the guard tells of itself.
+    pub news: GuardNews,
+    /// Whether the answer was kept from an earlier run of the same key.
+    pub kept: bool,
+}
+
+/// An answer with its body.
+#[derive(Debug)]
+pub struct Reply {
+    /// All but the body.
+    pub head: ReplyHead,
+    /// The body.
+    pub body: Payload,
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,203 @@
+//! The settings file of a daemon, read and checked.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+
+use super::{LogFormat, LogLevel};
+use crate::declare::{Errors, parse, read};
+use crate::error::Error;
+use crate::model::{CentreName, HallName, ServiceName, Span};
+
+/// Largest number of first neighbours.
+const MAX_NEIGHBOURS: usize = 64;
+/// Largest number of worker threads.
+const MAX_WORKERS: usize = 64;
+
+/// The addresses on which a daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers, and for onward calls of the own backend server.
+    pub callers: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For operators, and for announcements of the own backend server.
+    pub operators: SocketAddr,
+}
+
+/// The settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// The data centre of the VM.
+    pub centre: CentreName,
+    /// The hall of the VM.
+    pub hall: HallName,
+    /// The service of the backend server.
+    pub service: ServiceName,
+    /// Where the daemon listens.
+    pub listen: Listen,
+    /// Where the backend server listens, on loopback.
+    pub backend: SocketAddr,
+    /// Where the platform's table service and object store answer.
+    pub platform: SocketAddr,
+    /// Daemons to ask first for the others.
+    pub neighbours: Vec<SocketAddr>,
+    /// Where metrics go by UDP, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Threads that take calls from callers.
+    pub workers: usize,
+    /// How long a planned stop waits for calls in flight.
+    pub grace: Span,
+    /// Whether the operators' interface may listen beyond loopback.
+    pub open: bool,
+    /// Least severe level that is logged.
+    pub level: LogLevel,
+    /// The form of log lines.
+    pub format: LogFormat,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    data_centre: CentreName,
+    hall: HallName,
+    service: ServiceName,
+    listen: ListenEntry,
+    backend: Spanned<SocketAddr>,
+    platform: Spanned<SocketAddr>,
+    #[serde(default)]
+    neighbours: Vec<Spanned<SocketAddr>>,
+    #[serde(default)]
+    metrics: Option<SocketAddr>,
+    #[serde(default)]
+    workers: Option<Spanned<usize>>,
+    #[serde(default)]
+    grace: Option<Span>,
+    #[serde(default)]
+    log: LogEntry,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListenEntry {
+    callers: Spanned<SocketAddr>,
+    peers: Spanned<SocketAddr>,
+    operators: Spanned<SocketAddr>,
+    #[serde(default)]
+    operators_beyond_loopback: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LogEntry {
+    #[serde(default)]
+    level: LogLevel,
+    #[serde(default)]
+    format: LogFormat,
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake found, with line and what to write instead.
+    pub fn read(path: &Path) -> Result<Self, Errors> {
+        let file: File = read(path)?;
+        Self::check(path, file)
+    }
+
+    /// Checks the content of a settings file; `path` is named in mistakes.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake found, with line and what to write instead.
+    pub fn parse(path: &Path, content: &[u8]) -> Result<Self, Errors> {
+        let file: File = parse(path, content)?;
+        Self::check(path, file)
+    }
+
+    fn check(path: &Path, file: File) -> Result<Self, Errors> {
+        let mut errors = Errors::default();
+        check_listen(path, &file.listen, &mut errors);
+        if !file.backend.value.ip().is_loopback() {
+            let message = "backend must be on loopback, such as 127.0.0.1:9000";
+            errors.at(path, &file.backend, message);
+        }
+        if file.platform.value.port() == 0 {
+            errors.at(path, &file.platform, "platform must name a port above 0");
+        }
+        if file.neighbours.len() > MAX_NEIGHBOURS {
+            let message = format!("write at most {MAX_NEIGHBOURS} neighbours");
+            errors.at(path, &file.neighbours[MAX_NEIGHBOURS], message);
+        }
+        for neighbour in &file.neighbours {
+            if neighbour.value == file.listen.peers.value {
+                let message = "a daemon is no neighbour of its own; remove the line";
+                errors.at(path, neighbour, message);
+            }
+        }
+        let workers = match &file.workers {
+            Some(count) if count.value == 0 || count.value > MAX_WORKERS => {
+                let message = format!("workers must be from 1 to {MAX_WORKERS}");
+                errors.at(path, count, message);
+                1
+            }
+            Some(count) => count.value,
+            None => 1,
+        };
+        errors.or(Self {
+            centre: file.data_centre,
+            hall: file.hall,
+            service: file.service,
+            listen: Listen {
+                callers: file.listen.callers.value,
+                peers: file.listen.peers.value,
+                operators: file.listen.operators.value,
+            },
+            backend: file.backend.value,
+            platform: file.platform.value,
+            neighbours: file.neighbours.iter().map(|n| n.value).collect(),
+            metrics: file.metrics,
+            workers,
+            grace: file.grace.unwrap_or(Span::from_millis(30_000)),
+            open: file.listen.operators_beyond_loopback,
+            level: file.log.level,
+            format: file.log.format,
+        })
+    }
+}
+
+fn check_listen(path: &Path, listen: &ListenEntry, errors: &mut Errors) {
+    let all = [&listen.callers, &listen.peers, &listen.operators];
+    for (place, address) in all.iter().enumerate() {
+        if address.value.ip().is_unspecified() {
+            let message = "write the VM's own IP number; other daemons must be able to use it";
+            errors.at(path, address, message);
+        }
+        if address.value.port() == 0 {
+            errors.at(path, address, "write a port above 0");
+        }
+        if all[..place]
+            .iter()
+            .any(|other| other.value == address.value)
+        {
+            let message = format!("{} stands twice; each needs its own", address.value);
+            errors.at(path, address, message);
+        }
+    }
+    let operators = &listen.operators;
+    if !operators.value.ip().is_loopback() && !listen.operators_beyond_loopback {
+        let message = "operators must be on loopback, since whoever reaches it can change the \
+                       configuration; or write operators_beyond_loopback: true";
+        errors.at(path, operators, message);
+    }
+}
+
+impl From<Error> for Box<str> {
+    fn from(error: Error) -> Self {
+        error.to_string().into()
+    }
+}
--- /dev/null
+++ b/src/daemon/daemon.rs
@@ -0,0 +1,152 @@
+//! Starting and stopping of a daemon.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::config::Config;
+use crate::entry::{Entry, serve_callers};
+use crate::error::Error;
+use crate::guard::Guard;
+use crate::metrics::Metrics;
+use crate::model::{Instance, StartStamp, Version};
+use crate::operator::{Operator, serve_operators};
+use crate::peer::{Peers, Pool, serve_peers};
+use crate::platform::{HttpPlatform, Platform};
+use crate::policy::member::{Beat, Member, MemberState, View};
+use crate::tables::{Calls, Current, Homes, Journal, Routes, Shared, unix_ms};
+use crate::task::{Stopping, find_members, gossip, keep_homes, keep_row, poll, stop, watch_lease};
+use crate::web::Running;
+
+/// How long the platform may take for one request.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A running daemon.
+pub struct Daemon {
+    stopping: Stopping,
+    tasks: JoinSet<()>,
+    callers: Running,
+    operators: Running,
+    peers: oneshot::Sender<()>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address of the settings cannot be bound.
+    pub async fn start(config: Config) -> Result<Self, Error> {
+        let platform = HttpPlatform::new(config.platform, PLATFORM_TIMEOUT);
+        Self::start_on(config, Arc::new(platform)).await
+    }
+
+    /// Starts a daemon on a given platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address of the settings cannot be bound.
+    pub async fn start_on(config: Config, platform: Arc<dyn Platform>) -> Result<Self, Error> {
+        let handle = tokio::runtime::Handle::current();
+        let shared = Arc::new(shared(config, platform)?);
+        let guard = Guard::new(Arc::clone(&shared), handle.clone());
+        let pool = Arc::new(Pool::new(handle));
+        let entry = Entry::new(Arc::clone(&shared), Arc::clone(&guard), Arc::clone(&pool));
+        let (peers, stopped) = oneshot::channel();
+        let service = Peers::new(Arc::clone(&shared), Arc::clone(&guard));
+        serve_peers(shared.config.listen.peers, service, stopped).await?;
+        let callers = serve_callers(Arc::clone(&entry))?;
+        let operators = serve_operators(Operator {
+            shared: Arc::clone(&shared),
+            guard: Arc::clone(&guard),
+            entry: Arc::clone(&entry),
+            pool: Arc::clone(&pool),
+        })?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(gossip(Arc::clone(&shared), Arc::clone(&pool)));
+        tasks.spawn(poll(Arc::clone(&shared), Arc::clone(&guard)));
+        tasks.spawn(watch_lease(Arc::clone(&shared), Arc::clone(&guard)));
+        tasks.spawn(keep_homes(Arc::clone(&shared)));
+        tasks.spawn(keep_row(Arc::clone(&shared)));
+        tasks.spawn(find_members(Arc::clone(&shared)));
+        let instance = shared.instance.to_string();
+        let service = shared.config.service.as_str();
+        spdlog::info!("daemon runs", kv: { instance = instance.as_str(), service });
+        Ok(Self {
+            stopping: Stopping {
+                shared,
+                entry,
+                guard,
+                pool,
+            },
+            tasks,
+            callers,
+            operators,
+            peers,
+        })
+    }
+
+    /// Returns the shared tables.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.stopping.shared
+    }
+
+    /// Returns the guard.
+    pub fn guard(&self) -> &Arc<Guard> {
+        &self.stopping.guard
+    }
+
+    /// Stops as planned; returns whether no call was cut.
+    ///
+    /// Calls that have not ended when `hurry` is told are cut.
+    pub async fn stop(mut self, hurry: impl Future<Output = ()>) -> bool {
+        let drained = stop(&self.stopping, hurry).await;
+        self.tasks.abort_all();
+        let _ = self.peers.send(());
+        let (mut callers, mut operators) = (self.callers, self.operators);
+        let stopped = tokio::task::spawn_blocking(move || {
+            callers.stop();
+            operators.stop();
+        });
+        let _ = stopped.await;
+        drained
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(mut self) {
+        self.tasks.abort_all();
+    }
+}
+
+fn shared(config: Config, platform: Arc<dyn Platform>) -> Result<Shared, Error> {
+    let start = StartStamp::new(unix_ms(), rand::random());
+    let instance = Instance::new(config.listen.peers, start);
+    let own = Member {
+        instance,
+        centre: config.centre.clone(),
+        service: config.service.clone(),
+        beat: Beat(1),
+        state: MemberState::Waiting,
+        version: Version::NONE,
+    };
+    Ok(Shared {
+        instance,
+        current: Current::default(),
+        view: Mutex::new(View::new(Instant::now(), own)),
+        homes: Homes::default(),
+        routes: Routes::new(config.centre.clone()),
+        calls: Arc::new(Calls::default()),
+        journal: Journal::default(),
+        metrics: Metrics::new(config.metrics)?,
+        platform,
+        news: Notify::new(),
+        asks: Mutex::new(BTreeSet::new()),
+        config,
+    })
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,5 @@
+//! One daemon put together.
+
+mod daemon;
+
+pub use daemon::Daemon;
--- /dev/null
+++ b/src/declare/rules.rs
@@ -0,0 +1,94 @@
+//! The rules as operators write them.
+
+use ipnet::IpNet;
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+
+use crate::model::{Bytes, CallerName, ClassName, Retries, ServiceName, Span};
+
+/// The file `rules.yaml`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Rules {
+    pub(super) classes: Vec<ClassEntry>,
+    pub(super) work: Vec<WorkEntry>,
+    #[serde(default)]
+    pub(super) callers: Vec<CallerEntry>,
+    #[serde(default)]
+    pub(super) once: OnceEntry,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ClassEntry {
+    pub(super) name: Spanned<ClassName>,
+    #[serde(default)]
+    pub(super) protected: bool,
+    #[serde(default)]
+    pub(super) once: Option<Spanned<KeyEntry>>,
+    pub(super) deadline: Span,
+    #[serde(default)]
+    pub(super) retries: Option<Retries>,
+    #[serde(default)]
+    pub(super) idempotent: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct KeyEntry {
+    #[serde(default)]
+    pub(super) key: Option<Box<str>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct WorkEntry {
+    pub(super) service: Spanned<ServiceName>,
+    #[serde(default)]
+    pub(super) method: Option<Spanned<Box<str>>>,
+    #[serde(default)]
+    pub(super) path: Option<Spanned<Box<str>>>,
+    pub(super) class: Spanned<ClassName>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct CallerEntry {
+    pub(super) name: Spanned<CallerName>,
+    pub(super) networks: Vec<IpNet>,
+    #[serde(default)]
+    pub(super) classes: Vec<Spanned<ClassName>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct OnceEntry {
+    #[serde(default = "default_horizon")]
+    pub(super) horizon: Span,
+    #[serde(default = "default_memory")]
+    pub(super) memory: Span,
+    #[serde(default = "default_ledger")]
+    pub(super) ledger_bytes: Bytes,
+}
+
+fn default_horizon() -> Span {
+    Span::from_millis(60_000)
+}
+
+fn default_memory() -> Span {
+    Span::from_millis(24 * 3600 * 1000)
+}
+
+fn default_ledger() -> Bytes {
+    Bytes::new(8 * 1024 * 1024)
+}
+
+impl Default for OnceEntry {
+    fn default() -> Self {
+        Self {
+            horizon: default_horizon(),
+            memory: default_memory(),
+            ledger_bytes: default_ledger(),
+        }
+    }
+}
--- /dev/null
+++ b/src/emulator/backend.rs
@@ -0,0 +1,177 @@
+//! A backend server with slots, a service time and onward calls.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use parking_lot::Mutex;
+use tokio::sync::Semaphore;
+use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
+
+use crate::error::Error;
+use crate::guard::CALL;
+use crate::model::ServiceName;
+use crate::web::{Client, HttpRequest, HttpResponse, Running, answer_text, serve};
+
+/// The header that an emulated backend server gives back in its answer.
+pub const TAG: HeaderName = HeaderName::from_static("x-tag");
+/// The header with the idempotency key.
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// How long a daemon may take to answer an onward call.
+const ONWARD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest answer to an onward call, in bytes.
+const MAX_ANSWER: usize = 1024 * 1024;
+
+/// A call that a backend server makes for each of its own.
+#[derive(Clone, Debug)]
+pub struct Onward {
+    /// The service that is called.
+    pub service: ServiceName,
+    /// The path.
+    pub path: Box<str>,
+}
+
+/// How a backend server behaves; it can be changed while it runs.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// How long a call takes, besides its onward calls.
+    pub service_time: Duration,
+    /// Size of the answer, in bytes.
+    pub answer: usize,
+    /// The calls it makes for each of its own.
+    pub onward: Vec<Onward>,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            service_time: Duration::ZERO,
+            answer: 64,
+            onward: Vec::new(),
+        }
+    }
+}
+
+struct State {
+    slots: Semaphore,
+    behaviour: Mutex<Behaviour>,
+    runs: Mutex<HashMap<Box<str>, u32>>,
+    received: Mutex<u64>,
+    daemon: SocketAddr,
+    client: Client,
+}
+
+/// A running backend server.
+pub struct BackendServer {
+    state: Arc<State>,
+    _running: Running,
+}
+
+impl BackendServer {
+    /// Starts one on `address`; onward calls go to the entry at `daemon`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn start(
+        address: SocketAddr,
+        daemon: SocketAddr,
+        slots: usize,
+        behaviour: Behaviour,
+    ) -> Result<Self, Error> {
+        let state = Arc::new(State {
+            slots: Semaphore::new(slots),
+            behaviour: Mutex::new(behaviour),
+            runs: Mutex::default(),
+            received: Mutex::default(),
+            daemon,
+            client: Client::new(ONWARD_TIMEOUT, MAX_ANSWER),
+        });
+        let shared = Arc::clone(&state);
+        let running = serve(address, 1, move |request| {
+            let state = Arc::clone(&shared);
+            async move { state.handle(request).await }
+        })?;
+        Ok(Self {
+            state,
+            _running: running,
+        })
+    }
+
+    /// Changes how it behaves from now on.
+    pub fn change(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.state.behaviour.lock());
+    }
+
+    /// Returns how often each idempotency key ran.
+    pub fn runs(&self) -> HashMap<Box<str>, u32> {
+        self.state.runs.lock().clone()
+    }
+
+    /// Returns the bytes of bodies received so far.
+    pub fn received(&self) -> u64 {
+        *self.state.received.lock()
+    }
+}
+
+impl State {
+    async fn handle(&self, request: HttpRequest) -> HttpResponse {
+        let (head, ext) = request.into_parts();
+        let (_, body) = ext.replace_body(());
+        let Ok(_slot) = self.slots.acquire().await else {
+            return answer_text(StatusCode::SERVICE_UNAVAILABLE, "closed");
+        };
+        if let Some(key) = head.headers.get(KEY).and_then(|key| key.to_str().ok()) {
+            *self.runs.lock().entry(key.into()).or_default() += 1;
+        }
+        if !self.take(body).await {
+            return answer_text(StatusCode::BAD_REQUEST, "the body was cut");
+        }
+        let behaviour = self.behaviour.lock().clone();
+        if !behaviour.service_time.is_zero() {
+            tokio::time::sleep(behaviour.service_time).await;
+        }
+        for onward in &behaviour.onward {
+            if let Err(status) = self.call(onward, head.headers.get(CALL)).await {
+                return answer_text(status, "an onward call failed");
+            }
+        }
+        let mut answer = HttpResponse::new(ResponseBody::bytes(vec![b'x'; behaviour.answer]));
+        if let Some(tag) = head.headers.get(TAG) {
+            answer.headers_mut().insert(TAG, tag.clone());
+        }
+        answer
+    }
+
+    async fn take(&self, mut body: RequestBody) -> bool {
+        while let Some(chunk) = body.data().await {
+            match chunk {
+                Ok(chunk) => *self.received.lock() += chunk.len() as u64,
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    async fn call(&self, onward: &Onward, call: Option<&HeaderValue>) -> Result<(), StatusCode> {
+        let uri = format!("http://{}{}", self.daemon, onward.path);
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = Method::GET;
+        *request.uri_mut() = uri.parse().map_err(|_| StatusCode::BAD_GATEWAY)?;
+        if let Ok(host) = HeaderValue::from_str(onward.service.as_str()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        if let Some(call) = call {
+            request.headers_mut().insert(CALL, call.clone());
+        }
+        match self.client.send(request).await {
+            Ok(answer) if answer.status.is_success() => Ok(()),
+            _ => Err(StatusCode::BAD_GATEWAY),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,312 @@
+//! The attempts at one call, until it is answered or given up.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::accept::Accepted;
+use super::entry::Entry;
+use super::once::{Place, place};
+use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
+use crate::model::{Instance, OnceKey, Verdict};
+use crate::peer;
+use crate::policy::admission::Shed;
+use crate::policy::once::Refuse;
+use crate::policy::retry::{Account, Failure, Loan, Retry, decide};
+use crate::policy::route::{Pick, Report};
+use crate::tables::{Held, Step};
+use crate::web::Payload;
+
+/// How a call ended, and how many retries it took here.
+pub(super) struct Ended {
+    pub(super) result: Result<Reply, Refusal>,
+    pub(super) retries: u32,
+}
+
+/// The account that a call draws on: its parent's or its own.
+enum Purse {
+    Own(parking_lot::Mutex<Account>),
+    Parent(Arc<Held>),
+}
+
+impl Purse {
+    fn with<T>(&self, use_it: impl FnOnce(&mut Account) -> T) -> T {
+        match self {
+            Self::Own(account) => use_it(&mut account.lock()),
+            Self::Parent(held) => use_it(&mut held.account.lock()),
+        }
+    }
+}
+
+/// One call under way at the entry.
+pub(super) struct Forward<'e> {
+    entry: &'e Entry,
+    purse: Purse,
+    accepted: &'e Accepted,
+    retries: u32,
+    /// The weakest verdict of the attempts so far.
+    earlier: Verdict,
+    avoid: Option<Instance>,
+}
+
+impl<'e> Forward<'e> {
+    pub(super) fn new(entry: &'e Entry, accepted: &'e Accepted) -> Self {
+        let purse = match &accepted.parent {
+            Some(held) => Purse::Parent(Arc::clone(held)),
+            None => Purse::Own(parking_lot::Mutex::new(Account::open(accepted.retries))),
+        };
+        Self {
+            entry,
+            purse,
+            accepted,
+            retries: 0,
+            earlier: Verdict::NotRun,
+            avoid: None,
+        }
+    }
+
+    /// Makes attempts until the call is answered or given up.
+    pub(super) async fn run(mut self, body: Payload) -> Ended {
+        let result = match body {
+            Payload::Whole(bytes) => self.attempts(bytes).await,
+            stream @ Payload::Stream { .. } => match self.target(Attempt::plan()) {
+                Ok((attempt, target)) => self.attempt(attempt, target, stream).await,
+                Err(refusal) => Err(refusal),
+            },
+        };
+        let result = result.map_err(|refusal| refusal.after(self.earlier));
+        if let (Err(refusal), Some(parent)) = (&result, &self.accepted.parent)
+            && refusal.reason().is_overload()
+            && let Some(news) = refusal.news
+        {
+            parent.refused_below(news.level);
+        }
+        Ended {
+            result,
+            retries: self.retries,
+        }
+    }
+
+    async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
+        loop {
+            let (attempt, target) = self.target(Attempt::plan())?;
+            let failed = match self
+                .attempt(attempt, target, Payload::Whole(body.clone()))
+                .await
+            {
+                Ok(reply) => return Ok(reply),
+                Err(refusal) => refusal,
+            };
+            let failed = match self.after_once(target, failed).await {
+                Ok(reply) => return Ok(reply),
+                Err(refusal) => refusal,
+            };
+            if !self.again(&failed) {
+                return Err(failed);
+            }
+            self.avoid = Some(target);
+            self.retries += 1;
+            let journal = &self.entry.shared.journal;
+            journal.note(self.head().call, Step::Retried, failed.reason().as_str());
+        }
+    }
+
+    fn head(&self) -> &CallHead {
+        &self.accepted.head
+    }
+
+    /// Chooses where an attempt goes, or says why nowhere.
+    fn target(&self, attempt: Attempt<Planned>) -> Result<(Attempt<Planned>, Instance), Refusal> {
+        let head = self.head();
+        if Instant::now() >= head.deadline {
+            return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
+        }
+        if let Some(once) = &head.once {
+            return match place(&self.entry.shared, &head.service, &once.key) {
+                Place::At(instance) => {
+                    self.table(|table| table.sent(instance));
+                    Ok((attempt, instance))
+                }
+                Place::Refused(refuse) => Err(attempt.refuse_once(refuse)),
+            };
+        }
+        let level = head.priority.level();
+        let now = Instant::now();
+        let picked = self.table(|table| table.choose(now, level, self.avoid, &mut rand::rng()));
+        match picked {
+            Pick::Target(instance) => Ok((attempt, instance)),
+            Pick::Refused(needed) => {
+                let mut refusal = attempt.refuse(Reason::Shed(Shed::Overload), "");
+                refusal.retry_after = Some(self.entry.retry_after());
+                refusal.news = Some(crate::call::GuardNews {
+                    level: needed,
+                    ..Default::default()
+                });
+                Err(refusal)
+            }
+            Pick::Nothing => Err(attempt.refuse(Reason::Unreachable, "no server takes calls")),
+        }
+    }
+
+    fn table<T>(&self, use_it: impl FnOnce(&mut crate::policy::route::Table) -> T) -> T {
+        let table = self.entry.shared.routes.table(&self.head().service);
+        let mut table = table.lock();
+        use_it(&mut table)
+    }
+
+    /// Makes one attempt; what it did not use of its loan comes home.
+    async fn attempt(
+        &self,
+        attempt: Attempt<Planned>,
+        target: Instance,
+        body: Payload,
+    ) -> Result<Reply, Refusal> {
+        let loan = self.purse.with(Account::lend);
+        let mut head = self.head().clone();
+        head.attempt = attempt.id();
+        head.account = loan.retries;
+        let journal = &self.entry.shared.journal;
+        journal.note(head.call, Step::Sent, target.to_string());
+        let sent = Sending {
+            forward: self,
+            target,
+            reported: false,
+        };
+        let call = Call { head, body };
+        let result = if target == self.entry.shared.instance {
+            self.entry.guard.serve(call).await
+        } else {
+            peer::send(&self.entry.pool, target, attempt, call).await
+        };
+        sent.report(&result);
+        self.settle(loan, &result);
+        result
+    }
+
+    fn settle(&self, loan: Loan, result: &Result<Reply, Refusal>) {
+        let rest = match result {
+            Ok(reply) => Some(reply.head.account),
+            Err(refusal) if refusal.news.is_some() => Some(refusal.account),
+            Err(refusal) if refusal.verdict() == Verdict::NotRun => Some(loan.retries),
+            Err(_) => None,
+        };
+        self.purse.with(|account| match rest {
+            Some(rest) => account.settle(loan.id, rest),
+            None => account.write_off(loan.id),
+        });
+    }
+
+    /// Asks the same instance what became of a once call that was lost, and
+    /// follows a claim to the instance that holds it.
+    async fn after_once(&mut self, target: Instance, failed: Refusal) -> Result<Reply, Refusal> {
+        let Some(once) = &self.head().once else {
+            return Err(failed);
+        };
+        if failed.reason() == Reason::Once(Refuse::WrongOwner) {
+            return self.follow(&once.key, failed).await;
+        }
+        let lost = matches!(failed.reason(), Reason::Cut | Reason::Garbage);
+        if !lost || failed.verdict() != Verdict::MayHaveRun {
+            return Err(failed);
+        }
+        let asked = self.inquire(target, &once.key).await;
+        match asked {
+            Err(answer) if answer.reason() == Reason::Once(Refuse::Unseen) => Err(failed),
+            Err(answer) if answer.verdict() == Verdict::NotRun => {
+                Err(answer.after(Verdict::MayHaveRun))
+            }
+            other => other,
+        }
+    }
+
+    async fn inquire(&self, target: Instance, key: &OnceKey) -> Result<Reply, Refusal> {
+        let head = self.head();
+        let pool = &self.entry.pool;
+        peer::inquire(pool, target, &head.service, key, head.deadline).await
+    }
+
+    /// Learns the outcome from the instance that a claim names.
+    async fn follow(&self, key: &OnceKey, failed: Refusal) -> Result<Reply, Refusal> {
+        let Ok(owner) = failed.detail.parse::<Instance>() else {
+            return Err(failed);
+        };
+        match self.inquire(owner, key).await {
+            Ok(reply) => Ok(reply),
+            Err(answer) => Err(answer.after(Verdict::MayHaveRun)),
+        }
+    }
+
+    /// Decides on another attempt after one failed.
+    fn again(&mut self, failed: &Refusal) -> bool {
+        let head = &self.accepted.head;
+        if failed.verdict() == Verdict::MayHaveRun {
+            self.earlier = Verdict::MayHaveRun;
+        }
+        // A lost once call is repeated at the same instance, whose ledger
+        // keeps it from running twice.
+        let once_again =
+            head.once.is_some() && matches!(failed.reason(), Reason::Cut | Reason::Unreachable);
+        if !once_again && !failed.reason().may_differ_elsewhere() {
+            return false;
+        }
+        let verdict = if once_again {
+            Verdict::NotRun
+        } else {
+            failed.verdict()
+        };
+        let failure = Failure {
+            verdict,
+            overload: failed.reason().is_overload(),
+            left: head.deadline.saturating_duration_since(Instant::now()),
+        };
+        let safety = self.accepted.safety;
+        self.table(|table| {
+            self.purse
+                .with(|account| decide(failure, safety, account, table.ratio()))
+        }) == Retry::Again
+    }
+}
+
+/// Reports to the table of targets how an attempt ended, also if the caller
+/// went away first.
+struct Sending<'f> {
+    forward: &'f Forward<'f>,
+    target: Instance,
+    reported: bool,
+}
+
+impl Sending<'_> {
+    fn report(mut self, result: &Result<Reply, Refusal>) {
+        let news = match result {
+            Ok(reply) => Some(reply.head.news),
+            Err(refusal) => refusal.news,
+        };
+        let report = match news {
+            Some(news) => Report::Heard {
+                load: news.load,
+                level: news.level,
+                leaving: news.leaving,
+            },
+            None => Report::Failed,
+        };
+        let now = Instant::now();
+        self.forward.table(|table| {
+            table.report(now, self.target, report);
+            if result.is_ok() {
+                table.ratio().answered();
+            }
+        });
+        self.reported = true;
+    }
+}
+
+impl Drop for Sending<'_> {
+    fn drop(&mut self) {
+        if !self.reported {
+            let now = Instant::now();
+            self.forward
+                .table(|table| table.report(now, self.target, Report::Abandoned));
+        }
+    }
+}
--- /dev/null
+++ b/src/guard/backend.rs
@@ -0,0 +1,214 @@
+//! The backend server on loopback, met by HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HOST, TE, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio_stream::StreamExt;
+
+use crate::call::CallHead;
+use crate::web::{Chunks, Cut, Payload, SMALL_BODY};
+
+/// The header by which onward calls name the call they belong to.
+pub const CALL: HeaderName = HeaderName::from_static("bramleymount-call");
+
+type RequestBody = UnsyncBoxBody<Bytes, Cut>;
+
+/// Idle connections that are kept to the backend server.
+const MAX_IDLE: usize = 256;
+/// How long a connection may be idle.
+const IDLE: Duration = Duration::from_secs(20);
+/// How long connecting on loopback may take.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Longest time in which a streamed body may make no progress.
+const PROGRESS: Duration = Duration::from_secs(10);
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 5] = [
+    CONNECTION,
+    TE,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// How the backend server failed to answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum BackendError {
+    /// No connection could be made; it has seen nothing.
+    Connect(Box<str>),
+    /// It closed early, or answered too little.
+    Cut(Box<str>),
+    /// Its answer was no HTTP.
+    Garbage(Box<str>),
+}
+
+/// A client of the backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    client: Client<HttpConnector, RequestBody>,
+    address: SocketAddr,
+}
+
+impl Backend {
+    /// Makes a client of the backend server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .pool_max_idle_per_host(MAX_IDLE)
+            .build(connector);
+        Self { client, address }
+    }
+
+    /// Sends a call and waits for the head of the answer.
+    pub(super) async fn send(
+        &self,
+        head: &CallHead,
+        body: Payload,
+    ) -> Result<Response<Incoming>, BackendError> {
+        let uri = format!("http://{}{}", self.address, head.target);
+        let mut request = Request::new(request_body(body));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = uri
+            .parse()
+            .map_err(|_| BackendError::Connect("the target is no valid path".into()))?;
+        *request.headers_mut() = forwarded(&head.headers);
+        if let Ok(call) = HeaderValue::from_str(&head.call.to_string()) {
+            request.headers_mut().insert(CALL, call);
+        }
+        self.client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                return BackendError::Connect(e.to_string().into());
+            }
+            let source = std::error::Error::source(&e);
+            let parse = source
+                .and_then(|s| s.downcast_ref::<hyper::Error>())
+                .is_some_and(hyper::Error::is_parse);
+            let text = source.map_or_else(|| e.to_string(), ToString::to_string);
+            if parse {
+                BackendError::Garbage(text.into())
+            } else {
+                BackendError::Cut(text.into())
+            }
+        })
+    }
+}
+
+fn request_body(body: Payload) -> RequestBody {
+    match body {
+        Payload::Whole(bytes) => Full::new(bytes)
+            .map_err(|never| match never {})
+            .boxed_unsync(),
+        Payload::Stream { chunks, .. } => {
+            StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
+        }
+    }
+}
+
+/// Returns the headers without those that concern one connection only.
+pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in &HOP {
+        kept.remove(name);
+    }
+    kept.remove(HOST);
+    kept
+}
+
+/// What was read of an answer's body.
+pub(super) enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// It is large: what was read so far, and the rest.
+    Large(Bytes, Incoming),
+}
+
+/// Reads an answer's body whole if it is small.
+pub(super) async fn read_small(mut body: Incoming) -> Result<AnswerBody, BackendError> {
+    if body.size_hint().lower() > SMALL_BODY as u64 {
+        return Ok(AnswerBody::Large(Bytes::new(), body));
+    }
+    let mut whole = bytes::BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| BackendError::Cut(e.to_string().into()))?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+        if whole.len() > SMALL_BODY {
+            return Ok(AnswerBody::Large(whole.freeze(), body));
+        }
+    }
+    Ok(AnswerBody::Whole(whole.freeze()))
+}
+
+/// Passes the rest of a large body on; returns whether it arrived whole.
+pub(super) async fn pump(
+    first: Bytes,
+    mut body: Incoming,
+    to: &tokio::sync::mpsc::Sender<Result<Bytes, Cut>>,
+) -> bool {
+    if !first.is_empty() && !push(to, first).await {
+        return false;
+    }
+    while let Ok(Some(frame)) = tokio::time::timeout(PROGRESS, body.frame()).await {
+        let Ok(frame) = frame else {
+            let _ = to.send(Err(Cut)).await;
+            return false;
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if !data.is_empty() && !push(to, data).await {
+            return false;
+        }
+    }
+    if !body.is_end_stream() {
+        return false;
+    }
+    push(to, Bytes::new()).await
+}
+
+/// Sends a chunk on, unless the receiver takes none for too long.
+async fn push(to: &tokio::sync::mpsc::Sender<Result<Bytes, Cut>>, chunk: Bytes) -> bool {
+    matches!(
+        tokio::time::timeout(PROGRESS, to.send(Ok(chunk))).await,
+        Ok(Ok(()))
+    )
+}
+
+/// Reads a body whole up to `limit` bytes; `None` if it is longer.
+pub(super) async fn read_whole(
+    first: Bytes,
+    mut rest: Incoming,
+    limit: usize,
+) -> Result<Option<Bytes>, BackendError> {
+    let mut whole = bytes::BytesMut::from(&first[..]);
+    while let Some(frame) = rest.frame().await {
+        let frame = frame.map_err(|e| BackendError::Cut(e.to_string().into()))?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+        if whole.len() > limit {
+            return Ok(None);
+        }
+    }
+    Ok(Some(whole.freeze()))
+}
+
+/// Makes the stream of a large body.
+pub(super) fn stream(length: Option<u64>, chunks: Chunks) -> Payload {
+    Payload::Stream { length, chunks }
+}
--- /dev/null
+++ b/src/guard/gate.rs
@@ -0,0 +1,206 @@
+//! Admission with waiting calls behind it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::call::GuardNews;
+use crate::model::{ClassRank, Level, Priority, Slots};
+use crate::policy::admission::{
+    Admission, Decision, Event, Outcome, Settings, Shed, Token, Waiting,
+};
+
+/// How often a waiting call looks whether its wait has ended.
+const LOOK: Duration = Duration::from_millis(10);
+
+struct Inner {
+    admission: Admission,
+    waiting: HashMap<Token, oneshot::Sender<Result<(), Shed>>>,
+    next: u64,
+}
+
+/// Lets calls through to the backend server in the order of admission.
+pub struct Gate {
+    inner: Mutex<Inner>,
+}
+
+impl Gate {
+    /// Makes the gate of a backend server.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        Arc::new(Self {
+            inner: Mutex::new(Inner {
+                admission: Admission::new(Instant::now(), settings),
+                waiting: HashMap::new(),
+                next: 0,
+            }),
+        })
+    }
+
+    /// Waits until the call may start.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is shed; it has not been started then.
+    pub async fn enter(
+        self: &Arc<Self>,
+        priority: Priority,
+        deadline: Instant,
+    ) -> Result<Pass, Shed> {
+        let now = Instant::now();
+        let (decision, token, waiter) = {
+            let mut inner = self.inner.lock();
+            inner.next += 1;
+            let token = Token(inner.next);
+            let call = Waiting {
+                token,
+                priority,
+                deadline,
+                expires: deadline,
+            };
+            let (sender, receiver) = oneshot::channel();
+            inner.waiting.insert(token, sender);
+            let (decision, events) = inner.admission.arrive(now, call);
+            if decision != Decision::Wait {
+                inner.waiting.remove(&token);
+            }
+            inner.deliver(events);
+            (decision, token, receiver)
+        };
+        match decision {
+            Decision::Start => Ok(self.pass(token)),
+            Decision::Shed(shed) => Err(shed),
+            Decision::Wait => self.wait(token, waiter).await,
+        }
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        token: Token,
+        mut waiter: oneshot::Receiver<Result<(), Shed>>,
+    ) -> Result<Pass, Shed> {
+        // If the caller goes away the pass is dropped, which takes the call
+        // out of the queue or frees the slot that it was given meanwhile.
+        let pass = self.pass(token);
+        loop {
+            match tokio::time::timeout(LOOK, &mut waiter).await {
+                Ok(Ok(Ok(()))) => return Ok(pass),
+                Ok(Ok(Err(shed))) => return Err(shed),
+                Ok(Err(_)) => return Err(Shed::Cancelled),
+                Err(_) => self.with(|admission| admission.expire(Instant::now())),
+            }
+        }
+    }
+
+    fn pass(self: &Arc<Self>, token: Token) -> Pass {
+        Pass {
+            gate: Arc::clone(self),
+            token,
+            outcome: Outcome::Failed,
+        }
+    }
+
+    fn with(&self, change: impl FnOnce(&mut Admission) -> Vec<Event>) {
+        let mut inner = self.inner.lock();
+        let events = change(&mut inner.admission);
+        inner.deliver(events);
+    }
+
+    /// Refuses all new calls from now on and sheds those that wait.
+    pub fn leave(&self) {
+        self.with(Admission::leave);
+    }
+
+    /// Takes calls again, for a backend server that has started anew.
+    pub fn restart(&self, slots: Slots) {
+        self.inner.lock().admission.restart(slots);
+    }
+
+    /// Takes calls again, for a backend server that has been running.
+    pub fn rejoin(&self) {
+        self.inner.lock().admission.rejoin();
+    }
+
+    /// Takes changed rules.
+    pub fn reload(&self, slots: Slots, protected: Option<ClassRank>) {
+        self.inner.lock().admission.reload(slots, protected);
+    }
+
+    /// Returns what answers carry of this guard to callers of a class.
+    pub fn news(&self, rank: ClassRank) -> GuardNews {
+        let inner = self.inner.lock();
+        let admission = &inner.admission;
+        GuardNews {
+            level: admission.level(Instant::now(), rank),
+            load: u32::try_from(admission.in_flight() + admission.waiting()).unwrap_or(u32::MAX),
+            leaving: admission.is_leaving(),
+        }
+    }
+
+    /// Returns when a refused caller may come back.
+    pub fn retry_after(&self) -> Duration {
+        self.inner.lock().admission.retry_after(&mut rand::rng())
+    }
+
+    /// Returns calls in flight, calls that wait, and the limit.
+    pub fn load(&self) -> (usize, usize, usize) {
+        let inner = self.inner.lock();
+        let admission = &inner.admission;
+        (
+            admission.in_flight(),
+            admission.waiting(),
+            admission.limit(),
+        )
+    }
+}
+
+impl Inner {
+    fn deliver(&mut self, events: Vec<Event>) {
+        for event in events {
+            let (token, result) = match event {
+                Event::Start(token) => (token, Ok(())),
+                Event::Shed(token, shed) => (token, Err(shed)),
+            };
+            if let Some(waiter) = self.waiting.remove(&token) {
+                let _ = waiter.send(result);
+            }
+        }
+    }
+}
+
+/// Leave to run one call; the slot is free again when it is dropped.
+pub struct Pass {
+    gate: Arc<Gate>,
+    token: Token,
+    outcome: Outcome,
+}
+
+impl Pass {
+    /// Notes how the call ended, for the limit.
+    pub fn ended(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Notes that the call failed since `level` was demanded further down.
+    pub fn refused_below(&self, level: Level) {
+        let mut inner = self.gate.inner.lock();
+        inner
+            .admission
+            .refused_below(Instant::now(), self.token, level);
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let mut inner = self.gate.inner.lock();
+        inner.waiting.remove(&self.token);
+        inner.admission.cancel(self.token);
+        let events = inner
+            .admission
+            .finish(Instant::now(), self.token, self.outcome);
+        inner.deliver(events);
+    }
+}
--- /dev/null
+++ b/src/metrics/metric.rs
@@ -0,0 +1,118 @@
+//! What is counted of each call.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
+};
+
+use super::{Group, Row, Table};
+use crate::error::Error;
+
+/// What all names begin with.
+const PREFIX: &str = "bramleymount";
+/// Lines that wait for the metrics socket; more are dropped.
+const QUEUE: usize = 4096;
+
+/// How a call ended at the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With the backend server's whole answer.
+    Whole,
+    /// It was shed.
+    Shed,
+    /// In any other way.
+    Failed,
+}
+
+impl Ending {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Shed => "shed",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Counters and histograms of one daemon.
+pub struct Metrics {
+    client: StatsdClient,
+    classes: Table,
+    callers: Table,
+}
+
+impl Metrics {
+    /// Sends metrics to `address` by UDP, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no UDP socket can be had.
+    pub fn new(address: Option<SocketAddr>) -> Result<Self, Error> {
+        let client = match address {
+            Some(address) => {
+                let failed = |e| Error::io("open a socket for metrics", e);
+                let socket = UdpSocket::bind("0.0.0.0:0").map_err(failed)?;
+                socket.set_nonblocking(true).map_err(failed)?;
+                let sink = BufferedUdpMetricSink::from(address, socket)
+                    .map_err(|e| Error::remote(format!("metrics: {e}")))?;
+                let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
+                StatsdClient::from_sink(PREFIX, sink)
+            }
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+        Ok(Self {
+            client,
+            classes: Table::default(),
+            callers: Table::default(),
+        })
+    }
+
+    /// Counts a call that ended at the entry.
+    pub fn ended(
+        &self,
+        class: &str,
+        caller: &str,
+        ending: Ending,
+        latency: Duration,
+        retries: u32,
+    ) {
+        self.classes.record(class, ending, latency, retries);
+        self.callers.record(caller, ending, latency, retries);
+        self.client
+            .count_with_tags("calls", 1)
+            .with_tag("class", class)
+            .with_tag("caller", caller)
+            .with_tag("ending", ending.as_str())
+            .send();
+        if ending == Ending::Whole {
+            self.client
+                .time_with_tags("latency", latency)
+                .with_tag("class", class)
+                .with_tag("caller", caller)
+                .send();
+        }
+    }
+
+    /// Counts an event under a fixed name.
+    pub fn count(&self, name: &'static str) {
+        let _ = self.client.count(name, 1);
+    }
+
+    /// Counts an event with its reason.
+    pub fn count_reason(&self, name: &'static str, reason: &'static str) {
+        self.client
+            .count_with_tags(name, 1)
+            .with_tag("reason", reason)
+            .send();
+    }
+
+    /// Returns the histograms of a group.
+    pub fn rows(&self, group: Group) -> Vec<Row> {
+        match group {
+            Group::Class => self.classes.rows(),
+            Group::Caller => self.callers.rows(),
+        }
+    }
+}
--- /dev/null
+++ b/src/model/instance.rs
@@ -0,0 +1,79 @@
+//! One run of a daemon.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::error::Error;
+
+/// Distinguishes successive runs at the same address.
+///
+/// It holds the start time in milliseconds in its high bits and random bits
+/// below, so that two runs never share one even if a clock is set back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StartStamp(u64);
+
+/// Random bits below the start time.
+const RANDOM_BITS: u32 = 20;
+
+impl StartStamp {
+    /// Makes the stamp of a run that starts at `unix_ms` milliseconds.
+    pub fn new(unix_ms: u64, random: u32) -> Self {
+        let low = u64::from(random) & ((1 << RANDOM_BITS) - 1);
+        Self(unix_ms << RANDOM_BITS | low)
+    }
+
+    /// Returns the stamp as a number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// One run of a daemon: its peer address and start stamp, never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instance {
+    /// The address on which the daemon takes calls from its peers.
+    pub address: SocketAddr,
+    /// The stamp of this run.
+    pub start: StartStamp,
+}
+
+impl Instance {
+    /// Makes an instance from its parts.
+    pub const fn new(address: SocketAddr, start: StartStamp) -> Self {
+        Self { address, start }
+    }
+}
+
+impl fmt::Display for Instance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{:x}", self.address, self.start.0)
+    }
+}
+
+impl FromStr for Instance {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let wrong = || Error::value("instance", format!("\"{text}\" must be IP:PORT@HEX"));
+        let (address, stamp) = text.split_once('@').ok_or_else(wrong)?;
+        let address = address.parse().map_err(|_| wrong())?;
+        let stamp = u64::from_str_radix(stamp, 16).map_err(|_| wrong())?;
+        Ok(Self::new(address, StartStamp(stamp)))
+    }
+}
+
+impl Serialize for Instance {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Instance {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/src/model/level.rs
@@ -0,0 +1,54 @@
+//! The admission level that guards advertise.
+
+use std::fmt;
+
+use super::ClassRank;
+
+/// A point in the order of shedding; work below a guard's level is refused.
+///
+/// It is made of the class and seven bits of the root's hash. A greater level
+/// is more important.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Level(u16);
+
+impl Level {
+    /// Steps within one class.
+    pub const STEPS: usize = 128;
+    /// Number of distinct levels.
+    pub const COUNT: usize = Self::STEPS * ClassRank::COUNT;
+    /// The level that refuses nothing.
+    pub const OPEN: Self = Self(0);
+
+    /// Computes the level of a class and a 16-bit hash of the root.
+    pub fn new(rank: ClassRank, hash: u16) -> Self {
+        let class = ClassRank::COUNT as u16 - 1 - u16::from(rank.get());
+        Self(class * Self::STEPS as u16 + (hash >> 9))
+    }
+
+    /// Makes a level from its number; greater ones count as the greatest.
+    pub fn from_raw(raw: u32) -> Self {
+        let top = Self::COUNT as u32 - 1;
+        Self(raw.min(top) as u16)
+    }
+
+    /// Returns the level as a number.
+    pub const fn get(self) -> u16 {
+        self.0
+    }
+
+    /// Returns the level as an index below [`Level::COUNT`].
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// Returns the class that this level cuts through.
+    pub fn rank(self) -> ClassRank {
+        ClassRank::new(ClassRank::COUNT - 1 - self.index() / Self::STEPS)
+    }
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,23 @@
+//! Newtypes for names, ids, sizes and rates, shared by all modules.
+
+mod id;
+mod instance;
+mod level;
+mod name;
+mod once_key;
+mod priority;
+mod size;
+mod span;
+mod verdict;
+mod version;
+
+pub use id::{AttemptId, CallId, RootId};
+pub use instance::{Instance, StartStamp};
+pub use level::Level;
+pub use name::{CallerName, CentreName, ClassName, HallName, ServiceName};
+pub use once_key::{MintTime, OnceKey};
+pub use priority::{ClassRank, Depth, Priority};
+pub use size::{Bytes, Connections, Retries, Slots};
+pub use span::Span;
+pub use verdict::Verdict;
+pub use version::Version;
--- /dev/null
+++ b/src/model/span.rs
@@ -0,0 +1,64 @@
+//! Durations as written in settings.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::error::Error;
+
+/// A duration above zero, written with its unit, such as `250ms` or `2s`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Span(Duration);
+
+impl Span {
+    /// Longest duration that is accepted.
+    pub const MAX: Duration = Duration::from_secs(7 * 24 * 3600);
+
+    /// Makes a duration of whole milliseconds.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(Duration::from_millis(ms))
+    }
+
+    /// Returns the duration.
+    pub const fn get(self) -> Duration {
+        self.0
+    }
+}
+
+impl FromStr for Span {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let wrong = |message: String| Error::value("duration", message);
+        let time = humantime::parse_duration(text).map_err(|_| {
+            wrong(format!(
+                "\"{text}\" must be a number with its unit, such as 250ms, 2s or 5m"
+            ))
+        })?;
+        if time.is_zero() || time > Self::MAX {
+            return Err(wrong(format!("\"{text}\" must be above 0 and at most 7d")));
+        }
+        Ok(Self(time))
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        humantime::format_duration(self.0).fmt(f)
+    }
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,239 @@
+//! Sending of calls to the guards of other daemons.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::convert::{call_out, id_bytes, refusal_in, reply_in};
+use super::generated::answer_frame::Frame as AnswerPart;
+use super::generated::call_frame::Frame as CallPart;
+use super::generated::{AnswerFrame, CallFrame, InquireRequest, Tail};
+use super::pool::Pool;
+use crate::call::{Attempt, Call, Planned, Reason, Refusal, Reply, Sent};
+use crate::model::{Instance, OnceKey, ServiceName};
+use crate::web::{Chunks, Cut, Payload};
+
+/// How much longer than the deadline an answer is waited for, so that the
+/// guard's own word on it can arrive.
+const SLACK: Duration = Duration::from_millis(20);
+/// Frames that wait to be sent.
+const WINDOW: usize = 8;
+
+/// Sends a call to the guard of `instance` and waits for the answer.
+///
+/// # Errors
+///
+/// Returns what to tell the caller in place of an answer.
+pub async fn send(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Planned>,
+    call: Call,
+) -> Result<Reply, Refusal> {
+    let Some(mut client) = pool.get(instance.address) else {
+        return Err(attempt.refuse(Reason::Unreachable, "no valid address"));
+    };
+    let deadline = call.head.deadline;
+    let frames = call_frames(instance, call);
+    let attempt = attempt.send();
+    let asked = async {
+        let answer = client.call(frames).await?;
+        first_frame(answer.into_inner()).await
+    };
+    match tokio::time::timeout_at(deadline + SLACK, asked).await {
+        Err(_) => Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
+        Ok(Err(status)) => Err(failed(pool, instance, attempt, &status)),
+        Ok(Ok((frame, rest))) => answered(attempt, frame, rest),
+    }
+}
+
+/// Asks `instance` over a new connection what became of a once call.
+///
+/// # Errors
+///
+/// Returns what to tell the caller in place of an answer.
+pub async fn inquire(
+    pool: &Pool,
+    instance: Instance,
+    service: &ServiceName,
+    key: &OnceKey,
+    deadline: Instant,
+) -> Result<Reply, Refusal> {
+    let attempt = Attempt::plan().send();
+    let Some(mut client) = pool.fresh(instance.address) else {
+        return Err(attempt.lose(Reason::Unreachable, "no valid address"));
+    };
+    let left = deadline.saturating_duration_since(Instant::now());
+    let request = InquireRequest {
+        instance: instance.to_string(),
+        service: service.to_string(),
+        once_key: key.to_string(),
+        attempt: id_bytes(attempt.id().get()),
+        wait_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+    };
+    let asked = async {
+        let answer = client.inquire(request).await?;
+        first_frame(answer.into_inner()).await
+    };
+    match tokio::time::timeout_at(deadline + SLACK, asked).await {
+        Err(_) => Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
+        Ok(Err(status)) => Err(attempt.lose(Reason::Cut, status.message())),
+        Ok(Ok((frame, rest))) => answered(attempt, frame, rest),
+    }
+}
+
+type Frames = ReceiverStream<CallFrame>;
+
+fn call_frames(instance: Instance, call: Call) -> Frames {
+    let (sender, receiver) = mpsc::channel(WINDOW);
+    let now = Instant::now();
+    match call.body {
+        Payload::Whole(bytes) => {
+            let head = call_out(instance, &call.head, Some(bytes), now);
+            let _ = sender.try_send(frame(CallPart::Head(head)));
+        }
+        Payload::Stream { chunks, .. } => {
+            let head = call_out(instance, &call.head, None, now);
+            let _ = sender.try_send(frame(CallPart::Head(head)));
+            tokio::spawn(pump_out(chunks, sender));
+        }
+    }
+    ReceiverStream::new(receiver)
+}
+
+fn frame(part: CallPart) -> CallFrame {
+    CallFrame { frame: Some(part) }
+}
+
+/// Sends a streamed body on. If it is cut no tail is sent, which tells the
+/// guard.
+async fn pump_out(mut chunks: Chunks, to: mpsc::Sender<CallFrame>) {
+    let mut measure = Measure::default();
+    while let Some(chunk) = chunks.next().await {
+        let Ok(chunk) = chunk else {
+            return;
+        };
+        measure.add(&chunk);
+        if to.send(frame(CallPart::Chunk(chunk))).await.is_err() {
+            return;
+        }
+    }
+    let _ = to.send(frame(CallPart::Tail(measure.tail()))).await;
+}
+
+/// Length and digest of a body that passes by in chunks.
+#[derive(Default)]
+pub(super) struct Measure {
+    length: u64,
+    hasher: Xxh3,
+}
+
+impl Measure {
+    pub(super) fn add(&mut self, chunk: &[u8]) {
+        self.length += chunk.len() as u64;
+        self.hasher.update(chunk);
+    }
+
+    pub(super) fn tail(&self) -> Tail {
+        Tail {
+            length: self.length,
+            digest: self.hasher.digest(),
+            account: 0,
+        }
+    }
+
+    pub(super) fn fits(&self, tail: &Tail) -> bool {
+        self.length == tail.length && self.hasher.digest() == tail.digest
+    }
+}
+
+async fn first_frame(
+    mut frames: Streaming<AnswerFrame>,
+) -> Result<(Option<AnswerPart>, Streaming<AnswerFrame>), tonic::Status> {
+    let first = frames.message().await?;
+    Ok((first.and_then(|f| f.frame), frames))
+}
+
+fn failed(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Sent>,
+    status: &tonic::Status,
+) -> Refusal {
+    pool.replace(instance.address);
+    if never_connected(status) {
+        return attempt
+            .unsent()
+            .refuse(Reason::Unreachable, status.message());
+    }
+    attempt.lose(Reason::Cut, status.message())
+}
+
+/// Tells whether no connection was made, so that no byte can have left.
+fn never_connected(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(cause) = source {
+        if cause.is::<tonic::ConnectError>() {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
+fn answered(
+    attempt: Attempt<Sent>,
+    part: Option<AnswerPart>,
+    rest: Streaming<AnswerFrame>,
+) -> Result<Reply, Refusal> {
+    let head = match part {
+        Some(AnswerPart::Head(head)) => head,
+        Some(AnswerPart::Refusal(refusal)) => return Err(refusal_in(attempt, &refusal)),
+        _ => return Err(attempt.lose(Reason::Garbage, "the answer has no head")),
+    };
+    if head.attempt != id_bytes(attempt.id().get()) {
+        return Err(attempt.lose(Reason::Garbage, "the answer was to another attempt"));
+    }
+    let streamed = head.streamed;
+    let (head, body) = match reply_in(head) {
+        Ok(parts) => parts,
+        Err(e) => return Err(attempt.lose(Reason::Garbage, e.to_string())),
+    };
+    let body = if streamed {
+        let (sender, chunks) = Chunks::channel();
+        tokio::spawn(pump_in(rest, sender));
+        let length = None;
+        Payload::Stream { length, chunks }
+    } else {
+        Payload::Whole(body)
+    };
+    Ok(Reply { head, body })
+}
+
+/// Takes a streamed answer in; it counts as whole only if its tail fits.
+async fn pump_in(mut frames: Streaming<AnswerFrame>, to: mpsc::Sender<Result<Bytes, Cut>>) {
+    let mut measure = Measure::default();
+    loop {
+        let part = match frames.message().await {
+            Ok(Some(frame)) => frame.frame,
+            _ => None,
+        };
+        let item = match part {
+            Some(AnswerPart::Chunk(chunk)) if !chunk.is_empty() => {
+                measure.add(&chunk);
+                Ok(chunk)
+            }
+            Some(AnswerPart::Tail(tail)) if measure.fits(&tail) => Ok(Bytes::new()),
+            _ => Err(Cut),
+        };
+        let last = !matches!(&item, Ok(chunk) if !chunk.is_empty());
+        if to.send(item).await.is_err() || last {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/convert.rs
@@ -0,0 +1,225 @@
+//! Between the messages of the peer protocol and the types of a call.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::generated as wire;
+use crate::call::{Attempt, CallHead, GuardNews, OnceCall, Reason, Refusal, ReplyHead, Sent};
+use crate::declare::Estate;
+use crate::error::Error;
+use crate::model::{AttemptId, CallId, Depth, Instance, Level, Priority, Retries, RootId, Verdict};
+
+/// Most headers of a message.
+const MAX_HEADERS: usize = 128;
+
+/// Returns the bytes of an id as they stand in a message.
+pub(super) fn id_bytes(id: u128) -> Bytes {
+    Bytes::copy_from_slice(&id.to_be_bytes())
+}
+
+fn id_of(bytes: &[u8]) -> Result<u128, Error> {
+    bytes
+        .try_into()
+        .map(u128::from_be_bytes)
+        .map_err(|_| Error::value("id", "it must have 16 bytes"))
+}
+
+/// Reads an attempt id.
+pub(super) fn attempt_of(bytes: &[u8]) -> Result<AttemptId, Error> {
+    id_of(bytes).map(AttemptId::new)
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Writes headers.
+pub(super) fn headers_out(headers: &HeaderMap) -> Vec<wire::Header> {
+    headers
+        .iter()
+        .map(|(name, value)| wire::Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+/// Reads headers.
+pub(super) fn headers_in(headers: Vec<wire::Header>) -> Result<HeaderMap, Error> {
+    if headers.len() > MAX_HEADERS {
+        return Err(Error::value("message", "it has too many headers"));
+    }
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for header in headers {
+        let wrong = |_| Error::value("header", header.name.clone());
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(|e| wrong(e.into()))?;
+        let value = HeaderValue::from_maybe_shared(header.value)
+            .map_err(|e| wrong(http::Error::from(e)))?;
+        map.append(name, value);
+    }
+    Ok(map)
+}
+
+/// Writes the head of a call to `instance`.
+pub(super) fn call_out(
+    instance: Instance,
+    head: &CallHead,
+    body: Option<Bytes>,
+    now: Instant,
+) -> wire::CallHead {
+    let left = head.deadline.saturating_duration_since(now);
+    let once = head.once.as_ref();
+    wire::CallHead {
+        instance: instance.to_string(),
+        attempt: id_bytes(head.attempt.get()),
+        call: id_bytes(head.call.get()),
+        root: id_bytes(head.root.get()),
+        service: head.service.to_string(),
+        caller: head
+            .caller
+            .as_ref()
+            .map_or(String::new(), ToString::to_string),
+        class: head.class.to_string(),
+        depth: u32::from(head.depth.get()),
+        deadline_ms: millis(left),
+        account: head.account.get(),
+        once_key: once.map_or(String::new(), |once| once.key.to_string()),
+        method: head.method.as_str().to_owned(),
+        target: head.target.to_string(),
+        headers: headers_out(&head.headers),
+        streamed: body.is_none(),
+        body: body.unwrap_or_default(),
+        repeat: head.repeat,
+    }
+}
+
+/// Reads the head of a call; the class must be declared here too.
+pub(super) fn call_in(
+    head: wire::CallHead,
+    estate: &Estate,
+    now: Instant,
+) -> Result<CallHead, Error> {
+    let (rank, class) = estate
+        .class(&head.class)
+        .ok_or_else(|| Error::value("class", format!("\"{}\" is not declared here", head.class)))?;
+    let root = RootId::new(id_of(&head.root)?);
+    let depth = Depth::new(u8::try_from(head.depth).unwrap_or(u8::MAX));
+    let once = match head.once_key.as_str() {
+        "" => None,
+        text => Some(OnceCall { key: text.parse()? }),
+    };
+    let caller = match head.caller.as_str() {
+        "" => None,
+        text => Some(text.parse()?),
+    };
+    let method = Method::from_bytes(head.method.as_bytes())
+        .map_err(|_| Error::value("method", head.method.clone()))?;
+    Ok(CallHead {
+        attempt: attempt_of(&head.attempt)?,
+        call: CallId::new(id_of(&head.call)?),
+        root,
+        service: head.service.parse()?,
+        caller,
+        class: class.name.clone(),
+        priority: Priority::new(rank, depth, root),
+        depth,
+        deadline: now + Duration::from_millis(u64::from(head.deadline_ms)),
+        account: Retries::new(head.account.min(class.retries.get())),
+        once,
+        repeat: head.repeat,
+        method,
+        target: head.target.into(),
+        headers: headers_in(head.headers)?,
+    })
+}
+
+/// Writes the head of an answer.
+pub(super) fn reply_out(
+    attempt: AttemptId,
+    head: &ReplyHead,
+    body: Option<Bytes>,
+) -> wire::AnswerHead {
+    let digest = body.as_ref().map_or(0, |body| xxh3_64(body));
+    wire::AnswerHead {
+        attempt: id_bytes(attempt.get()),
+        status: u32::from(head.status.as_u16()),
+        headers: headers_out(&head.headers),
+        streamed: body.is_none(),
+        body: body.unwrap_or_default(),
+        digest,
+        account: head.account.get(),
+        level: u32::from(head.news.level.get()),
+        load: head.news.load,
+        leaving: head.news.leaving,
+    }
+}
+
+/// Reads the head of an answer.
+pub(super) fn reply_in(head: wire::AnswerHead) -> Result<(ReplyHead, Bytes), Error> {
+    if !head.streamed && xxh3_64(&head.body) != head.digest {
+        return Err(Error::value("answer", "its digest does not fit"));
+    }
+    let status = u16::try_from(head.status)
+        .ok()
+        .and_then(|status| StatusCode::from_u16(status).ok())
+        .ok_or_else(|| Error::value("status", head.status.to_string()))?;
+    let reply = ReplyHead {
+        status,
+        headers: headers_in(head.headers)?,
+        account: Retries::new(head.account),
+        news: GuardNews {
+            level: Level::from_raw(head.level),
+            load: head.load,
+            leaving: head.leaving,
+        },
+        kept: false,
+    };
+    Ok((reply, head.body))
+}
+
+/// Writes a refusal.
+pub(super) fn refusal_out(attempt: AttemptId, refusal: &Refusal) -> wire::Refusal {
+    let news = refusal.news.unwrap_or_default();
+    wire::Refusal {
+        attempt: id_bytes(attempt.get()),
+        verdict: refusal.verdict().to_string(),
+        reason: refusal.reason().to_string(),
+        detail: refusal.detail.to_string(),
+        retry_after_ms: refusal.retry_after.map_or(0, millis),
+        account: refusal.account.get(),
+        level: u32::from(news.level.get()),
+        load: news.load,
+        leaving: news.leaving,
+    }
+}
+
+/// Repeats a refusal that the other side sent.
+pub(super) fn refusal_in(attempt: Attempt<Sent>, message: &wire::Refusal) -> Refusal {
+    let parts = attempt_of(&message.attempt).and_then(|of| {
+        let verdict: Verdict = message.verdict.parse()?;
+        let reason: Reason = message.reason.parse()?;
+        Ok((of, verdict, reason))
+    });
+    let (of, verdict, reason) = match parts {
+        Ok(parts) => parts,
+        Err(e) => return attempt.lose(Reason::Garbage, e.to_string()),
+    };
+    let mut refusal = attempt.relay(of, verdict, reason, &message.detail);
+    if refusal.reason() == reason {
+        refusal.account = Retries::new(message.account);
+        refusal.retry_after = match message.retry_after_ms {
+            0 => None,
+            ms => Some(Duration::from_millis(u64::from(ms))),
+        };
+        refusal.news = Some(GuardNews {
+            level: Level::from_raw(message.level),
+            load: message.load,
+            leaving: message.leaving,
+        });
+    }
+    refusal
+}
--- /dev/null
+++ b/src/peer/news.rs
@@ -0,0 +1,413 @@
+//! Exchange of membership, configuration and home rows with neighbours.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+
+use super::convert::headers_out;
+use super::generated as wire;
+use super::pool::Pool;
+use crate::declare::{Document, DocumentName, Manifest};
+use crate::error::Error;
+use crate::model::{Instance, MintTime, OnceKey, ServiceName, Version};
+use crate::platform::Revision;
+use crate::policy::member::{Beat, Change, Member, Offer, Told};
+use crate::policy::once::{HomeRow, Kept, State};
+use crate::tables::{Home, InForce, Shared};
+
+/// How long a neighbour may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Entries of a ledger sent in one message.
+const BATCH: usize = 256;
+
+/// Why an exchange gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExchangeError(pub Box<str>);
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What an exchange brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exchanged {
+    /// How far the two sides have told each other.
+    pub told: Told,
+    /// Whether both views are the same.
+    pub same: bool,
+    /// The instance that answered.
+    pub instance: Instance,
+}
+
+/// Exchanges news with the daemon at `address`.
+///
+/// # Errors
+///
+/// Fails if it does not answer in time.
+pub async fn exchange(
+    shared: &Shared,
+    pool: &Pool,
+    address: SocketAddr,
+    told: Told,
+) -> Result<Exchanged, ExchangeError> {
+    let (request, ours) = request(shared, told);
+    let answer = ask(pool, address, request).await?;
+    let instance: Instance = answer
+        .from
+        .parse()
+        .map_err(|e: Error| ExchangeError(e.to_string().into()))?;
+    let same = take_members(shared, &answer.members, answer.digest);
+    take_homes(shared, &answer.homes);
+    if shared.current.offer(Version::new(answer.version)) == Offer::Take {
+        fetch(shared, pool, address, &answer).await?;
+    }
+    let told = Told {
+        ours: Some(ours),
+        theirs: Change(answer.change),
+        homes: Change(answer.homes_change),
+        of: Some(instance),
+    };
+    Ok(Exchanged {
+        told,
+        same,
+        instance,
+    })
+}
+
+async fn ask(
+    pool: &Pool,
+    address: SocketAddr,
+    request: wire::ExchangeRequest,
+) -> Result<wire::ExchangeReply, ExchangeError> {
+    let mut client = pool
+        .get(address)
+        .ok_or_else(|| ExchangeError("no valid address".into()))?;
+    match tokio::time::timeout(TIMEOUT, client.exchange(request)).await {
+        Ok(Ok(answer)) => Ok(answer.into_inner()),
+        Ok(Err(status)) => {
+            pool.replace(address);
+            Err(ExchangeError(status.message().into()))
+        }
+        Err(_) => {
+            pool.replace(address);
+            Err(ExchangeError("no answer in time".into()))
+        }
+    }
+}
+
+fn request(shared: &Shared, told: Told) -> (wire::ExchangeRequest, Change) {
+    let homes_digest = shared.homes.digest();
+    let version = shared.current.version().get();
+    let view = shared.view.lock();
+    let members = match told.ours.and_then(|ours| view.changed(ours)) {
+        Some(members) => members.iter().map(member_out).collect(),
+        None => view.members().map(member_out).collect(),
+    };
+    let request = wire::ExchangeRequest {
+        from: shared.instance.to_string(),
+        members,
+        version,
+        want: Vec::new(),
+        seen: told.theirs.0,
+        homes_seen: told.homes.0,
+        seen_of: told.of.map_or(String::new(), |of| of.to_string()),
+        homes_digest,
+    };
+    (request, view.change())
+}
+
+/// Merges members; returns whether the digest is that of the own view.
+fn take_members(shared: &Shared, members: &[wire::Member], digest: u64) -> bool {
+    let now = tokio::time::Instant::now();
+    let (changed, same) = {
+        let mut view = shared.view.lock();
+        let mut changed = false;
+        for member in members.iter().filter_map(|m| member_in(m).ok()) {
+            changed |= view.merge(now, member);
+        }
+        (changed, view.digest() == digest)
+    };
+    if changed {
+        shared.refresh_routes();
+        shared.wake();
+    }
+    same
+}
+
+fn take_homes(shared: &Shared, homes: &[wire::HomeRow]) {
+    for home in homes {
+        let service: Result<ServiceName, _> = home.key.parse();
+        if let (Ok(service), Ok(row)) = (service, HomeRow::decode(&home.content)) {
+            shared.homes.take(&service, Revision(home.revision), row);
+        }
+    }
+}
+
+/// Fetches a later version of the configuration from a neighbour.
+async fn fetch(
+    shared: &Shared,
+    pool: &Pool,
+    address: SocketAddr,
+    answer: &wire::ExchangeReply,
+) -> Result<(), ExchangeError> {
+    let wrong = |e: Error| ExchangeError(e.to_string().into());
+    let manifest = Manifest::decode(&answer.manifest).map_err(wrong)?;
+    let known = shared.current.get();
+    let mut documents = known_documents(known.as_deref(), &manifest);
+    let want: Vec<String> = manifest
+        .documents
+        .iter()
+        .filter(|(name, _)| !documents.contains_key(*name))
+        .map(|(_, hash)| hash.to_string())
+        .collect();
+    if !want.is_empty() {
+        let request = wire::ExchangeRequest {
+            from: shared.instance.to_string(),
+            version: shared.current.version().get(),
+            seen: u64::MAX,
+            homes_seen: u64::MAX,
+            seen_of: answer.from.clone(),
+            want,
+            ..Default::default()
+        };
+        for document in ask(pool, address, request).await?.documents {
+            let document = document_in(document);
+            documents.insert(document.name.clone(), document);
+        }
+    }
+    put_in_force(shared, manifest, documents.into_values().collect()).map_err(wrong)
+}
+
+/// Returns the documents of a manifest that are in force already.
+pub(crate) fn known_documents(
+    known: Option<&InForce>,
+    manifest: &Manifest,
+) -> BTreeMap<DocumentName, Document> {
+    let Some(known) = known else {
+        return BTreeMap::new();
+    };
+    manifest
+        .documents
+        .iter()
+        .filter(|(name, hash)| known.manifest.documents.get(*name) == Some(*hash))
+        .filter_map(|(name, _)| known.documents.get(name))
+        .map(|document| (document.name.clone(), document.clone()))
+        .collect()
+}
+
+/// Puts a version in force and tells the rest of the daemon.
+pub(crate) fn put_in_force(
+    shared: &Shared,
+    manifest: Manifest,
+    documents: Vec<Document>,
+) -> Result<(), Error> {
+    let version = manifest.version;
+    if !shared.current.take(manifest, documents)? {
+        return Ok(());
+    }
+    spdlog::info!("configuration in force", kv: { version = version.get() });
+    let now = tokio::time::Instant::now();
+    shared.view.lock().say(now, |own| own.version = version);
+    shared.refresh_routes();
+    shared.wake();
+    Ok(())
+}
+
+/// Answers an exchange; returns also whether the sender knows something that
+/// is worth asking it for.
+pub(super) fn reply(
+    shared: &Shared,
+    request: &wire::ExchangeRequest,
+) -> (wire::ExchangeReply, bool) {
+    take_members(shared, &request.members, 0);
+    let in_force = shared.current.get();
+    let version = shared.current.version();
+    let sender = Version::new(request.version);
+    let known = request.seen_of == shared.instance.to_string();
+    let since = |seen: u64| {
+        if known {
+            Change(seen)
+        } else {
+            Change::default()
+        }
+    };
+    let (homes, homes_change) = shared.homes.changed(since(request.homes_seen));
+    let view = shared.view.lock();
+    let changed = known.then(|| view.changed(Change(request.seen))).flatten();
+    let members = match changed {
+        Some(members) => members.iter().map(member_out).collect(),
+        None => view.members().map(member_out).collect(),
+    };
+    let reply = wire::ExchangeReply {
+        from: shared.instance.to_string(),
+        digest: view.digest(),
+        members,
+        change: view.change().0,
+        version: version.get(),
+        manifest: match &in_force {
+            Some(in_force) if sender < version => in_force.manifest.encode().into(),
+            _ => Bytes::new(),
+        },
+        documents: wanted(in_force.as_deref(), &request.want),
+        homes: homes.iter().map(home_out).collect(),
+        homes_change: homes_change.0,
+    };
+    drop(view);
+    let asks = request.want.is_empty();
+    let worth = sender > version || request.homes_digest != shared.homes.digest();
+    (reply, asks && worth)
+}
+
+fn wanted(in_force: Option<&InForce>, want: &[String]) -> Vec<wire::Document> {
+    let Some(in_force) = in_force else {
+        return Vec::new();
+    };
+    in_force
+        .documents
+        .values()
+        .map(|document| (document, document.hash()))
+        .filter(|(_, hash)| want.iter().any(|w| w == hash.as_str()))
+        .map(|(document, hash)| wire::Document {
+            name: document.name.to_string(),
+            hash: hash.to_string(),
+            content: Bytes::copy_from_slice(document.content.as_bytes()),
+        })
+        .collect()
+}
+
+fn home_out((service, home): &(ServiceName, Home)) -> wire::HomeRow {
+    wire::HomeRow {
+        key: service.to_string(),
+        revision: home.revision.0,
+        content: home.row.encode().into(),
+    }
+}
+
+fn member_out(member: &Member) -> wire::Member {
+    wire::Member {
+        instance: member.instance.to_string(),
+        centre: member.centre.to_string(),
+        service: member.service.to_string(),
+        beat: member.beat.0,
+        state: member.state.to_string(),
+        version: member.version.get(),
+    }
+}
+
+fn member_in(member: &wire::Member) -> Result<Member, Error> {
+    Ok(Member {
+        instance: member.instance.parse()?,
+        centre: member.centre.parse()?,
+        service: member.service.parse()?,
+        beat: Beat(member.beat),
+        state: member.state.parse()?,
+        version: Version::new(member.version),
+    })
+}
+
+fn document_in(document: wire::Document) -> Document {
+    Document {
+        name: DocumentName::from_text(&document.name),
+        content: String::from_utf8_lossy(&document.content).into(),
+    }
+}
+
+/// Hands the ledger of this instance, which has stopped starting keys, over
+/// to `heir`; returns whether it was taken whole.
+pub async fn hand_over(
+    shared: &Shared,
+    pool: &Pool,
+    heir: Instance,
+    entries: Vec<(OnceKey, State, u64)>,
+    forgotten: MintTime,
+) -> bool {
+    let Some(mut client) = pool.get(heir.address) else {
+        return false;
+    };
+    let mut messages: Vec<wire::LedgerEntry> = entries.iter().map(entry_out).collect();
+    loop {
+        let rest = messages.split_off(messages.len().min(BATCH));
+        let request = wire::HandOverRequest {
+            from: shared.instance.to_string(),
+            heir: heir.to_string(),
+            service: shared.config.service.to_string(),
+            entries: messages,
+            last: rest.is_empty(),
+            forgotten_ms: forgotten.as_millis(),
+        };
+        let last = request.last;
+        let taken = match tokio::time::timeout(TIMEOUT, client.hand_over(request)).await {
+            Ok(Ok(answer)) => answer.into_inner().taken,
+            _ => false,
+        };
+        if !taken || last {
+            return taken;
+        }
+        messages = rest;
+    }
+}
+
+fn entry_out((key, state, hash): &(OnceKey, State, u64)) -> wire::LedgerEntry {
+    let mut entry = wire::LedgerEntry {
+        once_key: key.to_string(),
+        body_hash: *hash,
+        ..Default::default()
+    };
+    match state {
+        State::Claimed => entry.state = CLAIMED.into(),
+        State::Running | State::Unknown => entry.state = UNKNOWN.into(),
+        State::Done(kept) => {
+            entry.state = DONE.into();
+            entry.status = u32::from(kept.status);
+            entry.headers = headers_out(&kept_headers(kept));
+            entry.body = kept.body.clone().unwrap_or_default();
+            entry.whole = kept.body.is_some();
+        }
+    }
+    entry
+}
+
+const CLAIMED: &str = "claimed";
+const UNKNOWN: &str = "unknown";
+const DONE: &str = "done";
+
+fn kept_headers(kept: &Kept) -> HeaderMap {
+    kept.headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let name = http::HeaderName::from_bytes(name.as_bytes()).ok()?;
+            let value = http::HeaderValue::from_bytes(value).ok()?;
+            Some((name, value))
+        })
+        .collect()
+}
+
+/// Reads an entry of a ledger that is handed over.
+pub(super) fn entry_in(entry: wire::LedgerEntry) -> Result<(OnceKey, State, u64), Error> {
+    let key = entry.once_key.parse()?;
+    let state = match entry.state.as_str() {
+        // A key that was claimed by the instance that stops cannot be started
+        // here, since the claim row names that instance.
+        CLAIMED | UNKNOWN => State::Unknown,
+        DONE => State::Done(Kept {
+            status: u16::try_from(entry.status).unwrap_or_default(),
+            headers: entry
+                .headers
+                .into_iter()
+                .map(|h| (h.name.into(), h.value))
+                .collect(),
+            body: entry.whole.then_some(entry.body),
+        }),
+        other => {
+            let message = format!("state \"{other}\" is not known");
+            return Err(Error::value("ledger entry", message));
+        }
+    };
+    Ok((key, state, entry.body_hash))
+}
--- /dev/null
+++ b/src/peer/pool.rs
@@ -0,0 +1,94 @@
+//! Standing connections to other daemons.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+use tonic::transport::{Channel, Endpoint};
+
+use super::generated::peer_client::PeerClient;
+
+/// How long connecting may take.
+const CONNECT: Duration = Duration::from_millis(500);
+/// How often a connection with calls out is asked whether it still lives.
+const PING: Duration = Duration::from_millis(500);
+/// How long such a question may go unanswered.
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest message, in bytes.
+pub(super) const MAX_MESSAGE: usize = 4 * 1024 * 1024;
+/// Bytes that may be under way on one stream and on one connection.
+const STREAM_WINDOW: u32 = 1024 * 1024;
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+
+/// One connection to each daemon that is called.
+///
+/// A connection that has gone silent is found by unanswered pings while calls
+/// are out on it, and is then replaced.
+#[derive(Debug)]
+pub struct Pool {
+    handle: Handle,
+    clients: Mutex<HashMap<SocketAddr, PeerClient<Channel>>>,
+}
+
+impl Pool {
+    /// Makes an empty pool whose connections are driven on `handle`.
+    pub fn new(handle: Handle) -> Self {
+        Self {
+            handle,
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Returns the connection to `address`, which is made when first used.
+    pub(super) fn get(&self, address: SocketAddr) -> Option<PeerClient<Channel>> {
+        let mut clients = self.clients.lock();
+        if let Some(client) = clients.get(&address) {
+            return Some(client.clone());
+        }
+        let client = self.fresh(address)?;
+        clients.insert(address, client.clone());
+        Some(client)
+    }
+
+    /// Makes a new connection apart from the standing one.
+    pub(super) fn fresh(&self, address: SocketAddr) -> Option<PeerClient<Channel>> {
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+        let endpoint = endpoint
+            .connect_timeout(CONNECT)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(PING)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(false)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW);
+        let _entered = self.handle.enter();
+        let client = PeerClient::new(endpoint.connect_lazy());
+        Some(
+            client
+                .max_decoding_message_size(MAX_MESSAGE)
+                .max_encoding_message_size(MAX_MESSAGE),
+        )
+    }
+
+    /// Drops the connection to `address`; the next call makes a new one.
+    pub(super) fn replace(&self, address: SocketAddr) {
+        self.clients.lock().remove(&address);
+    }
+
+    /// Drops the connections to all addresses that `keep` does not know.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.clients.lock().retain(|address, _| keep(address));
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.clients.lock().len()
+    }
+
+    /// Tells whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,249 @@
+//! Taking of calls and news from other daemons.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::client::Measure;
+use super::convert::{attempt_of, call_in, refusal_out, reply_out};
+use super::generated as wire;
+use super::generated::answer_frame::Frame as AnswerPart;
+use super::generated::call_frame::Frame as CallPart;
+use super::generated::peer_server::{Peer, PeerServer};
+use super::news;
+use super::pool::MAX_MESSAGE;
+use crate::call::{Attempt, Call, Reason, Refusal, Reply};
+use crate::error::Error;
+use crate::guard::Guard;
+use crate::model::{AttemptId, Instance, MintTime, OnceKey};
+use crate::tables::{Shared, mint_now};
+use crate::web::{Chunks, Cut, Payload};
+
+/// Calls under way on one connection.
+const MAX_STREAMS: u32 = 8192;
+/// Frames that wait to be sent.
+const WINDOW: usize = 8;
+
+/// Answers other daemons.
+pub struct Peers {
+    shared: Arc<Shared>,
+    guard: Arc<Guard>,
+}
+
+type AnswerStream = Pin<Box<dyn Stream<Item = Result<wire::AnswerFrame, Status>> + Send>>;
+
+impl Peers {
+    /// Makes the service of a daemon.
+    pub fn new(shared: Arc<Shared>, guard: Arc<Guard>) -> Self {
+        Self { shared, guard }
+    }
+
+    /// Checks that a message means this very instance.
+    fn meant(&self, instance: &str) -> bool {
+        instance
+            .parse::<Instance>()
+            .is_ok_and(|meant| meant == self.shared.instance)
+    }
+
+    fn read_head(&self, head: wire::CallHead) -> Result<crate::call::CallHead, Reason> {
+        if !self.meant(&head.instance) {
+            return Err(Reason::Replaced);
+        }
+        let in_force = self.shared.current.get().ok_or(Reason::NoConfig)?;
+        call_in(head, &in_force.estate, Instant::now()).map_err(|_| Reason::BadRequest)
+    }
+}
+
+fn one(frame: wire::AnswerFrame) -> Response<AnswerStream> {
+    Response::new(Box::pin(tokio_stream::once(Ok(frame))))
+}
+
+fn part(part: AnswerPart) -> wire::AnswerFrame {
+    wire::AnswerFrame { frame: Some(part) }
+}
+
+fn answer(attempt: AttemptId, result: Result<Reply, Refusal>) -> Response<AnswerStream> {
+    match result {
+        Err(refusal) => one(part(AnswerPart::Refusal(refusal_out(attempt, &refusal)))),
+        Ok(Reply { head, body }) => match body {
+            Payload::Whole(bytes) => one(part(AnswerPart::Head(reply_out(
+                attempt,
+                &head,
+                Some(bytes),
+            )))),
+            Payload::Stream { chunks, .. } => {
+                let (sender, receiver) = mpsc::channel(WINDOW);
+                let head = part(AnswerPart::Head(reply_out(attempt, &head, None)));
+                let _ = sender.try_send(Ok(head));
+                tokio::spawn(pump_out(chunks, sender));
+                Response::new(Box::pin(ReceiverStream::new(receiver)))
+            }
+        },
+    }
+}
+
+/// Sends a streamed answer on; if it is cut, the stream ends in an error.
+async fn pump_out(mut chunks: Chunks, to: mpsc::Sender<Result<wire::AnswerFrame, Status>>) {
+    let mut measure = Measure::default();
+    while let Some(chunk) = chunks.next().await {
+        let item = match chunk {
+            Ok(chunk) => {
+                measure.add(&chunk);
+                Ok(part(AnswerPart::Chunk(chunk)))
+            }
+            Err(cut) => Err(Status::aborted(cut.to_string())),
+        };
+        let failed = item.is_err();
+        if to.send(item).await.is_err() || failed {
+            return;
+        }
+    }
+    let _ = to.send(Ok(part(AnswerPart::Tail(measure.tail())))).await;
+}
+
+/// Takes a streamed body in; it counts as whole only if its tail fits.
+async fn pump_in(mut frames: Streaming<wire::CallFrame>, to: mpsc::Sender<Result<Bytes, Cut>>) {
+    let mut measure = Measure::default();
+    loop {
+        let received = match frames.message().await {
+            Ok(Some(frame)) => frame.frame,
+            _ => None,
+        };
+        let item = match received {
+            Some(CallPart::Chunk(chunk)) if !chunk.is_empty() => {
+                measure.add(&chunk);
+                Ok(chunk)
+            }
+            Some(CallPart::Tail(tail)) if measure.fits(&tail) => Ok(Bytes::new()),
+            _ => Err(Cut),
+        };
+        let last = !matches!(&item, Ok(chunk) if !chunk.is_empty());
+        if to.send(item).await.is_err() || last {
+            return;
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Peers {
+    type CallStream = AnswerStream;
+    type InquireStream = AnswerStream;
+
+    async fn call(
+        &self,
+        request: Request<Streaming<wire::CallFrame>>,
+    ) -> Result<Response<AnswerStream>, Status> {
+        let mut frames = request.into_inner();
+        let first = frames.message().await?.and_then(|frame| frame.frame);
+        let Some(CallPart::Head(mut message)) = first else {
+            return Err(Status::invalid_argument("the first frame must be a head"));
+        };
+        let attempt =
+            attempt_of(&message.attempt).map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let streamed = message.streamed;
+        let account = message.account;
+        let bytes = std::mem::take(&mut message.body);
+        let head = match self.read_head(message) {
+            Ok(head) => head,
+            Err(reason) => {
+                let mut refusal = Attempt::with_id(attempt).refuse(reason, "");
+                refusal.account = crate::model::Retries::new(account);
+                return Ok(answer(attempt, Err(refusal)));
+            }
+        };
+        let body = if streamed {
+            let (sender, chunks) = Chunks::channel();
+            tokio::spawn(pump_in(frames, sender));
+            let length = None;
+            Payload::Stream { length, chunks }
+        } else {
+            Payload::Whole(bytes)
+        };
+        let result = self.guard.serve(Call { head, body }).await;
+        Ok(answer(attempt, result))
+    }
+
+    async fn inquire(
+        &self,
+        request: Request<wire::InquireRequest>,
+    ) -> Result<Response<AnswerStream>, Status> {
+        let message = request.into_inner();
+        let wrong = |e: Error| Status::invalid_argument(e.to_string());
+        let attempt = attempt_of(&message.attempt).map_err(wrong)?;
+        let key: OnceKey = message.once_key.parse().map_err(wrong)?;
+        let planned = Attempt::with_id(attempt);
+        if !self.meant(&message.instance) {
+            // The instance that was asked is gone; this one knows nothing.
+            let refusal = planned.refuse_once(crate::policy::once::Refuse::OwnerLost);
+            return Ok(answer(attempt, Err(refusal)));
+        }
+        let wait = Duration::from_millis(u64::from(message.wait_ms));
+        let result = self.guard.inquire(planned, &key, wait).await;
+        Ok(answer(attempt, result))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<wire::ExchangeRequest>,
+    ) -> Result<Response<wire::ExchangeReply>, Status> {
+        let message = request.into_inner();
+        let (reply, worth) = news::reply(&self.shared, &message);
+        if worth && let Ok(from) = message.from.parse::<Instance>() {
+            self.shared.ask_later(from.address);
+        }
+        Ok(Response::new(reply))
+    }
+
+    async fn hand_over(
+        &self,
+        request: Request<wire::HandOverRequest>,
+    ) -> Result<Response<wire::HandOverReply>, Status> {
+        let message = request.into_inner();
+        let fits = self.meant(&message.heir) && message.service == self.guard.service().as_str();
+        let entries: Result<Vec<_>, Error> =
+            message.entries.into_iter().map(news::entry_in).collect();
+        let entries = entries.map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let forgotten = MintTime::from_millis(message.forgotten_ms);
+        let taken = fits && self.guard.once().adopt(mint_now(), entries, forgotten);
+        Ok(Response::new(wire::HandOverReply { taken }))
+    }
+}
+
+/// Serves other daemons on `address` until `stop` is told.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn serve_peers(
+    address: SocketAddr,
+    peers: Peers,
+    stop: oneshot::Receiver<()>,
+) -> Result<tokio::task::JoinHandle<()>, Error> {
+    let failed = |e| Error::io(format!("listen on {address}"), e);
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let service = PeerServer::new(peers)
+        .max_decoding_message_size(MAX_MESSAGE)
+        .max_encoding_message_size(MAX_MESSAGE);
+    let served = Server::builder()
+        .tcp_nodelay(true)
+        .max_concurrent_streams(MAX_STREAMS)
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async {
+            let _ = stop.await;
+        });
+    Ok(tokio::spawn(async move {
+        if let Err(e) = served.await {
+            spdlog::error!("peer server ended", kv: { cause = e.to_string().as_str() });
+        }
+    }))
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,15 @@
+//! The platform's table service and object store.
+
+mod client;
+mod memory;
+mod settle;
+mod standin;
+mod store;
+
+pub use client::HttpPlatform;
+pub use memory::{Fault, Memory};
+pub use settle::{Settled, settle};
+pub use standin::serve_standin;
+pub use store::{
+    Condition, ObjectStore, Platform, ReadError, Revision, Row, TableStore, WriteError,
+};
--- /dev/null
+++ b/src/policy/admission/control.rs
@@ -0,0 +1,288 @@
+//! Admission at one guard.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::{Chain, Limit, Outcome, Queue, Shed, Threshold, Token, Waiting};
+use crate::model::{ClassRank, Level, Priority, Slots};
+
+/// Longest wait of a call that is not protected.
+const MAX_WAIT: Duration = Duration::from_millis(50);
+/// Waiting calls as a share of the limit.
+const QUEUE_SHARE: f64 = 0.5;
+/// Fewest calls that may wait.
+const MIN_QUEUE: usize = 4;
+/// Mean of the spread of `Retry-After` at no excess.
+const RETRY_BASE: Duration = Duration::from_secs(1);
+/// Longest mean of `Retry-After`.
+const RETRY_MAX: Duration = Duration::from_secs(30);
+
+/// What admission needs to know of the service and its rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Slots of the backend server.
+    pub slots: Slots,
+    /// Whether the backend server has just started.
+    pub cold: bool,
+    /// The least important rank whose calls are protected, if any.
+    pub protected: Option<ClassRank>,
+}
+
+/// What is done with a call that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It starts at once.
+    Start,
+    /// It waits; an [`Event`] will tell its end.
+    Wait,
+    /// It is shed at once.
+    Shed(Shed),
+}
+
+/// What became of a call that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It starts now.
+    Start(Token),
+    /// It is shed.
+    Shed(Token, Shed),
+}
+
+/// Admits, queues and sheds the calls to one backend server.
+#[derive(Debug)]
+pub struct Admission {
+    limit: Limit,
+    queue: Queue,
+    threshold: Threshold,
+    chain: Chain,
+    protected: Option<ClassRank>,
+    running: HashMap<Token, Running>,
+    leaving: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    started: Instant,
+    level: Level,
+}
+
+impl Admission {
+    /// Makes the admission of a backend server.
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        let limit = if settings.cold {
+            Limit::cold(settings.slots)
+        } else {
+            Limit::warm(settings.slots)
+        };
+        Self {
+            limit,
+            queue: Queue::default(),
+            threshold: Threshold::new(now),
+            chain: Chain::default(),
+            protected: settings.protected,
+            running: HashMap::new(),
+            leaving: false,
+        }
+    }
+
+    /// Takes changed rules without disturbing what runs.
+    pub fn reload(&mut self, slots: Slots, protected: Option<ClassRank>) {
+        self.limit.resize(slots);
+        self.protected = protected;
+    }
+
+    /// Starts anew with a cold backend server.
+    pub fn restart(&mut self, slots: Slots) {
+        self.limit = Limit::cold(slots);
+        self.leaving = false;
+    }
+
+    /// Decides on a call that arrives; events concern calls that waited.
+    pub fn arrive(&mut self, now: Instant, call: Waiting) -> (Decision, Vec<Event>) {
+        let mut events = Vec::new();
+        if self.leaving {
+            return (Decision::Shed(Shed::Leaving), events);
+        }
+        let level = call.priority.level();
+        self.threshold.tick(now);
+        self.threshold.arrived(level);
+        if self.too_late(now, call.deadline) {
+            return (Decision::Shed(Shed::Deadline), events);
+        }
+        if self.chain.refuses(now, level) {
+            return (Decision::Shed(Shed::Downstream), events);
+        }
+        if self.queue.is_empty() && self.running.len() < self.limit.get() {
+            self.start(now, call.token, level);
+            return (Decision::Start, events);
+        }
+        let decision = self.enqueue(now, call, &mut events);
+        self.fill(now, &mut events);
+        (decision, events)
+    }
+
+    fn enqueue(&mut self, now: Instant, call: Waiting, events: &mut Vec<Event>) -> Decision {
+        if self.queue.len() >= self.queue_bound() {
+            match self.queue.least() {
+                Some(least) if least.priority < call.priority => self.evict(events),
+                _ => {
+                    self.threshold.shed();
+                    return Decision::Shed(Shed::Overload);
+                }
+            }
+        }
+        let expires = if self.is_protected(call.priority) {
+            call.deadline
+        } else {
+            call.deadline.min(now + MAX_WAIT)
+        };
+        self.queue.push(Waiting { expires, ..call });
+        Decision::Wait
+    }
+
+    fn evict(&mut self, events: &mut Vec<Event>) {
+        if let Some(least) = self.queue.pop_least() {
+            self.threshold.shed();
+            events.push(Event::Shed(least.token, Shed::Overload));
+        }
+    }
+
+    /// Takes note of a call that ended, and starts those that waited.
+    pub fn finish(&mut self, now: Instant, token: Token, outcome: Outcome) -> Vec<Event> {
+        let mut events = Vec::new();
+        let in_flight = self.running.len();
+        if let Some(run) = self.running.remove(&token) {
+            let latency = now.saturating_duration_since(run.started);
+            self.limit.record(now, outcome, latency, in_flight);
+            if outcome == Outcome::Answered {
+                self.chain.served(run.level);
+            }
+        }
+        self.threshold.tick(now);
+        self.fill(now, &mut events);
+        events
+    }
+
+    /// Takes note that a running call failed since `refused` was demanded
+    /// further down its chain.
+    pub fn refused_below(&mut self, now: Instant, token: Token, refused: Level) {
+        if let Some(run) = self.running.get(&token) {
+            self.chain.failed(now, run.level, refused);
+        }
+    }
+
+    /// Takes a waiting call out; a running one goes on until it is finished.
+    pub fn cancel(&mut self, token: Token) {
+        self.queue.remove(token);
+    }
+
+    /// Sheds the calls that waited too long.
+    pub fn expire(&mut self, now: Instant) -> Vec<Event> {
+        let mut events = Vec::new();
+        for call in self.queue.take_expired(now) {
+            events.push(Event::Shed(call.token, self.expiry(now, &call)));
+        }
+        self.threshold.tick(now);
+        self.fill(now, &mut events);
+        events
+    }
+
+    fn expiry(&mut self, now: Instant, call: &Waiting) -> Shed {
+        self.threshold.shed();
+        if call.deadline <= now {
+            Shed::Deadline
+        } else {
+            Shed::Overload
+        }
+    }
+
+    /// Returns when [`Admission::expire`] should be called next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.queue.next_expiry()
+    }
+
+    /// Refuses all new calls from now on and sheds those that wait.
+    pub fn leave(&mut self) -> Vec<Event> {
+        self.leaving = true;
+        self.queue
+            .drain()
+            .into_iter()
+            .map(|call| Event::Shed(call.token, Shed::Leaving))
+            .collect()
+    }
+
+    /// Takes new calls again after [`Admission::leave`].
+    pub fn rejoin(&mut self) {
+        self.leaving = false;
+    }
+
+    /// Tells whether new calls are refused since the backend server leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the number of calls in flight at the backend server.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the present limit of calls in flight.
+    pub fn limit(&self) -> usize {
+        self.limit.get()
+    }
+
+    /// Returns the level to advertise to callers of the class `rank`.
+    pub fn level(&self, now: Instant, rank: ClassRank) -> Level {
+        self.threshold.level().max(self.chain.level(now, rank))
+    }
+
+    /// Returns when a refused caller may come back, spread at random.
+    pub fn retry_after<R: Rng>(&self, rng: &mut R) -> Duration {
+        let mean = RETRY_BASE.mul_f64(self.threshold.excess()).min(RETRY_MAX);
+        mean.mul_f64(rng.random_range(0.5..1.5))
+    }
+
+    fn is_protected(&self, priority: Priority) -> bool {
+        self.protected.is_some_and(|rank| priority.rank() <= rank)
+    }
+
+    fn queue_bound(&self) -> usize {
+        let share = self.limit.get() as f64 * QUEUE_SHARE;
+        (share as usize).max(MIN_QUEUE)
+    }
+
+    fn too_late(&self, now: Instant, deadline: Instant) -> bool {
+        let left = deadline.saturating_duration_since(now);
+        let need = self.limit.latency().unwrap_or_default().mul_f64(0.5);
+        left.is_zero() || left < need
+    }
+
+    fn start(&mut self, now: Instant, token: Token, level: Level) {
+        self.threshold.started();
+        let started = now;
+        self.running.insert(token, Running { started, level });
+    }
+
+    fn fill(&mut self, now: Instant, events: &mut Vec<Event>) {
+        while self.running.len() < self.limit.get() {
+            let Some(call) = self.queue.pop_first() else {
+                return;
+            };
+            if self.too_late(now, call.deadline) {
+                self.threshold.shed();
+                events.push(Event::Shed(call.token, Shed::Deadline));
+                continue;
+            }
+            self.start(now, call.token, call.priority.level());
+            events.push(Event::Start(call.token));
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/admission/mod.rs
@@ -0,0 +1,17 @@
+//! Which calls a guard starts, lets wait and sheds, and what entries shed early.
+
+mod chain;
+mod control;
+mod heard;
+mod limit;
+mod queue;
+mod shed;
+mod threshold;
+
+pub use chain::Chain;
+pub use control::{Admission, Decision, Event, Settings};
+pub use heard::Heard;
+pub use limit::{Limit, Outcome};
+pub use queue::{Queue, Token, Waiting};
+pub use shed::Shed;
+pub use threshold::Threshold;
--- /dev/null
+++ b/src/policy/admission/queue.rs
@@ -0,0 +1,105 @@
+//! The queue of calls that wait for a slot.
+
+use std::collections::{BTreeMap, HashMap};
+
+use tokio::time::Instant;
+
+use crate::model::Priority;
+
+/// Names a call within one guard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+/// A call that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// The name of the call.
+    pub token: Token,
+    /// Its place in the order of admission.
+    pub priority: Priority,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// When the wait ends at the latest.
+    pub expires: Instant,
+}
+
+/// Orders by priority, then newest first.
+type Key = (Priority, u64);
+
+/// A queue that gives the most important call first and, among equals, the newest.
+#[derive(Debug, Default)]
+pub struct Queue {
+    calls: BTreeMap<Key, Waiting>,
+    keys: HashMap<Token, Key>,
+    sequence: u64,
+}
+
+impl Queue {
+    /// Returns the number of calls that wait.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tells whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Adds a call.
+    pub fn push(&mut self, call: Waiting) {
+        self.sequence += 1;
+        let key = (call.priority, self.sequence);
+        self.calls.insert(key, call);
+        self.keys.insert(call.token, key);
+    }
+
+    /// Takes the most important call.
+    pub fn pop_first(&mut self) -> Option<Waiting> {
+        let (_, call) = self.calls.pop_last()?;
+        self.keys.remove(&call.token);
+        Some(call)
+    }
+
+    /// Takes the least important call.
+    pub fn pop_least(&mut self) -> Option<Waiting> {
+        let (_, call) = self.calls.pop_first()?;
+        self.keys.remove(&call.token);
+        Some(call)
+    }
+
+    /// Returns the least important call.
+    pub fn least(&self) -> Option<&Waiting> {
+        self.calls.values().next()
+    }
+
+    /// Takes out the call named `token`.
+    pub fn remove(&mut self, token: Token) -> Option<Waiting> {
+        let key = self.keys.remove(&token)?;
+        self.calls.remove(&key)
+    }
+
+    /// Takes out all calls whose wait has ended.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<Waiting> {
+        let expired: Vec<Token> = self
+            .calls
+            .values()
+            .filter(|call| call.expires <= now)
+            .map(|call| call.token)
+            .collect();
+        expired
+            .into_iter()
+            .filter_map(|token| self.remove(token))
+            .collect()
+    }
+
+    /// Returns when the next wait ends.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.calls.values().map(|call| call.expires).min()
+    }
+
+    /// Takes out all calls.
+    pub fn drain(&mut self) -> Vec<Waiting> {
+        self.keys.clear();
+        std::mem::take(&mut self.calls).into_values().collect()
+    }
+}
--- /dev/null
+++ b/src/policy/member/view.rs
@@ -0,0 +1,230 @@
+//! All members as one daemon knows them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Beat, Member, MemberState};
+use crate::model::{CentreName, Instance, ServiceName};
+
+/// Changes that are kept for neighbours to catch up.
+const LOG_SIZE: usize = 4096;
+/// How long a stopped member is remembered, so that old news of it is known
+/// to be old.
+const REMEMBERED: Duration = Duration::from_secs(3600);
+
+/// Counts the changes of a view.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Change(pub u64);
+
+#[derive(Clone, Debug)]
+struct Seen {
+    member: Member,
+    ended: Option<Instant>,
+}
+
+/// The members of the estate, one run per address.
+///
+/// News spreads as changes only; there is no periodic news of members that
+/// are well. A member is called silent by its watcher alone, and overrides
+/// that by raising its own beat.
+#[derive(Debug)]
+pub struct View {
+    own: Member,
+    members: BTreeMap<SocketAddr, Seen>,
+    log: VecDeque<(Change, SocketAddr)>,
+    change: Change,
+    digest: u64,
+}
+
+impl View {
+    /// Makes the view of a daemon that knows only itself.
+    pub fn new(now: Instant, own: Member) -> Self {
+        let mut view = Self {
+            own: own.clone(),
+            members: BTreeMap::new(),
+            log: VecDeque::new(),
+            change: Change::default(),
+            digest: 0,
+        };
+        view.put(now, own);
+        view
+    }
+
+    /// Returns what this daemon says of itself.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Changes what this daemon says of itself.
+    pub fn say(&mut self, now: Instant, change: impl FnOnce(&mut Member)) {
+        let mut own = self.own.clone();
+        change(&mut own);
+        if own == self.own {
+            return;
+        }
+        own.beat = Beat(self.own.beat.0 + 1);
+        self.own = own.clone();
+        self.put(now, own);
+    }
+
+    /// Takes news of a member; returns whether it changed the view.
+    pub fn merge(&mut self, now: Instant, news: Member) -> bool {
+        if news.instance == self.own.instance {
+            return self.refute(now, &news);
+        }
+        if news.instance.address == self.own.instance.address {
+            return false;
+        }
+        let newer = match self.members.get(&news.instance.address) {
+            None => true,
+            Some(seen) if seen.member.instance == news.instance => news.overrides(&seen.member),
+            Some(seen) => news.instance.start > seen.member.instance.start,
+        };
+        if newer {
+            self.put(now, news);
+        }
+        newer
+    }
+
+    fn refute(&mut self, now: Instant, news: &Member) -> bool {
+        if !news.overrides(&self.own) {
+            return false;
+        }
+        self.own.beat = Beat(news.beat.0 + 1);
+        let own = self.own.clone();
+        self.put(now, own);
+        true
+    }
+
+    /// Takes note that the watched member `instance` is not heard from.
+    pub fn call_silent(&mut self, now: Instant, instance: Instance) -> bool {
+        let Some(seen) = self.members.get(&instance.address) else {
+            return false;
+        };
+        let member = &seen.member;
+        if member.instance != instance || member.state >= MemberState::Silent {
+            return false;
+        }
+        let mut news = member.clone();
+        news.state = MemberState::Silent;
+        self.put(now, news);
+        true
+    }
+
+    fn put(&mut self, now: Instant, member: Member) {
+        let address = member.instance.address;
+        let ended = (member.state == MemberState::Left).then_some(now);
+        let hash = digest_of(&member);
+        if let Some(old) = self.members.insert(address, Seen { member, ended }) {
+            self.digest ^= digest_of(&old.member);
+        }
+        self.digest ^= hash;
+        self.change = Change(self.change.0 + 1);
+        self.log.push_back((self.change, address));
+        if self.log.len() > LOG_SIZE {
+            self.log.pop_front();
+        }
+    }
+
+    /// Forgets members that stopped long ago.
+    pub fn forget(&mut self, now: Instant) {
+        let digest = &mut self.digest;
+        self.members.retain(|_, seen| {
+            let old = seen
+                .ended
+                .is_some_and(|at| now.saturating_duration_since(at) > REMEMBERED);
+            if old {
+                *digest ^= digest_of(&seen.member);
+            }
+            !old
+        });
+    }
+
+    /// Returns a digest that is equal for equal views.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns the count of changes so far.
+    pub fn change(&self) -> Change {
+        self.change
+    }
+
+    /// Returns the members changed after `since`, or `None` if the changes
+    /// are no longer known one by one.
+    pub fn changed(&self, since: Change) -> Option<Vec<Member>> {
+        if since >= self.change {
+            return Some(Vec::new());
+        }
+        let oldest = self.log.front().map_or(self.change, |(change, _)| *change);
+        if since.0 + 1 < oldest.0 {
+            return None;
+        }
+        let mut addresses: Vec<SocketAddr> = self
+            .log
+            .iter()
+            .filter(|(change, _)| *change > since)
+            .map(|(_, address)| *address)
+            .collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        Some(
+            addresses
+                .iter()
+                .filter_map(|a| self.at(*a))
+                .cloned()
+                .collect(),
+        )
+    }
+
+    /// Returns all members, this daemon among them.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().map(|seen| &seen.member)
+    }
+
+    /// Returns the member at `address`.
+    pub fn at(&self, address: SocketAddr) -> Option<&Member> {
+        self.members.get(&address).map(|seen| &seen.member)
+    }
+
+    /// Returns the members of a service that take calls.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Member> + 'a {
+        self.members()
+            .filter(move |m| m.service == *service && m.state == MemberState::Serving)
+    }
+
+    /// Returns the running members of a data centre, in order of address.
+    pub fn running_in(&self, centre: &CentreName) -> Vec<Instance> {
+        self.members()
+            .filter(|m| m.centre == *centre && m.state < MemberState::Silent)
+            .map(|m| m.instance)
+            .collect()
+    }
+
+    /// Returns the data centres that have running members, in order.
+    pub fn centres(&self) -> Vec<CentreName> {
+        let mut centres: Vec<CentreName> = self
+            .members()
+            .filter(|m| m.state < MemberState::Silent)
+            .map(|m| m.centre.clone())
+            .collect();
+        centres.sort_unstable();
+        centres.dedup();
+        centres
+    }
+}
+
+fn digest_of(member: &Member) -> u64 {
+    let text = format!(
+        "{} {} {} {}",
+        member.instance, member.beat.0, member.state, member.version
+    );
+    xxh3_64(text.as_bytes())
+}
--- /dev/null
+++ b/src/policy/once/ledger.rs
@@ -0,0 +1,297 @@
+//! Outcomes of once calls at one guard.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::Refuse;
+use crate::model::{MintTime, OnceKey};
+
+/// Bytes that an entry takes besides its key, headers and body.
+const ENTRY_COST: usize = 256;
+/// Largest answer that is kept whole, in bytes.
+const MAX_KEPT: usize = 16 * 1024;
+
+/// Bounds of a ledger.
+#[derive(Clone, Copy, Debug)]
+pub struct LedgerLimits {
+    /// Most bytes that it holds.
+    pub bytes: usize,
+    /// How long keys are remembered after they were minted or first seen.
+    pub memory: Duration,
+}
+
+/// An answer kept for repeats.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The status of the answer.
+    pub status: u16,
+    /// Its headers.
+    pub headers: Vec<(Box<str>, Bytes)>,
+    /// Its whole body, or `None` if that was too large to keep.
+    pub body: Option<Bytes>,
+}
+
+impl Kept {
+    fn cost(&self) -> usize {
+        let headers: usize = self.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
+        headers + self.body.as_ref().map_or(0, Bytes::len)
+    }
+}
+
+/// What is known of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// This instance may start it and has not yet.
+    Claimed,
+    /// It was given to the backend server, or will be at once.
+    Running,
+    /// It ran, and this is its answer.
+    Done(Kept),
+    /// It may have run; its outcome was lost.
+    Unknown,
+}
+
+/// One key of a ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// What is known of it.
+    pub state: State,
+    /// A hash of method, target and body.
+    pub body_hash: u64,
+    age: MintTime,
+}
+
+/// What to do with a once call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Start it; the key is new and the ledger has it as running.
+    Start,
+    /// Start it; the key came before and was never started.
+    Resume,
+    /// Wait for the run that is under way.
+    Attach,
+    /// Give this answer.
+    Answer(Kept),
+    /// Refuse it.
+    Refuse(Refuse),
+}
+
+/// Keeps outcomes, bounded in bytes and by age.
+///
+/// Whatever is dropped raises the mint time below which keys are refused, so
+/// that forgetting a key never lets it run again.
+#[derive(Debug)]
+pub struct Ledger {
+    limits: LedgerLimits,
+    entries: HashMap<OnceKey, Entry>,
+    order: BTreeSet<(MintTime, OnceKey)>,
+    bytes: usize,
+    forgotten: MintTime,
+}
+
+impl Ledger {
+    /// Makes an empty ledger.
+    pub fn new(limits: LedgerLimits) -> Self {
+        Self {
+            limits,
+            entries: HashMap::new(),
+            order: BTreeSet::new(),
+            bytes: 0,
+            forgotten: MintTime::default(),
+        }
+    }
+
+    /// Decides on a call with `key` that this instance may start.
+    pub fn begin(&mut self, now: MintTime, key: &OnceKey, body_hash: u64) -> Begin {
+        self.expire(now);
+        if let Some(entry) = self.entries.get_mut(key) {
+            let begin = Self::resume(entry, body_hash);
+            if begin == Begin::Resume {
+                self.bytes += MAX_KEPT;
+            }
+            return begin;
+        }
+        let age = key.mint_time().unwrap_or(now);
+        if age <= self.forgotten {
+            return Begin::Refuse(Refuse::Forgotten);
+        }
+        if !self.make_room(ENTRY_COST + MAX_KEPT) {
+            return Begin::Refuse(Refuse::LedgerFull);
+        }
+        if age <= self.forgotten {
+            return Begin::Refuse(Refuse::Forgotten);
+        }
+        self.insert(key, State::Running, body_hash, age);
+        Begin::Start
+    }
+
+    fn resume(entry: &mut Entry, body_hash: u64) -> Begin {
+        if entry.body_hash != body_hash {
+            return Begin::Refuse(Refuse::BodyDiffers);
+        }
+        match &entry.state {
+            State::Claimed => {
+                entry.state = State::Running;
+                Begin::Resume
+            }
+            State::Running => Begin::Attach,
+            State::Done(kept) if kept.body.is_none() => Begin::Refuse(Refuse::AnswerNotKept),
+            State::Done(kept) => Begin::Answer(kept.clone()),
+            State::Unknown => Begin::Refuse(Refuse::OutcomeLost),
+        }
+    }
+
+    /// Takes note that a running call was answered.
+    pub fn finish(&mut self, key: &OnceKey, mut kept: Kept) {
+        if kept.cost() > MAX_KEPT {
+            kept.body = None;
+            kept.headers.clear();
+        }
+        self.set(key, State::Done(kept));
+    }
+
+    /// Takes note that the outcome of a running call was lost.
+    pub fn lose(&mut self, key: &OnceKey) {
+        self.set(key, State::Unknown);
+    }
+
+    /// Takes note that a call was shed before it was started; it may start
+    /// later.
+    pub fn release(&mut self, key: &OnceKey) {
+        self.set(key, State::Claimed);
+    }
+
+    /// Drops a key that another instance owns.
+    pub fn retract(&mut self, key: &OnceKey) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.bytes -= cost(key, &entry.state);
+            self.order.remove(&(entry.age, key.clone()));
+        }
+    }
+
+    fn set(&mut self, key: &OnceKey, state: State) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            self.bytes -= cost(key, &entry.state);
+            entry.state = state;
+            self.bytes += cost(key, &entry.state);
+        }
+    }
+
+    /// Returns what is known of a key.
+    pub fn get(&self, key: &OnceKey) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Returns all entries, for a hand-over.
+    pub fn entries(&self) -> impl Iterator<Item = (&OnceKey, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Takes over an entry of an instance that stops.
+    ///
+    /// A key that is known here already is kept as it is.
+    pub fn adopt(&mut self, now: MintTime, key: OnceKey, state: State, body_hash: u64) {
+        if self.entries.contains_key(&key) {
+            return;
+        }
+        let state = match state {
+            State::Running => State::Unknown,
+            other => other,
+        };
+        let age = key.mint_time().unwrap_or(now);
+        self.insert(&key, state, body_hash, age);
+        self.make_room(0);
+    }
+
+    /// Takes over the bound below which the other instance had forgotten keys.
+    pub fn adopt_forgotten(&mut self, forgotten: MintTime) {
+        self.forgotten = self.forgotten.max(forgotten);
+    }
+
+    /// Returns the mint time at and below which keys are refused.
+    pub fn forgotten(&self) -> MintTime {
+        self.forgotten
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no key is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the bytes that are accounted for.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn insert(&mut self, key: &OnceKey, state: State, body_hash: u64, age: MintTime) {
+        self.bytes += cost(key, &state);
+        self.order.insert((age, key.clone()));
+        let entry = Entry {
+            state,
+            body_hash,
+            age,
+        };
+        self.entries.insert(key.clone(), entry);
+    }
+
+    fn expire(&mut self, now: MintTime) {
+        let memory = u64::try_from(self.limits.memory.as_millis()).unwrap_or(u64::MAX);
+        let limit = MintTime::from_millis(now.as_millis().saturating_sub(memory));
+        while let Some((age, _)) = self.order.first()
+            && *age < limit
+        {
+            if !self.drop_oldest() {
+                return;
+            }
+        }
+    }
+
+    fn make_room(&mut self, bytes: usize) -> bool {
+        while self.bytes + bytes > self.limits.bytes {
+            if !self.drop_oldest() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Drops the oldest entry that does not run.
+    fn drop_oldest(&mut self) -> bool {
+        let running = |key: &OnceKey| {
+            self.entries
+                .get(key)
+                .is_some_and(|entry| entry.state == State::Running)
+        };
+        let found = self.order.iter().find(|(_, key)| !running(key)).cloned();
+        let Some(place) = found else {
+            return false;
+        };
+        self.order.remove(&place);
+        if let Some(entry) = self.entries.remove(&place.1) {
+            self.bytes -= cost(&place.1, &entry.state);
+            self.forgotten = self.forgotten.max(entry.age);
+        }
+        true
+    }
+}
+
+fn cost(key: &OnceKey, state: &State) -> usize {
+    let key = match key {
+        OnceKey::Opaque(text) => text.len(),
+        OnceKey::Ticket { .. } | OnceKey::Dated(_) => 0,
+    };
+    let kept = match state {
+        State::Done(kept) => kept.cost(),
+        State::Running => MAX_KEPT,
+        State::Claimed | State::Unknown => 0,
+    };
+    ENTRY_COST + key + kept
+}
--- /dev/null
+++ b/src/policy/once/reason.rs
@@ -0,0 +1,96 @@
+//! Why a once call was not started, and what that says of its key.
+
+use std::fmt;
+
+use crate::model::Verdict;
+
+/// Why a once call was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refuse {
+    /// No instance may start keys of this mint time yet.
+    NotOwned,
+    /// The only instance that may start the key is gone.
+    OwnerLost,
+    /// The only instance that may start the key cannot be reached.
+    OwnerUnreachable,
+    /// This instance is not the one that may start the key.
+    WrongOwner,
+    /// The key is older than what is remembered.
+    Forgotten,
+    /// The key came before with another body.
+    BodyDiffers,
+    /// The call was started and its outcome was lost.
+    OutcomeLost,
+    /// The instance that was asked has not seen the key so far.
+    Unseen,
+    /// The key could not be claimed, since the platform does not answer.
+    NoPlatform,
+    /// The ledger has no room for another running call.
+    LedgerFull,
+    /// The call ran, but its answer was too large to keep.
+    AnswerNotKept,
+}
+
+impl Refuse {
+    /// Returns what the refusal says of the key as a whole, not only of the
+    /// one attempt.
+    ///
+    /// An instance that is not the owner knows nothing of the key; the entry
+    /// that asked it turns that into what it knows itself.
+    pub const fn verdict(self) -> Verdict {
+        match self {
+            Self::NotOwned | Self::WrongOwner | Self::NoPlatform | Self::LedgerFull => {
+                Verdict::NotRun
+            }
+            Self::OwnerLost
+            | Self::OwnerUnreachable
+            | Self::Forgotten
+            | Self::BodyDiffers
+            | Self::OutcomeLost
+            | Self::Unseen => Verdict::MayHaveRun,
+            Self::AnswerNotKept => Verdict::Ran,
+        }
+    }
+
+    /// Returns the text that stands in answers, logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotOwned => "key-not-owned-yet",
+            Self::OwnerLost => "key-owner-lost",
+            Self::OwnerUnreachable => "key-owner-unreachable",
+            Self::WrongOwner => "key-owned-elsewhere",
+            Self::Forgotten => "key-too-old",
+            Self::BodyDiffers => "key-reused-with-other-body",
+            Self::OutcomeLost => "outcome-lost",
+            Self::Unseen => "key-not-seen",
+            Self::NoPlatform => "key-not-claimed",
+            Self::LedgerFull => "ledger-full",
+            Self::AnswerNotKept => "answer-not-kept",
+        }
+    }
+
+    /// Returns what the caller should do.
+    pub const fn advice(self) -> &'static str {
+        match self {
+            Self::NotOwned => "repeat later, or use the key in Bramleymount-Ticket",
+            Self::OwnerLost => "check the outcome by other means before using a new key",
+            Self::OwnerUnreachable => "repeat with the same key later",
+            Self::WrongOwner => "repeat with the same key",
+            Self::Forgotten => "keys are remembered for a day; check the outcome by other means",
+            Self::BodyDiffers => "use a new key for a new request",
+            Self::OutcomeLost => "check the outcome by other means before using a new key",
+            Self::Unseen => "repeat with the same key",
+            Self::NoPlatform => {
+                "repeat later, or use a version 7 UUID or the key in Bramleymount-Ticket"
+            }
+            Self::LedgerFull => "repeat later with the same key",
+            Self::AnswerNotKept => "the call ran; read its result from the service",
+        }
+    }
+}
+
+impl fmt::Display for Refuse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
--- /dev/null
+++ b/src/policy/retry/account.rs
@@ -0,0 +1,105 @@
+//! The retries of one request, shared by its whole tree of calls.
+
+use std::collections::BTreeMap;
+
+use crate::model::Retries;
+
+/// Names a loan within one account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LoanId(u64);
+
+/// Retries that travel with one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loan {
+    /// The name under which the rest comes home.
+    pub id: LoanId,
+    /// How many retries the attempt may use in its own tree.
+    pub retries: Retries,
+}
+
+/// Holds the retries that one call and all calls below it may still use.
+///
+/// Retries are never made here: what is lent leaves the account, what comes
+/// home is at most what was lent and comes home once. So the total over a
+/// tree never passes what the first account was opened with, whatever is
+/// lost, repeated or made at the same time.
+#[derive(Debug)]
+pub struct Account {
+    left: u32,
+    loans: BTreeMap<LoanId, u32>,
+    next: u64,
+    spent: u32,
+}
+
+impl Account {
+    /// Opens an account.
+    pub fn open(retries: Retries) -> Self {
+        Self {
+            left: retries.get(),
+            loans: BTreeMap::new(),
+            next: 0,
+            spent: 0,
+        }
+    }
+
+    /// Returns what can be spent or lent now.
+    pub fn left(&self) -> Retries {
+        Retries::new(self.left)
+    }
+
+    /// Returns how many retries were spent here.
+    pub fn spent(&self) -> Retries {
+        Retries::new(self.spent)
+    }
+
+    /// Spends one retry, if there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.left == 0 {
+            return false;
+        }
+        self.left -= 1;
+        self.spent += 1;
+        true
+    }
+
+    /// Lends retries to an attempt: all but one, or the only one.
+    ///
+    /// One stays for the case that the attempt is lost together with its loan.
+    /// The rest goes down, since a failure is cheapest to retry where it is
+    /// met.
+    pub fn lend(&mut self) -> Loan {
+        let share = match self.left {
+            0 => 0,
+            1 => 1,
+            left => left - 1,
+        };
+        self.left -= share;
+        let id = LoanId(self.next);
+        self.next += 1;
+        self.loans.insert(id, share);
+        Loan {
+            id,
+            retries: Retries::new(share),
+        }
+    }
+
+    /// Takes home what an attempt did not use; a repeat changes nothing.
+    pub fn settle(&mut self, id: LoanId, rest: Retries) {
+        if let Some(lent) = self.loans.remove(&id) {
+            self.left += rest.get().min(lent);
+        }
+    }
+
+    /// Gives up a loan whose attempt was lost; what it lent stays spent.
+    pub fn write_off(&mut self, id: LoanId) {
+        self.loans.remove(&id);
+    }
+
+    /// Closes the account and returns what goes home to the one above.
+    ///
+    /// Loans that are still out are not part of it.
+    pub fn close(&mut self) -> Retries {
+        self.loans.clear();
+        Retries::new(std::mem::take(&mut self.left))
+    }
+}
--- /dev/null
+++ b/src/policy/route/eject.rs
@@ -0,0 +1,99 @@
+//! Passive ejection of targets that fail.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::model::Instance;
+
+/// Failures in a row after which a target is ejected.
+const FAILURES: u32 = 5;
+/// First time a target stays out.
+const BASE: Duration = Duration::from_millis(500);
+/// Longest time a target stays out.
+const MAX: Duration = Duration::from_secs(10);
+/// Largest share of targets that may be out.
+const MAX_OUT: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    failures: u32,
+    ejections: u32,
+    until: Option<Instant>,
+    probing: bool,
+}
+
+/// Remembers failures by target and keeps failing ones out for a while.
+///
+/// Only what calls met counts; health endpoints are not asked, since they lag
+/// or mislead. When its time is over a target gets one call; that call's end
+/// decides on its readmission.
+#[derive(Debug, Default)]
+pub struct Ejector {
+    records: HashMap<Instance, Record>,
+}
+
+impl Ejector {
+    /// Takes note of a call that was answered or refused in good order.
+    pub fn succeeded(&mut self, target: Instance) {
+        self.records.remove(&target);
+    }
+
+    /// Takes note of a call that failed; `known` is the number of targets.
+    pub fn failed(&mut self, now: Instant, target: Instance, known: usize) {
+        let out = self.out(now);
+        let record = self.records.entry(target).or_default();
+        record.failures += 1;
+        let was_probe = std::mem::take(&mut record.probing);
+        if !was_probe && record.failures < FAILURES {
+            return;
+        }
+        if !was_probe && (out + 1) as f64 > known as f64 * MAX_OUT {
+            return;
+        }
+        record.ejections += 1;
+        record.failures = 0;
+        let time = BASE * 2u32.saturating_pow(record.ejections - 1);
+        record.until = Some(now + time.min(MAX));
+    }
+
+    /// Takes note of a call that ended without telling anything of `target`.
+    pub fn abandoned(&mut self, now: Instant, target: Instance) {
+        if let Some(record) = self.records.get_mut(&target)
+            && std::mem::take(&mut record.probing)
+        {
+            record.until = Some(now);
+        }
+    }
+
+    /// Tells whether a call may go to `target` now.
+    pub fn admits(&self, now: Instant, target: Instance) -> bool {
+        match self.records.get(&target) {
+            Some(record) => !record.probing && record.until.is_none_or(|until| until <= now),
+            None => true,
+        }
+    }
+
+    /// Takes note that a call goes to `target`; after an ejection it is the
+    /// one call that decides.
+    pub fn sent(&mut self, target: Instance) {
+        if let Some(record) = self.records.get_mut(&target)
+            && record.until.take().is_some()
+        {
+            record.probing = true;
+        }
+    }
+
+    /// Forgets targets that `keep` does not know.
+    pub fn retain(&mut self, keep: impl Fn(&Instance) -> bool) {
+        self.records.retain(|target, _| keep(target));
+    }
+
+    fn out(&self, now: Instant) -> usize {
+        self.records
+            .values()
+            .filter(|record| record.probing || record.until.is_some_and(|until| until > now))
+            .count()
+    }
+}
--- /dev/null
+++ b/src/policy/route/mod.rs
@@ -0,0 +1,13 @@
+//! Which backend server takes a call.
+
+mod eject;
+mod pick;
+mod subset;
+mod table;
+mod target;
+
+pub use eject::Ejector;
+pub use pick::{Choice, Pick, pick};
+pub use subset::{subset, subset_size};
+pub use table::{Report, Table};
+pub use target::{Target, TargetState};
--- /dev/null
+++ b/src/policy/route/subset.rs
@@ -0,0 +1,50 @@
+//! The part of a service's backend servers that one entry connects to.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::model::{Connections, Instance};
+
+/// Fewest backend servers of a data centre in a subset, for redundancy.
+const MIN_SIZE: usize = 4;
+/// Most backend servers of a data centre in a subset.
+const MAX_SIZE: usize = 20;
+/// Share of a server's connections that daemons may use; the rest is for
+/// reconnections and uneven hashing.
+const SHARE: f64 = 0.5;
+
+/// Computes how many of `servers` one of `entries` may connect to.
+///
+/// With subsets of `k`, a server has `entries * k / servers` connections in
+/// the mean; `k` is chosen so that this stays within half of its limit.
+pub fn subset_size(entries: usize, servers: usize, limit: Connections) -> usize {
+    if entries == 0 || servers == 0 {
+        return servers;
+    }
+    let budget = f64::from(limit.get()) * SHARE;
+    let allowed = (budget * servers as f64 / entries as f64) as usize;
+    allowed.clamp(1, MAX_SIZE.max(MIN_SIZE)).min(servers)
+}
+
+/// Chooses `size` of `servers` for the entry `own` by rendezvous hashing.
+///
+/// The choice is the same each time, and a server that comes or goes changes
+/// at most one place of a subset.
+pub fn subset(own: u64, servers: &[Instance], size: usize) -> Vec<Instance> {
+    let mut ranked: Vec<(u64, Instance)> = servers
+        .iter()
+        .map(|server| (weight(own, server), *server))
+        .collect();
+    ranked.sort_unstable();
+    ranked.truncate(size);
+    ranked.into_iter().map(|(_, server)| server).collect()
+}
+
+fn weight(own: u64, server: &Instance) -> u64 {
+    let mut bytes = [0; 18];
+    match server.address.ip() {
+        std::net::IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        std::net::IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&server.address.port().to_le_bytes());
+    xxh3_64_with_seed(&bytes, own)
+}
--- /dev/null
+++ b/src/policy/route/table.rs
@@ -0,0 +1,168 @@
+//! The targets of one service, as one entry uses them.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::pick::Choice;
+use super::{Ejector, Pick, Target, TargetState, pick};
+use crate::model::{CentreName, Instance, Level};
+use crate::policy::retry::Ratio;
+
+/// What a call met at its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// The guard answered or refused; its load and level came with it.
+    Heard {
+        /// Calls in flight at the guard.
+        load: u32,
+        /// The guard's admission level.
+        level: Level,
+        /// Whether the guard takes no new calls.
+        leaving: bool,
+    },
+    /// The connection failed, went silent or gave garbage.
+    Failed,
+    /// The caller went away first, which says nothing of the target.
+    Abandoned,
+}
+
+/// The targets of one service with all that is remembered of them.
+#[derive(Debug)]
+pub struct Table {
+    own: CentreName,
+    near: Vec<Target>,
+    far: Vec<Target>,
+    places: HashMap<Instance, Place>,
+    ejector: Ejector,
+    ratio: Ratio,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Near(usize),
+    Far(usize),
+}
+
+impl Table {
+    /// Makes an empty table for an entry in the data centre `own`.
+    pub fn new(own: CentreName) -> Self {
+        Self {
+            own,
+            near: Vec::new(),
+            far: Vec::new(),
+            places: HashMap::new(),
+            ejector: Ejector::default(),
+            ratio: Ratio::default(),
+        }
+    }
+
+    /// Takes a changed set of targets; what is known of those that stay is
+    /// kept.
+    pub fn update(&mut self, targets: Vec<Target>) {
+        let mut old: HashMap<Instance, Target> = self
+            .near
+            .drain(..)
+            .chain(self.far.drain(..))
+            .map(|target| (target.instance, target))
+            .collect();
+        self.places.clear();
+        for news in targets {
+            let target = match old.remove(&news.instance) {
+                Some(mut known) => {
+                    known.renew(news);
+                    known
+                }
+                None => news,
+            };
+            self.insert(target);
+        }
+        let places = &self.places;
+        self.ejector
+            .retain(|instance| places.contains_key(instance));
+    }
+
+    fn insert(&mut self, target: Target) {
+        let instance = target.instance;
+        let place = if target.centre == self.own {
+            self.near.push(target);
+            Place::Near(self.near.len() - 1)
+        } else {
+            self.far.push(target);
+            Place::Far(self.far.len() - 1)
+        };
+        self.places.insert(instance, place);
+    }
+
+    /// Chooses a target for a call of `level` and counts the call as sent.
+    pub fn choose<R: Rng>(
+        &mut self,
+        now: Instant,
+        level: Level,
+        avoid: Option<Instance>,
+        rng: &mut R,
+    ) -> Pick {
+        let choice = Choice {
+            near: &self.near,
+            far: &self.far,
+            ejector: &self.ejector,
+            avoid,
+        };
+        let found = pick(now, level, choice, rng);
+        if let Pick::Target(instance) = found {
+            self.sent(instance);
+        }
+        found
+    }
+
+    /// Counts a call as sent to a target that was chosen in another way.
+    pub fn sent(&mut self, instance: Instance) {
+        self.ejector.sent(instance);
+        if let Some(target) = self.find(instance) {
+            target.sent();
+        }
+    }
+
+    /// Takes note of what a call met.
+    pub fn report(&mut self, now: Instant, instance: Instance, report: Report) {
+        let known = self.places.len();
+        match report {
+            Report::Heard { .. } => self.ejector.succeeded(instance),
+            Report::Failed => self.ejector.failed(now, instance, known),
+            Report::Abandoned => self.ejector.abandoned(now, instance),
+        }
+        let Some(target) = self.find(instance) else {
+            return;
+        };
+        target.ended();
+        if let Report::Heard {
+            load,
+            level,
+            leaving,
+        } = report
+        {
+            target.hear(now, load, level);
+            if leaving {
+                target.state = TargetState::Leaving;
+            }
+        }
+    }
+
+    /// Returns the retry ratio of the service.
+    pub fn ratio(&mut self) -> &mut Ratio {
+        &mut self.ratio
+    }
+
+    /// Returns the targets, those of the own data centre first.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.near.iter().chain(&self.far)
+    }
+
+    fn find(&mut self, instance: Instance) -> Option<&mut Target> {
+        match *self.places.get(&instance)? {
+            Place::Near(n) => self.near.get_mut(n),
+            Place::Far(n) => self.far.get_mut(n),
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/route/target.rs
@@ -0,0 +1,96 @@
+//! One backend server as an entry knows it.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::model::{CentreName, Instance, Level, Slots};
+use crate::policy::admission::Heard;
+
+/// Half-life of a load that was heard on an answer.
+const LOAD_AGE: Duration = Duration::from_millis(200);
+
+/// Whether calls may go to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// It takes calls.
+    Serving,
+    /// It takes no new calls and finishes those it has.
+    Leaving,
+    /// Its data centre cannot be reached; it is not known to be gone.
+    Unreachable,
+}
+
+/// One backend server: where it is, and its load as heard on answers.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The daemon that stands before it.
+    pub instance: Instance,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Whether calls may go to it.
+    pub state: TargetState,
+    /// Its slots by the inventory.
+    pub slots: Slots,
+    in_flight: u32,
+    load: Option<(u32, Instant)>,
+    level: Heard,
+}
+
+impl Target {
+    /// Makes a target that nothing has been heard of.
+    pub fn new(instance: Instance, centre: CentreName, slots: Slots) -> Self {
+        Self {
+            instance,
+            centre,
+            state: TargetState::Serving,
+            slots,
+            in_flight: 0,
+            load: None,
+            level: Heard::default(),
+        }
+    }
+
+    /// Takes over place, size and state from `news`, and keeps the load.
+    pub fn renew(&mut self, news: Self) {
+        self.state = news.state;
+        self.slots = news.slots;
+        self.centre = news.centre;
+    }
+
+    /// Takes note of a call sent to it.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Takes note that a call sent to it has ended.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Takes note of the load and level that came with an answer.
+    pub fn hear(&mut self, now: Instant, load: u32, level: Level) {
+        self.load = Some((load, now));
+        self.level.hear(now, level);
+    }
+
+    /// Returns the calls of this entry in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the level below which it refuses calls, as far as known.
+    pub fn level(&self, now: Instant) -> Level {
+        self.level.level(now)
+    }
+
+    /// Estimates its load as a share of its slots; old news counts less.
+    pub fn load(&self, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight);
+        let heard = self.load.map_or(0.0, |(load, at)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            f64::from(load) * (-age / LOAD_AGE.as_secs_f64()).exp2()
+        });
+        own.max(heard) / f64::from(self.slots.get())
+    }
+}
--- /dev/null
+++ b/src/tables/current.rs
@@ -0,0 +1,76 @@
+//! The configuration in force at this daemon.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::RwLock;
+
+use crate::declare::{Document, DocumentName, Estate, Manifest, join};
+use crate::error::Error;
+use crate::model::Version;
+use crate::policy::member::{Offer, Rollout};
+
+/// One version of the configuration with its documents.
+#[derive(Debug)]
+pub struct InForce {
+    /// Names the version and its documents.
+    pub manifest: Manifest,
+    /// The documents by name.
+    pub documents: BTreeMap<DocumentName, Document>,
+    /// What the documents say.
+    pub estate: Estate,
+}
+
+/// The configuration in force, which is only ever replaced by a later one.
+#[derive(Debug, Default)]
+pub struct Current {
+    inner: RwLock<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rollout: Rollout,
+    in_force: Option<Arc<InForce>>,
+}
+
+impl Current {
+    /// Returns what is in force, if anything is yet.
+    pub fn get(&self) -> Option<Arc<InForce>> {
+        self.inner.read().in_force.clone()
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> Version {
+        self.inner.read().rollout.current()
+    }
+
+    /// Decides on a version that was heard of.
+    pub fn offer(&self, version: Version) -> Offer {
+        self.inner.read().rollout.offer(version)
+    }
+
+    /// Puts a version in force; returns whether it was later than the present.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the documents are not those of the manifest or make no estate;
+    /// what was in force stays so.
+    pub fn take(&self, manifest: Manifest, documents: Vec<Document>) -> Result<bool, Error> {
+        if Manifest::index(&documents) != manifest.documents {
+            let message = "the documents are not those of the manifest";
+            return Err(Error::value("configuration", message));
+        }
+        let estate = join(&documents)?;
+        let documents = documents.into_iter().map(|d| (d.name.clone(), d)).collect();
+        let mut inner = self.inner.write();
+        let newer = inner.rollout.take(manifest.version);
+        if newer {
+            inner.in_force = Some(Arc::new(InForce {
+                manifest,
+                documents,
+                estate,
+            }));
+        }
+        Ok(newer)
+    }
+}
--- /dev/null
+++ b/src/tables/mod.rs
@@ -0,0 +1,27 @@
+//! Tables that the workers of one daemon share.
+//!
+//! Lock order: a thread that holds a lock takes only locks further down this
+//! list, and holds none across an await.
+//!
+//! 1. `Current` (configuration in force)
+//! 2. `Members` (view of the estate)
+//! 3. `Homes` (home rows)
+//! 4. `Routes` (tables of targets), then one table
+//! 5. `Calls` (held calls), then one account
+//! 6. `Gate` (admission)
+//! 7. `Ledger` (once calls)
+//! 8. `Journal` and histograms
+
+mod calls;
+mod current;
+mod homes;
+mod journal;
+mod routes;
+mod shared;
+
+pub use calls::{Calls, Held, HeldCall};
+pub use current::{Current, InForce};
+pub use homes::{Home, Homes};
+pub use journal::{Journal, Note, Step};
+pub use routes::Routes;
+pub use shared::{Shared, mint_now, unix_ms};
--- /dev/null
+++ b/src/tables/routes.rs
@@ -0,0 +1,75 @@
+//! The tables of targets, one per service that is called.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use crate::declare::Estate;
+use crate::model::{CentreName, Instance, ServiceName};
+use crate::policy::member::View;
+use crate::policy::route::{Table, Target, subset, subset_size};
+
+/// The tables of targets by service.
+#[derive(Debug)]
+pub struct Routes {
+    own: CentreName,
+    tables: Mutex<HashMap<ServiceName, Arc<Mutex<Table>>>>,
+}
+
+impl Routes {
+    /// Makes the tables of an entry in the data centre `own`.
+    pub fn new(own: CentreName) -> Self {
+        Self {
+            own,
+            tables: Mutex::default(),
+        }
+    }
+
+    /// Returns the table of a service.
+    pub fn table(&self, service: &ServiceName) -> Arc<Mutex<Table>> {
+        let mut tables = self.tables.lock();
+        match tables.get(service) {
+            Some(table) => Arc::clone(table),
+            None => {
+                let table = Arc::new(Mutex::new(Table::new(self.own.clone())));
+                tables.insert(service.clone(), Arc::clone(&table));
+                table
+            }
+        }
+    }
+
+    /// Fills the tables from the view of the estate.
+    pub fn update(&self, estate: &Estate, view: &View) {
+        let own = view.own().instance;
+        for service in estate.services.values() {
+            let mut near = Vec::new();
+            let mut far = Vec::new();
+            for member in view.serving(&service.name) {
+                if member.centre == self.own {
+                    near.push(member.instance);
+                } else {
+                    far.push(member.instance);
+                }
+            }
+            let entries = estate.entry_count(&service.name) as usize;
+            let servers = near.len() + far.len();
+            let size = subset_size(entries, servers, service.connections);
+            let mut chosen = subset(own_hash(own), &near, size);
+            chosen.extend(subset(own_hash(own), &far, size));
+            if service.name == view.own().service && !chosen.contains(&own) && near.contains(&own) {
+                chosen.push(own);
+            }
+            let targets = chosen
+                .into_iter()
+                .filter_map(|instance| view.at(instance.address))
+                .map(|m| Target::new(m.instance, m.centre.clone(), service.slots))
+                .collect();
+            self.table(&service.name).lock().update(targets);
+        }
+    }
+}
+
+fn own_hash(own: Instance) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(own.address.to_string().as_bytes())
+}
--- /dev/null
+++ b/src/tables/shared.rs
@@ -0,0 +1,79 @@
+//! All shared tables of one daemon.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::{Calls, Current, Homes, Journal, Routes};
+use crate::config::Config;
+use crate::metrics::Metrics;
+use crate::model::{Instance, MintTime};
+use crate::platform::Platform;
+use crate::policy::member::View;
+
+/// The tables that entry, guard, peers and operators' interface share.
+pub struct Shared {
+    /// The settings.
+    pub config: Config,
+    /// This run of the daemon.
+    pub instance: Instance,
+    /// The configuration in force.
+    pub current: Current,
+    /// The members of the estate.
+    pub view: Mutex<View>,
+    /// Home rows.
+    pub homes: Homes,
+    /// Targets by service.
+    pub routes: Routes,
+    /// Calls that the backend server works on.
+    pub calls: Arc<Calls>,
+    /// Recent decisions.
+    pub journal: Journal,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+    /// Wakes the task that passes news on to neighbours.
+    pub news: Notify,
+    /// Daemons that know something worth asking for.
+    pub asks: Mutex<BTreeSet<SocketAddr>>,
+}
+
+impl Shared {
+    /// Fills the tables of targets anew after the view or the configuration
+    /// changed.
+    pub fn refresh_routes(&self) {
+        if let Some(in_force) = self.current.get() {
+            let view = self.view.lock();
+            self.routes.update(&in_force.estate, &view);
+        }
+    }
+
+    /// Tells the task that news is there to pass on.
+    pub fn wake(&self) {
+        self.news.notify_one();
+    }
+
+    /// Notes that the daemon at `address` knows something worth asking for.
+    pub fn ask_later(&self, address: SocketAddr) {
+        self.asks.lock().insert(address);
+        self.wake();
+    }
+}
+
+/// Returns the time of the system clock in milliseconds of Unix time.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Returns the time of the system clock as a mint time.
+pub fn mint_now() -> MintTime {
+    MintTime::from_millis(unix_ms())
+}
--- /dev/null
+++ b/src/task/homes.rs
@@ -0,0 +1,112 @@
+//! Extension of the home row of the own service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::declare::Once;
+use crate::model::{Instance, ServiceName};
+use crate::platform::{Condition, Settled, settle};
+use crate::policy::member::Budget;
+use crate::policy::once::{HomeRow, Horizon, plan};
+use crate::tables::{Home, Shared, mint_now};
+
+/// How often the row is looked at.
+const LOOK: Duration = Duration::from_millis(500);
+/// Requests a second and at once that one daemon may make for its row.
+const RATE: f64 = 1.0;
+const BURST: f64 = 4.0;
+/// Looks by which one instance after the other waits before it steps in.
+const TURN: usize = 4;
+
+/// Keeps the home row of the own service extended, for ever.
+///
+/// All instances of the service could do it; each waits a little longer than
+/// the one before it, so that usually the first one alone does.
+pub async fn keep_homes(shared: Arc<Shared>) {
+    let mut budget = Budget::new(Instant::now(), RATE, BURST);
+    let mut due_for = 0;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let Some(once) = once_rules(&shared) else {
+            continue;
+        };
+        let live = live(&shared);
+        let Some(turn) = live.iter().position(|i| *i == shared.instance) else {
+            continue;
+        };
+        let known = shared.homes.get(&shared.config.service);
+        if next(known.as_ref(), &live, once).is_none() {
+            due_for = 0;
+            continue;
+        }
+        due_for += 1;
+        if due_for <= turn * TURN || !budget.take(Instant::now()) {
+            continue;
+        }
+        match extend(&shared, &live, once).await {
+            Some(()) => budget.answered(),
+            None => budget.failed(Instant::now(), &mut rand::rng()),
+        }
+    }
+}
+
+fn once_rules(shared: &Shared) -> Option<Once> {
+    let in_force = shared.current.get()?;
+    let estate = &in_force.estate;
+    let service = estate.services.get(&shared.config.service)?;
+    estate.has_once(service).then_some(estate.once)
+}
+
+fn live(shared: &Shared) -> Vec<Instance> {
+    let view = shared.view.lock();
+    view.serving(&shared.config.service)
+        .map(|member| member.instance)
+        .collect()
+}
+
+fn next(known: Option<&Home>, live: &[Instance], once: Once) -> Option<HomeRow> {
+    let horizon = Horizon {
+        ahead: once.horizon.get(),
+        memory: once.memory.get(),
+    };
+    let empty = HomeRow::default();
+    let row = known.map_or(&empty, |home| &*home.row);
+    plan(row, mint_now(), live, horizon)
+}
+
+/// Returns the name of the home row of a service.
+pub(super) fn row_key(service: &ServiceName) -> String {
+    format!("home/{service}")
+}
+
+/// Writes the next state of the row; `None` if the platform does not answer.
+async fn extend(shared: &Shared, live: &[Instance], once: Once) -> Option<()> {
+    let service = &shared.config.service;
+    let known = shared.homes.get(service);
+    let Some(row) = next(known.as_ref(), live, once) else {
+        return Some(());
+    };
+    let condition = match &known {
+        Some(home) => Condition::Revision(home.revision),
+        None => Condition::Absent,
+    };
+    let content = row.encode().into();
+    let table = shared.platform.as_ref();
+    match settle(table, &row_key(service), condition, content).await {
+        Settled::Written(revision) => {
+            shared.homes.take(service, revision, row);
+            shared.wake();
+            Some(())
+        }
+        Settled::Lost(Some(found)) => {
+            if let Ok(row) = HomeRow::decode(&found.content) {
+                shared.homes.take(service, found.revision, row);
+            }
+            Some(())
+        }
+        Settled::Lost(None) => Some(()),
+        Settled::NotSent(_) | Settled::Unsettled(_) => None,
+    }
+}
--- /dev/null
+++ b/src/task/lease.rs
@@ -0,0 +1,45 @@
+//! What the daemon says of its backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::guard::{Guard, LeaseState};
+use crate::policy::member::MemberState;
+use crate::tables::Shared;
+
+/// How often the lease is looked at.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Tells the estate when the backend server comes, leaves or lapses, for ever.
+pub async fn watch_lease(shared: Arc<Shared>, guard: Arc<Guard>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let state = match guard.lease_state() {
+            LeaseState::Absent => MemberState::Waiting,
+            LeaseState::Serving => MemberState::Serving,
+            LeaseState::Leaving => MemberState::Leaving,
+        };
+        say_state(&shared, state);
+    }
+}
+
+/// Says the state, if it has changed.
+pub(super) fn say_state(shared: &Shared, state: MemberState) {
+    let changed = {
+        let mut view = shared.view.lock();
+        let before = view.own().state;
+        // What a stopping daemon has said is not taken back.
+        let stopping = before == MemberState::Left;
+        if !stopping && before != state {
+            view.say(Instant::now(), |own| own.state = state);
+        }
+        !stopping && before != state
+    };
+    if changed {
+        spdlog::info!("backend server", kv: { state = state.as_str() });
+        shared.refresh_routes();
+        shared.wake();
+    }
+}
--- /dev/null
+++ b/src/task/mod.rs
@@ -0,0 +1,15 @@
+//! What a daemon does besides calls: news, configuration, home rows, stopping.
+
+mod gossip;
+mod homes;
+mod lease;
+mod poll;
+mod row;
+mod stop;
+
+pub use gossip::gossip;
+pub use homes::keep_homes;
+pub use lease::watch_lease;
+pub use poll::{CURRENT_ROW, CurrentRow, fetch_version, poll};
+pub use row::{find_members, keep_row};
+pub use stop::{Stopping, stop};
--- /dev/null
+++ b/src/task/poll.rs
@@ -0,0 +1,124 @@
+//! Reading of the configuration from the platform.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::declare::{Document, DocumentName, Hash, Manifest};
+use crate::error::Error;
+use crate::guard::Guard;
+use crate::model::Version;
+use crate::peer::{known_documents, put_in_force};
+use crate::policy::member::{Budget, Offer, is_poller};
+use crate::tables::Shared;
+
+/// The row that names the version in force.
+pub const CURRENT_ROW: &str = "config/current";
+
+/// How often a poller reads the row.
+const TICK: Duration = Duration::from_secs(2);
+/// Reads a second and at once that one daemon may make.
+const RATE: f64 = 2.0;
+const BURST: f64 = 8.0;
+
+/// The content of the row that names the version in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CurrentRow {
+    /// The version.
+    pub version: Version,
+    /// The hash under which its manifest lies in the object store.
+    pub manifest: Hash,
+    /// The change that made it.
+    pub change: Box<str>,
+}
+
+/// Reads the row now and then, for ever: always if this daemon has no
+/// configuration, else only if it is one of the few pollers of its data centre.
+pub async fn poll(shared: Arc<Shared>, guard: Arc<Guard>) {
+    let mut budget = Budget::new(Instant::now(), RATE, BURST);
+    let mut seen = Version::NONE;
+    loop {
+        let none = shared.current.get().is_none();
+        if (none || is_poller(&shared.view.lock())) && budget.take(Instant::now()) {
+            match read(&shared).await {
+                Ok(()) => budget.answered(),
+                Err(e) => {
+                    spdlog::debug!("cannot read the configuration", kv: {
+                        cause = e.to_string().as_str()
+                    });
+                    budget.failed(Instant::now(), &mut rand::rng());
+                }
+            }
+        }
+        if shared.current.version() != seen {
+            seen = shared.current.version();
+            guard.reload();
+            shared.refresh_routes();
+        }
+        wait_for_news(&shared, seen).await;
+    }
+}
+
+/// Waits for the next read, or until another version is in force.
+async fn wait_for_news(shared: &Shared, seen: Version) {
+    const LOOK: Duration = Duration::from_millis(50);
+    let end = Instant::now() + TICK;
+    while Instant::now() < end && shared.current.version() == seen {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn read(shared: &Shared) -> Result<(), Error> {
+    let failed = |e: crate::platform::ReadError| Error::remote(e.to_string());
+    let row = shared.platform.read(CURRENT_ROW).await.map_err(failed)?;
+    let Some(row) = row else {
+        return Ok(());
+    };
+    let current: CurrentRow = serde_json::from_slice(&row.content)
+        .map_err(|e| Error::value("configuration row", e.to_string()))?;
+    if shared.current.offer(current.version) != Offer::Take {
+        return Ok(());
+    }
+    let (manifest, documents) = fetch_version(shared, &current.manifest).await?;
+    put_in_force(shared, manifest, documents)
+}
+
+/// Fetches a manifest and its documents from the object store.
+///
+/// # Errors
+///
+/// Fails if the platform does not answer or an object is missing.
+pub async fn fetch_version(
+    shared: &Shared,
+    manifest: &Hash,
+) -> Result<(Manifest, Vec<Document>), Error> {
+    let content = object(shared, manifest).await?;
+    let manifest = Manifest::decode(&content)?;
+    let known = shared.current.get();
+    let mut documents: BTreeMap<DocumentName, Document> =
+        known_documents(known.as_deref(), &manifest);
+    for (name, hash) in &manifest.documents {
+        if documents.contains_key(name) {
+            continue;
+        }
+        let content = object(shared, hash).await?;
+        let content = String::from_utf8_lossy(&content).into();
+        let name = name.clone();
+        documents.insert(name.clone(), Document { name, content });
+    }
+    Ok((manifest, documents.into_values().collect()))
+}
+
+async fn object(shared: &Shared, hash: &Hash) -> Result<bytes::Bytes, Error> {
+    let found = shared.platform.get(hash.as_str()).await;
+    let found = found.map_err(|e| Error::remote(e.to_string()))?;
+    let content =
+        found.ok_or_else(|| Error::remote(format!("object {hash} is not in the store")))?;
+    if Hash::of(&content) != *hash {
+        return Err(Error::remote(format!("object {hash} is damaged")));
+    }
+    Ok(content)
+}
--- /dev/null
+++ b/src/task/stop.rs
@@ -0,0 +1,144 @@
+//! A planned stop: tell, drain, hand over, end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::homes::row_key;
+use super::lease::say_state;
+use super::row::write_row;
+use crate::entry::Entry;
+use crate::guard::Guard;
+use crate::model::Instance;
+use crate::peer::{Pool, exchange, hand_over};
+use crate::platform::{Condition, Settled, settle};
+use crate::policy::member::{MemberState, Told, neighbours};
+use crate::policy::once::{Successor, hand_over as next_row};
+use crate::tables::Shared;
+
+/// How long callers have to learn that this daemon leaves before its entry
+/// refuses new calls.
+const TOLD: Duration = Duration::from_millis(1500);
+/// How often calls in flight are counted.
+const LOOK: Duration = Duration::from_millis(20);
+/// How long the platform may take for the last writes.
+const LAST_WRITES: Duration = Duration::from_secs(3);
+
+/// The parts of a daemon that a stop concerns.
+pub struct Stopping {
+    /// The shared tables.
+    pub shared: Arc<Shared>,
+    /// The entry.
+    pub entry: Arc<Entry>,
+    /// The guard.
+    pub guard: Arc<Guard>,
+    /// Connections to others.
+    pub pool: Arc<Pool>,
+}
+
+/// Stops a daemon as planned; returns whether no call was cut.
+///
+/// It ends when all calls have ended, or after the grace of the settings, or
+/// when `hurry` is told.
+pub async fn stop(parts: &Stopping, hurry: impl Future<Output = ()>) -> bool {
+    let Stopping {
+        shared,
+        entry,
+        guard,
+        pool,
+    } = parts;
+    spdlog::info!("stopping: no new calls");
+    guard.drain();
+    say_state(shared, MemberState::Leaving);
+    tell_neighbours(shared, pool).await;
+    tokio::time::sleep(TOLD).await;
+    entry.close();
+    let limit = Instant::now() + shared.config.grace.get();
+    let drained = tokio::select! {
+        drained = drain(entry, guard, shared, limit) => drained,
+        () = hurry => false,
+    };
+    guard.once().stop();
+    let last = tokio::time::timeout(LAST_WRITES, hand_over_home(shared, guard, pool)).await;
+    spdlog::info!("ledger", kv: { handed_over = last.unwrap_or(false) });
+    say_state(shared, MemberState::Left);
+    tell_neighbours(shared, pool).await;
+    let own = shared.view.lock().own().clone();
+    let _ = tokio::time::timeout(LAST_WRITES, write_row(shared, &own)).await;
+    spdlog::info!("stopped", kv: { drained = drained });
+    drained
+}
+
+async fn drain(entry: &Entry, guard: &Guard, shared: &Shared, limit: Instant) -> bool {
+    while Instant::now() < limit {
+        let (in_flight, waiting, _) = guard.gate().load();
+        if entry.in_flight() == 0 && in_flight == 0 && waiting == 0 && shared.calls.is_empty() {
+            return true;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    false
+}
+
+async fn tell_neighbours(shared: &Shared, pool: &Pool) {
+    let neighbours = neighbours(&shared.view.lock());
+    let told = neighbours
+        .all()
+        .map(|instance| exchange(shared, pool, instance.address, Told::default()));
+    futures_util::future::join_all(told).await;
+}
+
+/// Hands the ledger to another instance of the service, then gives it the
+/// mint times that this instance owns.
+async fn hand_over_home(shared: &Shared, guard: &Guard, pool: &Pool) -> bool {
+    let (entries, forgotten) = guard.once().export();
+    let service = &shared.config.service;
+    let home = shared.homes.get(service);
+    let owns = home.as_ref().is_some_and(|home| {
+        let all = home.row.slots().iter().flatten();
+        all.into_iter().any(|i| i.owner == shared.instance)
+    });
+    if entries.is_empty() && !owns {
+        return true;
+    }
+    let Some(heir) = heir(shared) else {
+        return false;
+    };
+    if !hand_over(shared, pool, heir, entries, forgotten).await {
+        return false;
+    }
+    let Some(mut home) = home else {
+        return true;
+    };
+    loop {
+        let row = next_row(&home.row, shared.instance, Successor(heir));
+        let condition = Condition::Revision(home.revision);
+        let content = row.encode().into();
+        let table = shared.platform.as_ref();
+        match settle(table, &row_key(service), condition, content).await {
+            Settled::Written(revision) => {
+                shared.homes.take(service, revision, row);
+                return true;
+            }
+            Settled::Lost(Some(found)) => {
+                let Ok(row) = crate::policy::once::HomeRow::decode(&found.content) else {
+                    return false;
+                };
+                shared.homes.take(service, found.revision, row);
+                let Some(later) = shared.homes.get(service) else {
+                    return false;
+                };
+                home = later;
+            }
+            Settled::Lost(None) | Settled::NotSent(_) | Settled::Unsettled(_) => return false,
+        }
+    }
+}
+
+fn heir(shared: &Shared) -> Option<Instance> {
+    let view = shared.view.lock();
+    view.serving(&shared.config.service)
+        .map(|member| member.instance)
+        .find(|instance| *instance != shared.instance)
+}
--- /dev/null
+++ b/src/web/client.rs
@@ -0,0 +1,120 @@
+//! Asking by HTTP.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// How long an idle connection is kept; short, since a connection that
+/// something between has forgotten fails the next request.
+const IDLE: Duration = Duration::from_secs(5);
+/// How long connecting may take.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Why an answer did not come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientError {
+    /// No connection was made; nothing was sent.
+    Connect(Box<str>),
+    /// The request may have arrived; no whole answer came.
+    Lost(Box<str>),
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(cause) => write!(f, "cannot connect: {cause}"),
+            Self::Lost(cause) => write!(f, "no whole answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A client for small requests with whole answers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+    limit: usize,
+}
+
+impl Client {
+    /// Makes a client; answers may have at most `limit` bytes and take
+    /// `timeout`.
+    pub fn new(timeout: Duration, limit: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT.min(timeout)));
+        connector.set_nodelay(true);
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .pool_max_idle_per_host(64)
+            .build(connector);
+        Self {
+            pool,
+            timeout,
+            limit,
+        }
+    }
+
+    /// Sends a request and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request may have arrived.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Answer, ClientError> {
+        let whole = async {
+            let answer = self.pool.request(request).await.map_err(|e| {
+                let cause = chain(&e);
+                if e.is_connect() {
+                    ClientError::Connect(cause)
+                } else {
+                    ClientError::Lost(cause)
+                }
+            })?;
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, self.limit)
+                .collect()
+                .await
+                .map_err(|e| ClientError::Lost(e.to_string().into()))?
+                .to_bytes();
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
+        };
+        match tokio::time::timeout(self.timeout, whole).await {
+            Ok(result) => result,
+            Err(_) => Err(ClientError::Lost("timeout".into())),
+        }
+    }
+}
+
+fn chain(error: &dyn std::error::Error) -> Box<str> {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text.into()
+}
--- /dev/null
+++ b/src/web/payload.rs
@@ -0,0 +1,110 @@
+//! Bodies of calls and answers, whole or as a stream.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use tokio::sync::mpsc;
+
+/// Largest body that is held whole, in bytes; larger ones are streamed.
+pub const SMALL_BODY: usize = 64 * 1024;
+/// Chunks that wait between the two ends of a stream.
+const WINDOW: usize = 8;
+
+/// A body ended before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the body ended before its end")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// The receiving end of a streamed body, with back pressure.
+///
+/// It ends after the last chunk, or with [`Cut`].
+#[derive(Debug)]
+pub struct Chunks {
+    receiver: mpsc::Receiver<Result<Bytes, Cut>>,
+    done: bool,
+}
+
+impl Chunks {
+    /// Makes a stream and its sending end.
+    pub fn channel() -> (mpsc::Sender<Result<Bytes, Cut>>, Self) {
+        let (sender, receiver) = mpsc::channel(WINDOW);
+        let done = false;
+        (sender, Self { receiver, done })
+    }
+
+    /// Waits for the next chunk.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        std::future::poll_fn(|cx| Pin::new(&mut *self).poll_next(cx)).await
+    }
+}
+
+impl Stream for Chunks {
+    type Item = Result<Bytes, Cut>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        let item = std::task::ready!(self.receiver.poll_recv(cx));
+        // An empty chunk marks the end, so that a sender that is dropped
+        // before it is told from one that is done.
+        let item = match item {
+            Some(Ok(chunk)) if chunk.is_empty() => None,
+            Some(item) => Some(item),
+            None => Some(Err(Cut)),
+        };
+        self.done = !matches!(item, Some(Ok(_)));
+        Poll::Ready(item)
+    }
+}
+
+/// The body of a call or an answer.
+#[derive(Debug)]
+pub enum Payload {
+    /// All of it.
+    Whole(Bytes),
+    /// A stream of chunks.
+    Stream {
+        /// The length in bytes, if it is known beforehand.
+        length: Option<u64>,
+        /// The chunks.
+        chunks: Chunks,
+    },
+}
+
+impl Payload {
+    /// Makes an empty body.
+    pub const fn empty() -> Self {
+        Self::Whole(Bytes::new())
+    }
+}
+
+/// Reads a body whole, up to `limit` bytes; `None` if it is longer.
+///
+/// # Errors
+///
+/// Fails if the body is cut.
+pub async fn collect(payload: Payload, limit: usize) -> Result<Option<Bytes>, Cut> {
+    let mut chunks = match payload {
+        Payload::Whole(bytes) if bytes.len() <= limit => return Ok(Some(bytes)),
+        Payload::Whole(_) => return Ok(None),
+        Payload::Stream { chunks, .. } => chunks,
+    };
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        whole.extend_from_slice(&chunk?);
+        if whole.len() > limit {
+            return Ok(None);
+        }
+    }
+    Ok(Some(whole.freeze()))
+}
--- /dev/null
+++ b/src/web/server.rs
@@ -0,0 +1,121 @@
+//! Serving of HTTP.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use serde::Serialize;
+use xitca_web::HttpServer;
+use xitca_web::body::{RequestBody, ResponseBody};
+use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
+use xitca_web::http::{Request, RequestExt, Response, StatusCode};
+use xitca_web::service::fn_service;
+
+use crate::error::Error;
+
+/// A request as `xitca-web` gives it.
+pub type HttpRequest = Request<RequestExt<RequestBody>>;
+/// An answer as `xitca-web` takes it.
+pub type HttpResponse = Response<ResponseBody>;
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// Largest head of a request, in bytes.
+const MAX_HEAD: usize = 32 * 1024;
+/// Largest buffer of answers not yet written, in bytes.
+const MAX_WRITE: usize = 256 * 1024;
+/// How long a connection may be idle.
+const KEEP_ALIVE: Duration = Duration::from_secs(60);
+/// How long a request's head may take.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A server that runs until it is stopped.
+pub struct Running {
+    address: SocketAddr,
+    handle: xitca_server::ServerHandle,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Running {
+    /// Returns the address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops it at once; calls in flight should have ended before.
+    pub fn stop(&mut self) {
+        self.handle.stop(false);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.handle.stop(false);
+    }
+}
+
+/// Binds `address` and serves `handler` with `workers` threads.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn serve<H, F>(address: SocketAddr, workers: usize, handler: H) -> Result<Running, Error>
+where
+    H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    let failed = |e| Error::io(format!("listen on {address}"), e);
+    let listener = TcpListener::bind(address).map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    let service = fn_service(move |request: HttpRequest| {
+        let answer = handler(request);
+        async move { Ok::<HttpResponse, Infallible>(answer.await) }
+    });
+    let mut future = HttpServer::serve(service)
+        .max_request_headers::<MAX_HEADERS>()
+        .max_read_buf_size::<MAX_HEAD>()
+        .max_write_buf_size::<MAX_WRITE>()
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(HEAD_TIMEOUT)
+        .worker_threads(workers)
+        .worker_max_blocking_threads(1)
+        .disable_signal()
+        .listen(listener)
+        .map_err(failed)?
+        .run();
+    let handle = future.handle().map_err(failed)?;
+    let thread = std::thread::Builder::new()
+        .name("http".into())
+        .spawn(move || {
+            let _ = future.wait();
+        })
+        .map_err(failed)?;
+    Ok(Running {
+        address,
+        handle,
+        thread: Some(thread),
+    })
+}
+
+/// Answers with JSON.
+pub fn answer_json<T: Serialize>(status: StatusCode, value: &T) -> HttpResponse {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut answer = Response::new(ResponseBody::bytes(body));
+    *answer.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+/// Answers with text.
+pub fn answer_text(status: StatusCode, text: impl Into<String>) -> HttpResponse {
+    let mut answer = Response::new(ResponseBody::bytes(text.into()));
+    *answer.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    answer.headers_mut().insert(CONTENT_TYPE, plain);
+    answer
+}
