--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,5 @@
 //! One daemon put together.
 
-mod daemon;
+mod run;
 
-pub use daemon::Daemon;
+pub use run::Daemon;
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -37,15 +37,12 @@
         return Err(BodyError::TooLarge);
     }
     let mut first = BytesMut::new();
-    while !large {
+    while !large && first.len() <= limit {
         match body.data().await {
             None => return whole(first.freeze(), length),
             Some(Err(_)) => return Err(BodyError::Cut),
             Some(Ok(chunk)) => first.extend_from_slice(&chunk),
         }
-        if first.len() > limit {
-            break;
-        }
     }
     if hold {
         return Err(BodyError::TooLarge);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::accept::Accepted;
-use super::entry::Entry;
+use super::handler::Entry;
 use super::once::{Place, place};
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
 use crate::model::{Instance, OnceKey, Verdict};
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,10 +3,10 @@
 mod accept;
 mod answer;
 mod body;
-mod entry;
 mod forward;
+mod handler;
 mod header;
 mod once;
 
-pub use entry::{Entry, serve_callers};
+pub use handler::{Entry, serve_callers};
 pub use header::{ATTEMPT, REASON, TICKET, TIMEOUT, VERDICT};
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -2,12 +2,12 @@
 
 mod backend;
 mod gate;
-mod guard;
 mod lease;
 mod once;
+mod serve;
 
 pub use backend::{Backend, CALL, forwarded};
 pub use gate::{Gate, Pass};
-pub use guard::Guard;
 pub use lease::{Lease, LeaseState};
 pub use once::{OnceCalls, body_hash};
+pub use serve::Guard;
--- a/src/policy/member/mod.rs
+++ b/src/policy/member/mod.rs
@@ -2,14 +2,14 @@
 
 mod budget;
 mod link;
-mod member;
 mod neighbours;
+mod news;
 mod rollout;
 mod view;
 
 pub use budget::Budget;
 pub use link::{Link, LinkEvent, Told};
-pub use member::{Beat, Member, MemberState};
 pub use neighbours::{Neighbours, is_poller, neighbours};
+pub use news::{Beat, Member, MemberState};
 pub use rollout::{Offer, Rollout};
 pub use view::{Change, View};
--- a/src/tables/journal.rs
+++ b/src/tables/journal.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
+use super::unix_ms;
 use crate::model::CallId;
 
 /// Notes that are kept.
@@ -45,33 +46,46 @@
     pub unix_ms: u64,
 }
 
+struct Record {
+    call: CallId,
+    step: Step,
+    detail: Box<str>,
+    unix_ms: u64,
+}
+
 /// The latest notes, bounded in number.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Journal {
-    notes: Mutex<VecDeque<(CallId, Step, Box<str>, u64)>>,
+    records: Mutex<VecDeque<Record>>,
 }
 
 impl Journal {
     /// Adds a note.
     pub fn note(&self, call: CallId, step: Step, detail: impl Into<Box<str>>) {
-        let mut notes = self.notes.lock();
-        if notes.len() >= KEPT {
-            notes.pop_front();
+        let record = Record {
+            call,
+            step,
+            detail: detail.into(),
+            unix_ms: unix_ms(),
+        };
+        let mut records = self.records.lock();
+        if records.len() >= KEPT {
+            records.pop_front();
         }
-        notes.push_back((call, step, detail.into(), crate::tables::shared::unix_ms()));
+        records.push_back(record);
     }
 
     /// Returns the notes on a call, oldest first.
     pub fn find(&self, call: CallId) -> Vec<Note> {
-        self.notes
+        self.records
             .lock()
             .iter()
-            .filter(|(id, ..)| *id == call)
-            .map(|(id, step, detail, unix_ms)| Note {
-                call: id.to_string().into(),
-                step: *step,
-                detail: detail.clone(),
-                unix_ms: *unix_ms,
+            .filter(|record| record.call == call)
+            .map(|record| Note {
+                call: call.to_string().into(),
+                step: record.step,
+                detail: record.detail.clone(),
+                unix_ms: record.unix_ms,
             })
             .collect()
     }
