Add the demo: an estate in one process through surge, slow, drain and cut

Change: emulators of backend servers, callers and a network with cuts; the demo with scenarios, seed and JSON.

--- /dev/null
+++ b/examples/demo/main.rs
@@ -0,0 +1,151 @@
+//! The estate of Nordlysvakt in one process, through an overload and faults.
+//!
+//! `cargo run --release --example demo -- --scenario surge --seed 7 --json`
+
+mod report;
+mod scenario;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use bramleymount::config::{LogFormat, LogLevel, init_log};
+use bramleymount::emulator::{Behaviour, Site, Tally, run_load};
+use bramleymount::model::ServiceName;
+use eyre::WrapErr;
+use tokio::time::Instant;
+
+use report::Report;
+use scenario::{Kind, Phase, Scenario, kinds};
+
+/// Shows an estate of daemons through a surge, a slowed service, a drained
+/// server and a data centre that is cut off.
+#[derive(FromArgs)]
+struct Args {
+    /// all, steady, surge, slow, drain or cut; all if left out
+    #[argh(option, default = "Scenario::All")]
+    scenario: Scenario,
+
+    /// seed of the random numbers; 1 if left out
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// slots of a server as a share of those in examples/nordlysvakt
+    #[argh(option, default = "0.1")]
+    scale: f64,
+
+    /// print one JSON object at the end
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() -> eyre::Result<ExitCode> {
+    let args: Args = argh::from_env();
+    init_log(LogLevel::Error, LogFormat::Text)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot start threads")?;
+    let sound = runtime.block_on(run(&args))?;
+    // Daemons are left as they are: the process ends with them.
+    runtime.shutdown_background();
+    Ok(if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn run(args: &Args) -> eyre::Result<bool> {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/nordlysvakt");
+    let estate = Site::estate(&dir, 2, args.scale)?;
+    let site = Site::start(estate, behaviour).await?;
+    say(
+        args,
+        &format!("{} daemons in 2 data centres", site.servers.len()),
+    );
+    let phases = args.scenario.phases();
+    let start = Instant::now();
+    let total: Duration = phases.iter().map(|p| p.length).sum();
+    let loads = start_loads(args, &site, &phases, start);
+    drive(args, &site, &phases, start).await;
+    tokio::time::sleep_until(start + total).await;
+    let mut classes = Vec::new();
+    for (kind, tally, task) in loads {
+        task.await?;
+        classes.push((kind, tally));
+    }
+    // Requests sent last may still be under way.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let report = Report::new(&site, &classes, &phases, start);
+    if args.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(report.is_sound())
+}
+
+fn say(args: &Args, text: &str) {
+    if !args.json {
+        println!("{text}");
+    }
+}
+
+fn behaviour(service: &ServiceName) -> Behaviour {
+    let service_time = match service.as_str() {
+        "station-status" => Duration::from_millis(10),
+        _ => Duration::from_millis(20),
+    };
+    Behaviour {
+        service_time,
+        answer: 1024,
+        onward: Vec::new(),
+    }
+}
+
+type Loads = Vec<(Kind, Arc<Tally>, tokio::task::JoinHandle<()>)>;
+
+fn start_loads(args: &Args, site: &Site, phases: &[Phase], start: Instant) -> Loads {
+    let entries = Arc::new(site.servers.iter().map(|s| s.callers).collect::<Vec<_>>());
+    let total: Duration = phases.iter().map(|p| p.length).sum();
+    kinds(args.scale)
+        .into_iter()
+        .enumerate()
+        .map(|(place, kind)| {
+            let tally = Arc::new(Tally::default());
+            let phases = phases.to_vec();
+            let base = kind.rate;
+            let rate = move |now: Instant| {
+                let factor = Phase::at(&phases, now - start).map_or(1.0, |p| p.demand);
+                base * factor
+            };
+            let task = tokio::spawn(run_load(
+                kind.load.clone(),
+                Arc::clone(&entries),
+                rate,
+                start + total,
+                args.seed * 100 + place as u64,
+                Arc::clone(&tally),
+            ));
+            (kind, tally, task)
+        })
+        .collect()
+}
+
+async fn drive(args: &Args, site: &Site, phases: &[Phase], start: Instant) {
+    let mut begin = start;
+    for phase in phases {
+        tokio::time::sleep_until(begin).await;
+        say(
+            args,
+            &format!("{:>5.1} s  {}", (begin - start).as_secs_f64(), phase.name),
+        );
+        phase.enter(site);
+        begin += phase.length;
+        tokio::time::sleep_until(begin).await;
+        phase.leave(site);
+    }
+}
--- /dev/null
+++ b/examples/demo/report.rs
@@ -0,0 +1,166 @@
+//! The table at the end.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramleymount::emulator::{Sample, Seen, Site, Tally};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::scenario::{Event, Kind, Phase};
+
+/// Length of the windows in which goodput is compared.
+const WINDOW: Duration = Duration::from_millis(250);
+/// Share of requests answered whole that counts as back to normal.
+const NORMAL: f64 = 0.95;
+
+/// One class of work.
+#[derive(Serialize)]
+pub(crate) struct Row {
+    class: &'static str,
+    sent: usize,
+    whole: usize,
+    shed: usize,
+    failed: usize,
+    wrong: usize,
+    run_twice: usize,
+    p50_ms: f64,
+    p99_ms: f64,
+    /// Longest time from the end of a disturbance until the share of whole
+    /// answers was back to normal.
+    recovery_s: f64,
+}
+
+/// The whole table.
+#[derive(Serialize)]
+pub(crate) struct Report {
+    rows: Vec<Row>,
+}
+
+impl Report {
+    pub(crate) fn new(
+        site: &Site,
+        classes: &[(Kind, Arc<Tally>)],
+        phases: &[Phase],
+        start: Instant,
+    ) -> Self {
+        let rows = classes
+            .iter()
+            .map(|(kind, tally)| {
+                let samples = tally.samples();
+                let count = |seen| samples.iter().filter(|s| s.seen == seen).count();
+                let mut latencies: Vec<f64> = samples
+                    .iter()
+                    .filter(|s| s.seen == Seen::Whole)
+                    .map(|s| (s.ended - s.sent).as_secs_f64() * 1000.0)
+                    .collect();
+                latencies.sort_by(f64::total_cmp);
+                let quantile = |q: f64| {
+                    let place = (latencies.len() as f64 * q) as usize;
+                    latencies
+                        .get(place.min(latencies.len().saturating_sub(1)))
+                        .copied()
+                        .unwrap_or(0.0)
+                };
+                Row {
+                    class: kind.class,
+                    sent: samples.len(),
+                    whole: count(Seen::Whole),
+                    shed: count(Seen::Shed),
+                    failed: count(Seen::Failed),
+                    wrong: count(Seen::Wrong),
+                    run_twice: run_twice(site, kind),
+                    p50_ms: quantile(0.5),
+                    p99_ms: quantile(0.99),
+                    recovery_s: recovery(&samples, phases, start),
+                }
+            })
+            .collect();
+        Self { rows }
+    }
+
+    /// Tells whether no answer was wrong and no once call ran twice.
+    pub(crate) fn is_sound(&self) -> bool {
+        self.rows.iter().all(|r| r.wrong == 0 && r.run_twice == 0)
+    }
+}
+
+/// Counts keys that ran more than once, over all servers of the service.
+fn run_twice(site: &Site, kind: &Kind) -> usize {
+    let mut runs = std::collections::HashMap::new();
+    let servers = site
+        .servers
+        .iter()
+        .filter(|s| s.service == kind.load.service);
+    for (key, count) in servers.flat_map(|s| s.backend.runs()) {
+        *runs.entry(key).or_insert(0) += count;
+    }
+    runs.values().filter(|count| **count > 1).count()
+}
+
+fn recovery(samples: &[Sample], phases: &[Phase], start: Instant) -> f64 {
+    let mut end = start;
+    let mut worst = Duration::ZERO;
+    for pair in phases.windows(2) {
+        end += pair[0].length;
+        if pair[0].event != Event::None {
+            worst = worst.max(time_to_normal(samples, end, end + pair[1].length));
+        }
+    }
+    worst.as_secs_f64()
+}
+
+/// Returns the end of the last window after `from` that was not normal.
+fn time_to_normal(samples: &[Sample], from: Instant, until: Instant) -> Duration {
+    let mut last = Duration::ZERO;
+    let mut begin = from;
+    while begin < until {
+        let sent: Vec<&Sample> = samples
+            .iter()
+            .filter(|s| s.sent >= begin && s.sent < begin + WINDOW)
+            .collect();
+        let whole = sent.iter().filter(|s| s.seen == Seen::Whole).count();
+        if (whole as f64) < sent.len() as f64 * NORMAL {
+            last = begin + WINDOW - from;
+        }
+        begin += WINDOW;
+    }
+    last
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<20} {:>7} {:>7} {:>6} {:>6} {:>6} {:>9} {:>8} {:>8} {:>10}",
+            "class",
+            "sent",
+            "whole",
+            "shed",
+            "failed",
+            "wrong",
+            "run twice",
+            "p50 ms",
+            "p99 ms",
+            "recovery s"
+        )?;
+        for r in &self.rows {
+            writeln!(
+                f,
+                "{:<20} {:>7} {:>7} {:>6} {:>6} {:>6} {:>9} {:>8.1} {:>8.1} {:>10.2}",
+                r.class,
+                r.sent,
+                r.whole,
+                r.shed,
+                r.failed,
+                r.wrong,
+                r.run_twice,
+                r.p50_ms,
+                r.p99_ms,
+                r.recovery_s
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/examples/demo/scenario.rs
@@ -0,0 +1,228 @@
+//! What happens to the estate, and what its callers ask for.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use bramleymount::emulator::{Load, Site, Zone};
+use bramleymount::error::Error;
+use bramleymount::model::ServiceName;
+use http::Method;
+
+/// Which phases are run.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Scenario {
+    All,
+    Steady,
+    Surge,
+    Slow,
+    Drain,
+    Cut,
+}
+
+impl FromStr for Scenario {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "all" => Ok(Self::All),
+            "steady" => Ok(Self::Steady),
+            "surge" => Ok(Self::Surge),
+            "slow" => Ok(Self::Slow),
+            "drain" => Ok(Self::Drain),
+            "cut" => Ok(Self::Cut),
+            _ => Err(Error::value(
+                "scenario",
+                format!("\"{text}\" must be all, steady, surge, slow, drain or cut"),
+            )),
+        }
+    }
+}
+
+/// A disturbance of the estate.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Event {
+    None,
+    Surge,
+    Slow,
+    Drain,
+    Cut,
+}
+
+/// A stretch of time.
+#[derive(Clone)]
+pub(crate) struct Phase {
+    pub(crate) name: &'static str,
+    pub(crate) length: Duration,
+    pub(crate) demand: f64,
+    pub(crate) event: Event,
+}
+
+impl Phase {
+    fn new(name: &'static str, secs: u64, demand: f64, event: Event) -> Self {
+        Self {
+            name,
+            length: Duration::from_secs(secs),
+            demand,
+            event,
+        }
+    }
+
+    /// Returns the phase at a time since the start.
+    pub(crate) fn at(phases: &[Self], time: Duration) -> Option<&Self> {
+        let mut end = Duration::ZERO;
+        phases.iter().find(|phase| {
+            end += phase.length;
+            time < end
+        })
+    }
+
+    pub(crate) fn enter(&self, site: &Site) {
+        match self.event {
+            Event::None | Event::Surge => {}
+            Event::Slow => slow(site, 5),
+            Event::Drain => {
+                if let Some(server) = archive(site) {
+                    server.daemon.guard().drain();
+                }
+            }
+            Event::Cut => site.network.cut(Zone::new(1), Zone::new(2)),
+        }
+    }
+
+    pub(crate) fn leave(&self, site: &Site) {
+        match self.event {
+            Event::None | Event::Surge => {}
+            Event::Slow => slow(site, 1),
+            Event::Drain => {
+                if let Some(server) = archive(site) {
+                    server.daemon.guard().announce(false);
+                }
+            }
+            Event::Cut => site.network.heal(Zone::new(1), Zone::new(2)),
+        }
+    }
+}
+
+fn slow(site: &Site, factor: u32) {
+    let status = site
+        .servers
+        .iter()
+        .filter(|s| s.service.as_str() == "station-status");
+    for server in status {
+        let time = Duration::from_millis(10) * factor;
+        server.backend.change(|b| b.service_time = time);
+    }
+}
+
+fn archive(site: &Site) -> Option<&bramleymount::emulator::Server> {
+    site.servers
+        .iter()
+        .find(|s| s.service.as_str() == "forecast-archive")
+}
+
+impl Scenario {
+    pub(crate) fn phases(self) -> Vec<Phase> {
+        let calm = || Phase::new("calm", 4, 1.0, Event::None);
+        let mut phases = vec![calm()];
+        let mut add = |which: Self, phase: Phase| {
+            if self == Self::All || self == which {
+                phases.push(phase);
+                phases.push(calm());
+            }
+        };
+        add(
+            Self::Surge,
+            Phase::new("surge: ten times the demand", 5, 10.0, Event::Surge),
+        );
+        add(
+            Self::Slow,
+            Phase::new("station-status five times slower", 5, 1.0, Event::Slow),
+        );
+        add(
+            Self::Drain,
+            Phase::new("one forecast-archive server drained", 3, 1.0, Event::Drain),
+        );
+        add(
+            Self::Cut,
+            Phase::new("data centre oslo-2 cut off", 5, 1.0, Event::Cut),
+        );
+        phases
+    }
+}
+
+/// One kind of request with its rate.
+pub(crate) struct Kind {
+    pub(crate) class: &'static str,
+    pub(crate) load: Load,
+    pub(crate) rate: f64,
+}
+
+/// Returns what the callers ask for in calm times.
+pub(crate) fn kinds(scale: f64) -> Vec<Kind> {
+    let kind = |class, service: &str, method, path: &str, once, body, rate: f64| {
+        let service: Option<ServiceName> = service.parse().ok();
+        service.map(|service| Kind {
+            class,
+            load: Load {
+                service,
+                method,
+                path: path.into(),
+                once,
+                body,
+                answer: 1024,
+                repeats: 2,
+            },
+            rate: rate * scale,
+        })
+    };
+    [
+        kind(
+            "alert-dispatch",
+            "alert-dispatch",
+            Method::POST,
+            "/alerts",
+            true,
+            64,
+            200.0,
+        ),
+        kind(
+            "archive-read",
+            "forecast-archive",
+            Method::GET,
+            "/charts/1",
+            false,
+            0,
+            1000.0,
+        ),
+        kind(
+            "subscription-change",
+            "subscriber-accounts",
+            Method::POST,
+            "/subscriptions",
+            true,
+            64,
+            100.0,
+        ),
+        kind(
+            "capture-upload",
+            "magnetometer-ingest",
+            Method::PUT,
+            "/captures/1",
+            false,
+            200_000,
+            100.0,
+        ),
+        kind(
+            "status-read",
+            "station-status",
+            Method::GET,
+            "/stations",
+            false,
+            0,
+            600.0,
+        ),
+    ]
+    .into_iter()
+    .flatten()
+    .collect()
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -23,6 +23,8 @@
     pub callers: SocketAddr,
     /// For other daemons.
     pub peers: SocketAddr,
+    /// The address by which other daemons reach `peers`.
+    pub advertised: SocketAddr,
     /// For operators, and for announcements of the own backend server.
     pub operators: SocketAddr,
 }
@@ -84,6 +86,8 @@
 struct ListenEntry {
     callers: Spanned<SocketAddr>,
     peers: Spanned<SocketAddr>,
+    #[serde(default)]
+    advertised: Option<SocketAddr>,
     operators: Spanned<SocketAddr>,
     #[serde(default)]
     operators_beyond_loopback: bool,
@@ -155,6 +159,7 @@
             listen: Listen {
                 callers: file.listen.callers.value,
                 peers: file.listen.peers.value,
+                advertised: file.listen.advertised.unwrap_or(file.listen.peers.value),
                 operators: file.listen.operators.value,
             },
             backend: file.backend.value,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -56,7 +56,7 @@
         let handle = tokio::runtime::Handle::current();
         let shared = Arc::new(shared(config, platform)?);
         let guard = Guard::new(Arc::clone(&shared), handle.clone());
-        let pool = Arc::new(Pool::new(handle));
+        let pool = Arc::new(Pool::new(handle, shared.config.listen.peers.ip()));
         let entry = Entry::new(Arc::clone(&shared), Arc::clone(&guard), Arc::clone(&pool));
         let (peers, stopped) = oneshot::channel();
         let service = Peers::new(Arc::clone(&shared), Arc::clone(&guard));
@@ -126,7 +126,7 @@
 
 fn shared(config: Config, platform: Arc<dyn Platform>) -> Result<Shared, Error> {
     let start = StartStamp::new(unix_ms(), rand::random());
-    let instance = Instance::new(config.listen.peers, start);
+    let instance = Instance::new(config.listen.advertised, start);
     let own = Member {
         instance,
         centre: config.centre.clone(),
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -2,7 +2,15 @@
 //! benchmarks and the tests.
 
 mod backend;
+mod caller;
+mod network;
 mod ports;
+mod relay;
+mod site;
 
 pub use backend::{BackendServer, Behaviour, Onward, TAG};
-pub use ports::free_address;
+pub use caller::{Load, Sample, Seen, Tally, run_load};
+pub use network::{Network, Zone};
+pub use ports::{free_address, free_address_on};
+pub use relay::Relay;
+pub use site::{Server, Site};
--- a/src/emulator/ports.rs
+++ b/src/emulator/ports.rs
@@ -1,6 +1,6 @@
 //! Free addresses on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
 use crate::error::Error;
 
@@ -10,7 +10,16 @@
 ///
 /// Fails if none can be had.
 pub fn free_address() -> Result<SocketAddr, Error> {
+    free_address_on(IpAddr::V4(Ipv4Addr::LOCALHOST))
+}
+
+/// Finds an address with the IP number `ip` that nobody listens on.
+///
+/// # Errors
+///
+/// Fails if none can be had.
+pub fn free_address_on(ip: IpAddr) -> Result<SocketAddr, Error> {
     let failed = |e| Error::io("find a free port", e);
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(failed)?;
+    let listener = TcpListener::bind((ip, 0)).map_err(failed)?;
     listener.local_addr().map_err(failed)
 }
--- /dev/null
+++ b/src/emulator/site.rs
@@ -0,0 +1,243 @@
+//! An estate of daemons and backend servers in one process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{BackendServer, Behaviour, Network, Onward, Relay, Zone, free_address_on};
+use crate::config::{Config, Listen, LogFormat, LogLevel};
+use crate::daemon::Daemon;
+use crate::declare::{Estate, load, split};
+use crate::error::Error;
+use crate::model::{CentreName, HallName, ServiceName, Slots, Span, Version};
+use crate::operator::{ApplyRequest, ApplyResult, apply};
+use crate::platform::Memory;
+
+/// How often emulated backend servers renew their announcements.
+const RENEW: Duration = Duration::from_secs(3);
+/// How long a site may take until all of its daemons know each other.
+const SETTLE: Duration = Duration::from_secs(20);
+
+/// One backend server with its daemon.
+pub struct Server {
+    /// The daemon.
+    pub daemon: Daemon,
+    /// The backend server.
+    pub backend: BackendServer,
+    /// Where callers reach the daemon.
+    pub callers: SocketAddr,
+    /// The service.
+    pub service: ServiceName,
+    /// The zone of its data centre.
+    pub zone: Zone,
+    renewing: tokio::task::JoinHandle<()>,
+    _relay: Relay,
+}
+
+impl Server {
+    /// Ends daemon and backend server at once, as a lost VM would.
+    pub fn kill(self) {
+        self.renewing.abort();
+        self.daemon.kill();
+    }
+}
+
+/// The servers of an estate, the platform and the network between them.
+pub struct Site {
+    /// The servers.
+    pub servers: Vec<Server>,
+    /// The platform.
+    pub platform: Arc<Memory>,
+    /// The network.
+    pub network: Arc<Network>,
+    /// The declarations in force.
+    pub estate: Estate,
+}
+
+impl Site {
+    /// Loads declarations and scales them down: to the first `centres` data
+    /// centres with one server of each service, and `scale` of the slots.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the declarations are not valid.
+    pub fn estate(dir: &Path, centres: usize, scale: f64) -> Result<Estate, Error> {
+        let mut estate = load(dir).map_err(|e| Error::remote(e.to_string()))?;
+        estate.centres.truncate(centres);
+        let kept: Vec<CentreName> = estate.centres.iter().map(|c| c.name.clone()).collect();
+        for service in estate.services.values_mut() {
+            service.servers.retain(|place| kept.contains(&place.centre));
+            service.servers.dedup_by(|a, b| a.centre == b.centre);
+            let slots = f64::from(service.slots.get()) * scale;
+            service.slots = Slots::new((slots as u32).max(2));
+        }
+        Ok(estate)
+    }
+
+    /// Starts all servers of an estate and puts it in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or the estate does not settle.
+    pub async fn start(
+        estate: Estate,
+        behave: impl Fn(&ServiceName) -> Behaviour,
+    ) -> Result<Self, Error> {
+        let mut site = Self {
+            servers: Vec::new(),
+            platform: Arc::new(Memory::default()),
+            network: Arc::new(Network::default()),
+            estate,
+        };
+        let services: Vec<_> = site.estate.services.values().cloned().collect();
+        for service in &services {
+            for place in &service.servers {
+                let behaviour = behave(&service.name);
+                let name = service.name.clone();
+                site.add(&name, &place.centre, &place.hall, behaviour)
+                    .await?;
+            }
+        }
+        site.apply().await?;
+        site.settle().await?;
+        Ok(site)
+    }
+
+    /// Adds one server.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn add(
+        &mut self,
+        service: &ServiceName,
+        centre: &CentreName,
+        hall: &HallName,
+        mut behaviour: Behaviour,
+    ) -> Result<(), Error> {
+        let place = self.estate.centres.iter().position(|c| c.name == *centre);
+        let number = u8::try_from(place.unwrap_or_default() + 1).unwrap_or(1);
+        let zone = Zone::new(number);
+        let advertised = free_address_on(zone.ip())?;
+        let config = self.config(service, centre, hall, zone.ip(), advertised)?;
+        let declared = self.estate.services.get(service);
+        if behaviour.onward.is_empty() {
+            behaviour.onward = declared.map(onward).unwrap_or_default();
+        }
+        let slots = declared.map_or(1, |service| service.slots.get());
+        let callers = config.listen.callers;
+        let peers = config.listen.peers;
+        let relay = Relay::start(advertised, peers, Arc::clone(&self.network)).await?;
+        let backend = BackendServer::start(config.backend, callers, slots as usize, behaviour)?;
+        let daemon = Daemon::start_on(config, Arc::clone(&self.platform) as _).await?;
+        daemon.guard().announce(false);
+        let guard = Arc::clone(daemon.guard());
+        let renewing = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(RENEW).await;
+                guard.renew();
+            }
+        });
+        self.servers.push(Server {
+            daemon,
+            backend,
+            callers,
+            service: service.clone(),
+            zone,
+            renewing,
+            _relay: relay,
+        });
+        Ok(())
+    }
+
+    fn config(
+        &self,
+        service: &ServiceName,
+        centre: &CentreName,
+        hall: &HallName,
+        ip: IpAddr,
+        advertised: SocketAddr,
+    ) -> Result<Config, Error> {
+        let first = self.servers.iter().take(3);
+        Ok(Config {
+            centre: centre.clone(),
+            hall: hall.clone(),
+            service: service.clone(),
+            listen: Listen {
+                callers: free_address_on(ip)?,
+                peers: free_address_on(ip)?,
+                advertised,
+                operators: free_address_on(ip)?,
+            },
+            backend: free_address_on(ip)?,
+            platform: SocketAddr::new(ip, 1),
+            neighbours: first
+                .map(|server| server.daemon.shared().instance.address)
+                .collect(),
+            metrics: None,
+            workers: 1,
+            grace: Span::from_millis(10_000),
+            open: false,
+            level: LogLevel::Warn,
+            format: LogFormat::Text,
+        })
+    }
+
+    /// Puts the estate's declarations in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they are not accepted.
+    pub async fn apply(&self) -> Result<Version, Error> {
+        let Some(first) = self.servers.first() else {
+            return Ok(Version::NONE);
+        };
+        let shared = first.daemon.shared();
+        let request = ApplyRequest {
+            change: uuid::Uuid::now_v7().to_string().into(),
+            author: "emulator".into(),
+            base: shared.current.version(),
+            documents: split(&self.estate),
+        };
+        match apply(shared, request).await {
+            ApplyResult::Accepted { version } => Ok(version),
+            other => Err(Error::remote(format!("not accepted: {other:?}"))),
+        }
+    }
+
+    /// Waits until every daemon knows all others and the version in force.
+    async fn settle(&self) -> Result<(), Error> {
+        let ready = || {
+            self.servers.iter().all(|server| {
+                let shared = server.daemon.shared();
+                let serving = shared
+                    .view
+                    .lock()
+                    .members()
+                    .filter(|m| m.state == crate::policy::member::MemberState::Serving)
+                    .count();
+                serving == self.servers.len() && shared.current.get().is_some()
+            })
+        };
+        let wait = async {
+            while !ready() {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(SETTLE, wait)
+            .await
+            .map_err(|_| Error::remote("the daemons did not all learn of each other in 20 s"))
+    }
+}
+
+fn onward(service: &crate::declare::Service) -> Vec<Onward> {
+    service
+        .depends
+        .iter()
+        .map(|service| Onward {
+            service: service.clone(),
+            path: "/".into(),
+        })
+        .collect()
+}
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -99,6 +99,15 @@
         first
     }
 
+    /// Renews the announcement of a backend server that has not been told to
+    /// leave.
+    pub fn renew(&self) {
+        let mut lease = self.lease.lock();
+        if lease.state(Instant::now()) != LeaseState::Leaving {
+            lease.renew(Instant::now());
+        }
+    }
+
     /// Refuses new calls; those in flight go on.
     pub fn drain(&self) {
         self.lease.lock().drain();
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -1,7 +1,7 @@
 //! Standing connections to other daemons.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -29,14 +29,17 @@
 #[derive(Debug)]
 pub struct Pool {
     handle: Handle,
+    own: IpAddr,
     clients: Mutex<HashMap<SocketAddr, PeerClient<Channel>>>,
 }
 
 impl Pool {
-    /// Makes an empty pool whose connections are driven on `handle`.
-    pub fn new(handle: Handle) -> Self {
+    /// Makes an empty pool whose connections go out from `own` and are driven
+    /// on `handle`.
+    pub fn new(handle: Handle, own: IpAddr) -> Self {
         Self {
             handle,
+            own,
             clients: Mutex::default(),
         }
     }
@@ -56,6 +59,7 @@
     pub(super) fn fresh(&self, address: SocketAddr) -> Option<PeerClient<Channel>> {
         let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
         let endpoint = endpoint
+            .local_address(Some(self.own))
             .connect_timeout(CONNECT)
             .tcp_nodelay(true)
             .http2_keep_alive_interval(PING)
