--- /dev/null
+++ b/benches/overload/scenario.rs
@@ -0,0 +1,205 @@
+//! The disturbances.
+
+/// One service of the chain.
+#[derive(Clone)]
+pub(crate) struct ServiceSpec {
+    pub(crate) servers: usize,
+    pub(crate) slots: u32,
+    /// Mean time of its own work, in milliseconds.
+    pub(crate) work_ms: f64,
+    /// Services that each call calls, one after the other.
+    pub(crate) onward: Vec<usize>,
+}
+
+/// One class of requests.
+#[derive(Clone)]
+pub(crate) struct ClassSpec {
+    pub(crate) share: f64,
+    pub(crate) protected: bool,
+}
+
+/// What is disturbed between `START` and `START + length`.
+#[derive(Clone, Default)]
+pub(crate) struct Disturb {
+    pub(crate) demand: f64,
+    /// Factor on the work of the deepest service.
+    pub(crate) slow: f64,
+    pub(crate) cold: bool,
+    pub(crate) mislead: bool,
+    pub(crate) silent: bool,
+    pub(crate) cut: bool,
+}
+
+#[derive(Clone)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    pub(crate) services: Vec<ServiceSpec>,
+    pub(crate) classes: Vec<ClassSpec>,
+    /// Requests a second in calm times.
+    pub(crate) rate: f64,
+    pub(crate) disturb: Disturb,
+    pub(crate) deadline_ms: f64,
+}
+
+/// Seconds before, during and after the disturbance.
+pub(crate) const START: f64 = 3.0;
+pub(crate) const LENGTH: f64 = 10.0;
+pub(crate) const AFTER: f64 = 7.0;
+/// Retries of one request over its whole tree.
+pub(crate) const RETRIES: u32 = 3;
+/// Repeats that a caller makes of one request, without back-off.
+pub(crate) const REPEATS: u32 = 5;
+
+impl Scenario {
+    pub(crate) fn all() -> Vec<Self> {
+        let calm = || Disturb {
+            demand: 1.0,
+            slow: 1.0,
+            ..Disturb::default()
+        };
+        let with = |name, disturb| Self::chain(name, disturb);
+        vec![
+            with(
+                "surge",
+                Disturb {
+                    demand: 10.0,
+                    ..calm()
+                },
+            ),
+            with(
+                "slow",
+                Disturb {
+                    slow: 5.0,
+                    ..calm()
+                },
+            ),
+            with(
+                "both",
+                Disturb {
+                    demand: 10.0,
+                    slow: 5.0,
+                    ..calm()
+                },
+            ),
+            with(
+                "cold",
+                Disturb {
+                    demand: 10.0,
+                    cold: true,
+                    ..calm()
+                },
+            ),
+            with(
+                "mislead",
+                Disturb {
+                    mislead: true,
+                    demand: 1.5,
+                    ..calm()
+                },
+            ),
+            with(
+                "silent",
+                Disturb {
+                    silent: true,
+                    ..calm()
+                },
+            ),
+            with(
+                "cut",
+                Disturb {
+                    cut: true,
+                    ..calm()
+                },
+            ),
+            Self::deep(Disturb {
+                demand: 5.0,
+                ..calm()
+            }),
+        ]
+    }
+
+    /// Four services in a row, the last one the narrowest.
+    fn chain(name: &'static str, disturb: Disturb) -> Self {
+        let service = |servers, slots, work_ms, onward: &[usize]| ServiceSpec {
+            servers,
+            slots,
+            work_ms,
+            onward: onward.to_vec(),
+        };
+        Self {
+            name,
+            services: vec![
+                service(4, 70, 2.0, &[1]),
+                service(4, 75, 2.0, &[2]),
+                service(4, 75, 2.0, &[3]),
+                service(4, 10, 20.0, &[]),
+            ],
+            classes: Self::classes(),
+            rate: 1200.0,
+            disturb,
+            deadline_ms: 1000.0,
+        }
+    }
+
+    /// 29 services in a row, each of which also calls one leaf service.
+    fn deep(disturb: Disturb) -> Self {
+        const DEPTH: usize = 29;
+        let mut services: Vec<ServiceSpec> = (0..DEPTH - 1)
+            .map(|level| ServiceSpec {
+                servers: 2,
+                slots: 120,
+                work_ms: 0.5,
+                onward: vec![DEPTH, level + 1],
+            })
+            .collect();
+        services.push(ServiceSpec {
+            servers: 2,
+            slots: 10,
+            work_ms: 20.0,
+            onward: vec![],
+        });
+        services.push(ServiceSpec {
+            servers: 4,
+            slots: 200,
+            work_ms: 0.5,
+            onward: vec![],
+        });
+        Self {
+            name: "deep",
+            services,
+            classes: Self::classes(),
+            rate: 300.0,
+            disturb,
+            deadline_ms: 2000.0,
+        }
+    }
+
+    fn classes() -> Vec<ClassSpec> {
+        vec![
+            ClassSpec {
+                share: 0.02,
+                protected: true,
+            },
+            ClassSpec {
+                share: 0.10,
+                protected: true,
+            },
+            ClassSpec {
+                share: 0.38,
+                protected: false,
+            },
+            ClassSpec {
+                share: 0.50,
+                protected: false,
+            },
+        ]
+    }
+
+    /// The service whose capacity bounds the whole: the last of the chain.
+    pub(crate) fn bottleneck(&self) -> usize {
+        self.services
+            .iter()
+            .position(|s| s.work_ms >= 20.0)
+            .unwrap_or(0)
+    }
+}
--- a/examples/demo/report.rs
+++ b/examples/demo/report.rs
@@ -10,8 +10,10 @@
 
 use crate::scenario::{Event, Kind, Phase};
 
-/// Length of the windows in which goodput is compared.
+/// Shortest window in which goodput is looked at.
 const WINDOW: Duration = Duration::from_millis(250);
+/// Requests that a window must hold.
+const ENOUGH: f64 = 20.0;
 /// Share of requests answered whole that counts as back to normal.
 const NORMAL: f64 = 0.95;
 
@@ -73,7 +75,7 @@
                     run_twice: run_twice(site, kind),
                     p50_ms: quantile(0.5),
                     p99_ms: quantile(0.99),
-                    recovery_s: recovery(&samples, phases, start),
+                    recovery_s: recovery(&samples, kind.rate, phases, start),
                 }
             })
             .collect();
@@ -99,32 +101,33 @@
     runs.values().filter(|count| **count > 1).count()
 }
 
-fn recovery(samples: &[Sample], phases: &[Phase], start: Instant) -> f64 {
+fn recovery(samples: &[Sample], rate: f64, phases: &[Phase], start: Instant) -> f64 {
+    let window = WINDOW.max(Duration::from_secs_f64(ENOUGH / rate));
     let mut end = start;
     let mut worst = Duration::ZERO;
     for pair in phases.windows(2) {
         end += pair[0].length;
         if pair[0].event != Event::None {
-            worst = worst.max(time_to_normal(samples, end, end + pair[1].length));
+            worst = worst.max(time_to_normal(samples, window, end, end + pair[1].length));
         }
     }
     worst.as_secs_f64()
 }
 
 /// Returns the end of the last window after `from` that was not normal.
-fn time_to_normal(samples: &[Sample], from: Instant, until: Instant) -> Duration {
+fn time_to_normal(samples: &[Sample], window: Duration, from: Instant, until: Instant) -> Duration {
     let mut last = Duration::ZERO;
     let mut begin = from;
     while begin < until {
         let sent: Vec<&Sample> = samples
             .iter()
-            .filter(|s| s.sent >= begin && s.sent < begin + WINDOW)
+            .filter(|s| s.sent >= begin && s.sent < begin + window)
             .collect();
         let whole = sent.iter().filter(|s| s.seen == Seen::Whole).count();
         if (whole as f64) < sent.len() as f64 * NORMAL {
-            last = begin + WINDOW - from;
+            last = begin + window - from;
         }
-        begin += WINDOW;
+        begin += window;
     }
     last
 }
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -27,6 +27,8 @@
     pub(super) safety: Safety,
     /// Retries of the request, if it has no parent.
     pub(super) retries: Retries,
+    /// Whether the class is protected.
+    pub(super) protected: bool,
     /// Name of the caller, for metrics.
     pub(super) caller: Option<CallerName>,
 }
@@ -81,6 +83,7 @@
     };
     let head = head(parts, service, (rank, class), once, parent.as_deref())?;
     let retries = class.retries;
+    let protected = estate.protected().is_some_and(|last| rank <= last);
     Ok(Accepted {
         head: CallHead {
             caller: caller.clone(),
@@ -89,6 +92,7 @@
         parent,
         safety,
         retries,
+        protected,
         caller,
     })
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -14,7 +14,7 @@
 use crate::policy::admission::Shed;
 use crate::policy::once::Refuse;
 use crate::policy::retry::{Account, Failure, Loan, Retry, decide};
-use crate::policy::route::{Pick, Report};
+use crate::policy::route::{Pick, Report, Want};
 use crate::tables::{Held, Step};
 use crate::web::Payload;
 
@@ -124,16 +124,18 @@
         }
         if let Some(once) = &head.once {
             return match place(&self.entry.shared, &head.service, &once.key) {
-                Place::At(instance) => {
-                    self.table(|table| table.sent(instance));
-                    Ok((attempt, instance))
-                }
+                Place::At(instance) if self.may_reach(instance) => Ok((attempt, instance)),
+                Place::At(_) => Err(attempt.refuse_once(Refuse::OwnerUnreachable)),
                 Place::Refused(refuse) => Err(attempt.refuse_once(refuse)),
             };
         }
-        let level = head.priority.level();
+        let want = Want {
+            level: head.priority.level(),
+            protected: self.accepted.protected,
+            avoid: self.avoid,
+        };
         let now = Instant::now();
-        let picked = self.table(|table| table.choose(now, level, self.avoid, &mut rand::rng()));
+        let picked = self.table(|table| table.choose(now, want, &mut rand::rng()));
         match picked {
             Pick::Target(instance) => Ok((attempt, instance)),
             Pick::Refused(needed) => {
@@ -149,6 +151,19 @@
         }
     }
 
+    /// Counts an attempt as sent to the only instance that may take it, unless
+    /// that has failed too often just now.
+    fn may_reach(&self, instance: Instance) -> bool {
+        let now = Instant::now();
+        self.table(|table| {
+            let admits = table.admits(now, instance);
+            if admits {
+                table.sent(instance);
+            }
+            admits
+        })
+    }
+
     fn table<T>(&self, use_it: impl FnOnce(&mut crate::policy::route::Table) -> T) -> T {
         let table = self.entry.shared.routes.table(&self.head().service);
         let mut table = table.lock();
--- a/src/policy/admission/chain.rs
+++ b/src/policy/admission/chain.rs
@@ -37,8 +37,14 @@
     }
 
     /// Tells whether a call would be refused further down.
-    pub fn refuses(&self, now: Instant, call: Level) -> bool {
-        self.classes[call.rank().index()].refuses(now, call)
+    pub fn refuses(&self, now: Instant, call: Level, protected: bool) -> bool {
+        let heard = &self.classes[call.rank().index()];
+        let needed = if protected {
+            heard.fresh_level(now)
+        } else {
+            heard.level(now)
+        };
+        call < needed
     }
 
     /// Returns the highest level that holds for the class of `call`.
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -112,7 +112,10 @@
         if self.too_late(now, call.deadline) {
             return (Decision::Shed(Shed::Deadline), events);
         }
-        if self.chain.refuses(now, level) {
+        if self
+            .chain
+            .refuses(now, level, self.is_protected(call.priority))
+        {
             return (Decision::Shed(Shed::Downstream), events);
         }
         if self.queue.is_empty() && self.running.len() < self.limit.get() {
--- a/src/policy/admission/heard.rs
+++ b/src/policy/admission/heard.rs
@@ -58,8 +58,13 @@
         Level::from_raw(raw as u32)
     }
 
-    /// Tells whether a call of `level` would be refused.
-    pub fn refuses(&self, now: Instant, level: Level) -> bool {
-        level < self.level(now)
+    /// Returns the level that holds for protected classes: only fresh news
+    /// counts, since older news may refuse them while less important work is
+    /// admitted again.
+    pub fn fresh_level(&self, now: Instant) -> Level {
+        match self.news {
+            Some((level, at)) if now.saturating_duration_since(at) <= FRESH => level,
+            _ => Level::OPEN,
+        }
     }
 }
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -7,7 +7,7 @@
 mod target;
 
 pub use eject::Ejector;
-pub use pick::{Choice, Pick, pick};
+pub use pick::{Pick, Want};
 pub use subset::{subset, subset_size};
 pub use table::{Report, Table};
 pub use target::{Target, TargetState};
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -24,34 +24,55 @@
 
 /// What a choice is made from.
 #[derive(Clone, Copy, Debug)]
-pub struct Choice<'a> {
+pub(super) struct Choice<'a> {
     /// The targets in the entry's own data centre.
-    pub near: &'a [Target],
+    pub(super) near: &'a [Target],
     /// The targets in other data centres.
-    pub far: &'a [Target],
+    pub(super) far: &'a [Target],
     /// Which targets are out.
-    pub ejector: &'a Ejector,
-    /// A target that this call has failed at.
+    pub(super) ejector: &'a Ejector,
+    /// The call that a target is wanted for.
+    pub(super) want: Want,
+}
+
+/// The call that a target is wanted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Want {
+    /// Its admission level.
+    pub level: Level,
+    /// Whether its class is protected.
+    pub protected: bool,
+    /// A target that it has failed at.
     pub avoid: Option<Instance>,
 }
 
-/// Chooses a target for a call of `level`: the better of two random ones of
+impl Want {
+    /// Tells whether `target` is not known to refuse the call.
+    fn is_taken_by(&self, now: Instant, target: &Target) -> bool {
+        self.level >= target.level(now, self.protected)
+    }
+}
+
+/// Chooses a target for a call: the better of two random ones of
 /// the own data centre; of others if the own one has too much work or none.
-pub fn pick<R: Rng>(now: Instant, level: Level, choice: Choice<'_>, rng: &mut R) -> Pick {
+pub(super) fn pick<R: Rng>(now: Instant, choice: Choice<'_>, rng: &mut R) -> Pick {
+    let want = choice.want;
     let near = best_of_two(now, choice, choice.near, rng);
     if let Some(target) = near
         && target.load(now) < SPILL_LOAD
-        && level >= target.level(now)
+        && want.is_taken_by(now, target)
     {
         return Pick::Target(target.instance);
     }
     let far = best_of_two(now, choice, choice.far, rng);
     let found = match (near, far) {
-        (Some(near), Some(far)) => Some(spill(now, level, near, far)),
+        (Some(near), Some(far)) => Some(spill(now, want, near, far)),
         (near, far) => near.or(far),
     };
     match found {
-        Some(target) if level < target.level(now) => Pick::Refused(target.level(now)),
+        Some(target) if !want.is_taken_by(now, target) => {
+            Pick::Refused(target.level(now, want.protected))
+        }
         Some(target) => Pick::Target(target.instance),
         None => Pick::Nothing,
     }
@@ -59,13 +80,13 @@
 
 /// Prefers the far target only if the near one would refuse, or is full while
 /// the far one has room to spare.
-fn spill<'a>(now: Instant, level: Level, near: &'a Target, far: &'a Target) -> &'a Target {
-    let near_takes = level >= near.level(now);
-    let far_takes = level >= far.level(now);
+fn spill<'a>(now: Instant, want: Want, near: &'a Target, far: &'a Target) -> &'a Target {
+    let near_takes = want.is_taken_by(now, near);
+    let far_takes = want.is_taken_by(now, far);
     let far_better = match (near_takes, far_takes) {
         (true, false) => false,
         (false, true) => true,
-        (false, false) => far.level(now) < near.level(now),
+        (false, false) => far.level(now, want.protected) < near.level(now, want.protected),
         (true, true) => far.load(now) < SPILL_LOAD && far.load(now) < near.load(now),
     };
     if far_better { far } else { near }
@@ -79,7 +100,7 @@
 ) -> Option<&'a Target> {
     let first = draw(now, choice, targets, rng)?;
     let second = draw(now, choice, targets, rng)?;
-    let key = |target: &Target| (target.level(now), target.load(now));
+    let key = |t: &Target| (t.level(now, choice.want.protected), t.load(now));
     Some(if key(second) < key(first) {
         second
     } else {
@@ -99,7 +120,7 @@
     }
     let sound = |target: &Target| {
         target.state == TargetState::Serving
-            && choice.avoid != Some(target.instance)
+            && choice.want.avoid != Some(target.instance)
             && choice.ejector.admits(now, target.instance)
     };
     let mut start = 0;
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -5,8 +5,8 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::pick::Choice;
-use super::{Ejector, Pick, Target, TargetState, pick};
+use super::pick::{Choice, Want, pick};
+use super::{Ejector, Pick, Target, TargetState};
 use crate::model::{CentreName, Instance, Level};
 use crate::policy::retry::Ratio;
 
@@ -95,27 +95,26 @@
         self.places.insert(instance, place);
     }
 
-    /// Chooses a target for a call of `level` and counts the call as sent.
-    pub fn choose<R: Rng>(
-        &mut self,
-        now: Instant,
-        level: Level,
-        avoid: Option<Instance>,
-        rng: &mut R,
-    ) -> Pick {
+    /// Chooses a target for a call and counts the call as sent.
+    pub fn choose<R: Rng>(&mut self, now: Instant, want: Want, rng: &mut R) -> Pick {
         let choice = Choice {
             near: &self.near,
             far: &self.far,
             ejector: &self.ejector,
-            avoid,
+            want,
         };
-        let found = pick(now, level, choice, rng);
+        let found = pick(now, choice, rng);
         if let Pick::Target(instance) = found {
             self.sent(instance);
         }
         found
     }
 
+    /// Tells whether a call may go to `target` now, so far as failures tell.
+    pub fn admits(&self, now: Instant, target: Instance) -> bool {
+        self.ejector.admits(now, target)
+    }
+
     /// Counts a call as sent to a target that was chosen in another way.
     pub fn sent(&mut self, instance: Instance) {
         self.ejector.sent(instance);
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -79,9 +79,14 @@
         self.in_flight
     }
 
-    /// Returns the level below which it refuses calls, as far as known.
-    pub fn level(&self, now: Instant) -> Level {
-        self.level.level(now)
+    /// Returns the level below which it refuses calls, as far as known; for
+    /// protected classes only fresh news counts.
+    pub fn level(&self, now: Instant, protected: bool) -> Level {
+        if protected {
+            self.level.fresh_level(now)
+        } else {
+            self.level.level(now)
+        }
     }
 
     /// Estimates its load as a share of its slots; old news counts less.
