--- a/benches/overload/world.rs
+++ b/benches/overload/world.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use bramleymount::model::{
-    CentreName, ClassRank, Depth, Instance, Level, Priority, Retries, RootId, Slots, StartStamp,
-    Verdict,
+    CentreName, ClassRank, Depth, GuardNews, Instance, Level, Priority, Retries, RootId,
+    ServiceName, Slots, StartStamp, Verdict,
 };
 use bramleymount::policy::admission::{
-    Admission, Decision, Event as Admitted, Outcome, Settings, Shed, Token, Waiting,
+    Admission, Decision, Event as Admitted, Met, Outcome, Settings, Shed, Token, Waiting,
 };
 use bramleymount::policy::retry::{Account, Failure, Loan, Ratio, Retry, Safety, decide};
 use bramleymount::policy::route::{Pick, Report, Table, Target, Want};
@@ -80,11 +80,11 @@
     started: f64,
     running: bool,
     failed: Option<Shed>,
-    refused: Option<Level>,
     /// Given up by its entry, and still running.
     orphan: bool,
     closed: bool,
-    news: (u32, Level),
+    news: GuardNews,
+    met: Vec<Met>,
 }
 
 struct Server {
@@ -117,6 +117,8 @@
     servers: Vec<Server>,
     by_instance: HashMap<Instance, ServerId>,
     by_service: Vec<Vec<ServerId>>,
+    names: Vec<ServiceName>,
+    pub(crate) stat: std::collections::BTreeMap<String, u64>,
     ratios: HashMap<(ServerId, usize), Ratio>,
     disturbed: bool,
     pub(crate) whole: Vec<f64>,
@@ -139,6 +141,8 @@
             servers: Vec::new(),
             by_instance: HashMap::new(),
             by_service: vec![Vec::new(); scenario.services.len()],
+            stat: Default::default(),
+            names: (0..scenario.services.len()).map(name).collect(),
             ratios: HashMap::new(),
             disturbed: false,
             whole: Vec::new(),
@@ -399,10 +403,10 @@
             started: 0.0,
             running: false,
             failed: None,
-            refused: None,
             orphan: false,
             closed: false,
-            news: (0, Level::OPEN),
+            news: GuardNews::default(),
+            met: Vec::new(),
         });
         self.calls.len() - 1
     }
@@ -437,8 +441,14 @@
             Control::Now => match self.choose(call, avoid) {
                 Ok(target) => target,
                 Err(level) => {
-                    self.calls[call].refused = level;
-                    self.calls[call].failed = Some(Shed::Overload);
+                    *self
+                        .stat
+                        .entry(format!(
+                            "entry-refused s{} class{}",
+                            service, self.roots[self.calls[call].root].class
+                        ))
+                        .or_insert(0u64) += 1;
+                    self.calls[call].failed = level.map(|_| Shed::Overload);
                     return self.give_up(call);
                 }
             },
@@ -465,7 +475,7 @@
         c.target = Some(target);
         c.next = 0;
         c.failed = None;
-        c.refused = None;
+        c.met.clear();
         c.account = None;
         if self.variant.control != Control::Now {
             let attempt = c.attempts;
@@ -504,17 +514,20 @@
         }
     }
 
-    fn choose(&mut self, call: CallId, avoid: Option<ServerId>) -> Result<ServerId, Option<Level>> {
-        let now = self.instant();
-        let level = match self.variant.off {
-            Off::Early => Level::from_raw(u32::MAX),
-            _ => self.priority(call).level(),
-        };
-        let want = Want {
-            level,
+    fn want(&self, call: CallId, avoid: Option<ServerId>) -> Want {
+        Want {
+            level: self.priority(call).level(),
             protected: self.is_protected(call),
             avoid: avoid.map(|id| self.servers[id].instance),
-        };
+        }
+    }
+
+    fn choose(&mut self, call: CallId, avoid: Option<ServerId>) -> Result<ServerId, Option<Level>> {
+        let now = self.instant();
+        let mut want = self.want(call, avoid);
+        if self.variant.off == Off::Early {
+            want.level = Level::from_raw(u32::MAX);
+        }
         let c = &self.calls[call];
         let table = self.servers[c.entry]
             .tables
@@ -582,15 +595,8 @@
             return self.lost(call);
         }
         if self.variant.control == Control::Now {
-            let (load, level) = self.calls[call].news;
-            self.report(
-                call,
-                Report::Heard {
-                    load,
-                    level,
-                    leaving: false,
-                },
-            );
+            let news = self.calls[call].news;
+            self.report(call, Report::Heard(news));
             let rest = match &mut self.calls[call].account {
                 Some(account) => account.close(),
                 None => self.calls[call]
@@ -653,20 +659,37 @@
 
     fn give_up(&mut self, call: CallId) {
         self.calls[call].closed = true;
-        if self.variant.control == Control::Now
-            && let (Some(level), Some(parent)) = (self.calls[call].refused, self.calls[call].parent)
-        {
-            let known = self.calls[parent].refused.unwrap_or_default();
-            self.calls[parent].refused = Some(known.max(level));
-        }
+        let shed = self.calls[call].failed;
+        self.meet(call, shed.is_some_and(Shed::is_overload));
         match self.calls[call].parent {
             Some(parent) => self.finish(parent, false),
             None => self.end_root(self.calls[call].root, false),
         }
     }
 
+    /// Tells the call above what this onward call met.
+    fn meet(&mut self, call: CallId, refused: bool) {
+        let Some(parent) = self.calls[call].parent else {
+            return;
+        };
+        if self.variant.control != Control::Now || self.variant.off == Off::Chain {
+            return;
+        }
+        let now = self.instant();
+        let want = self.want(call, None);
+        let c = &self.calls[call];
+        let demanded = self.servers[c.entry].tables[&c.service].demanded(now, &want);
+        let service = self.names[self.calls[call].service].clone();
+        self.calls[parent].met.push(Met {
+            service,
+            demanded,
+            refused,
+        });
+    }
+
     fn done(&mut self, call: CallId) {
         self.calls[call].closed = true;
+        self.meet(call, false);
         match self.calls[call].parent {
             Some(parent) => self.onward(parent),
             None => self.end_root(self.calls[call].root, true),
@@ -761,16 +784,18 @@
             }
             Admitted::Shed(Token(call), shed) => {
                 let call = call as CallId;
+                *self
+                    .stat
+                    .entry(format!(
+                        "guard-shed s{} {shed} class{}",
+                        self.calls[call].service, self.roots[self.calls[call].root].class
+                    ))
+                    .or_insert(0u64) += 1;
                 let since = self.servers[id].waiting.remove(&call);
                 if shed == Shed::Overload && self.is_protected(call) {
                     self.note_early(id, since.map_or(self.now, |(_, since)| since));
                 }
                 self.calls[call].failed = Some(shed);
-                let rank = ClassRank::new(self.roots[self.calls[call].root].class);
-                let now = self.instant();
-                if let Some(admission) = &self.servers[id].admission {
-                    self.calls[call].refused = Some(admission.level(now, rank));
-                }
                 self.send_back(id, call, false);
             }
         }
@@ -858,23 +883,20 @@
         };
         self.servers[id].running -= 1;
         self.calls[call].running = false;
-        let refused = self.calls[call].refused;
-        let outcome = match (whole, refused) {
-            (true, _) => Outcome::Answered,
-            (false, _) => Outcome::Failed,
+        let outcome = if whole {
+            Outcome::Answered
+        } else {
+            Outcome::Failed
         };
         self.ended(id, call, outcome, whole);
     }
 
     fn ended(&mut self, id: ServerId, call: CallId, outcome: Outcome, whole: bool) {
         let now = self.instant();
-        let refused = self.calls[call].refused;
-        let chain = self.variant.off != Off::Chain;
+        let met = std::mem::take(&mut self.calls[call].met);
         let mut events = Vec::new();
         if let Some(admission) = &mut self.servers[id].admission {
-            if let (Some(level), false, true) = (refused, whole, chain) {
-                admission.refused_below(now, Token(call as u64), level);
-            }
+            admission.met_below(now, Token(call as u64), &met, whole);
             events = admission.finish(now, Token(call as u64), outcome);
         }
         if outcome == Outcome::Refused {
@@ -892,10 +914,8 @@
 
     fn send_back(&mut self, id: ServerId, call: CallId, whole: bool) {
         let now = self.instant();
-        let rank = ClassRank::new(self.roots[self.calls[call].root].class);
         if let Some(admission) = &self.servers[id].admission {
-            let load = (admission.in_flight() + admission.waiting()) as u32;
-            self.calls[call].news = (load, admission.level(now, rank));
+            self.calls[call].news = admission.news(now);
         }
         let way = self.way(self.calls[call].entry, id);
         self.after(way, Event::Back(call, whole));
@@ -947,3 +967,7 @@
 fn centre(number: usize) -> CentreName {
     format!("centre-{number}").parse().expect("a name")
 }
+
+fn name(service: usize) -> ServiceName {
+    format!("service-{service}").parse().expect("a name")
+}
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -3,18 +3,7 @@
 use std::time::Duration;
 
 use super::Reason;
-use crate::model::{Level, Retries, Verdict};
-
-/// What a guard tells of itself with each answer and refusal.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct GuardNews {
-    /// The level below which it sheds.
-    pub level: Level,
-    /// Calls in flight at its backend server.
-    pub load: u32,
-    /// Whether it takes no new calls.
-    pub leaving: bool,
-}
+use crate::model::{GuardNews, Retries, Verdict};
 
 /// A call without an answer of a backend server.
 ///
--- a/src/call/reply.rs
+++ b/src/call/reply.rs
@@ -2,8 +2,7 @@
 
 use http::{HeaderMap, StatusCode};
 
-use super::GuardNews;
-use crate::model::Retries;
+use crate::model::{GuardNews, Retries};
 use crate::web::Payload;
 
 /// What travels with an answer besides its body.
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -11,7 +11,7 @@
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
 use crate::model::{Instance, OnceKey, Verdict};
 use crate::peer;
-use crate::policy::admission::Shed;
+use crate::policy::admission::{Met, Shed};
 use crate::policy::once::Refuse;
 use crate::policy::retry::{Account, Failure, Loan, Retry, decide};
 use crate::policy::route::{Pick, Report, Want};
@@ -76,11 +76,16 @@
             },
         };
         let result = result.map_err(|refusal| refusal.after(self.earlier));
-        if let (Err(refusal), Some(parent)) = (&result, &self.accepted.parent)
-            && refusal.reason().is_overload()
-            && let Some(news) = refusal.news
-        {
-            parent.refused_below(news.level);
+        if let Some(parent) = &self.accepted.parent {
+            let now = Instant::now();
+            let want = self.want();
+            let demanded = self.table(|table| table.demanded(now, &want));
+            let refused = matches!(&result, Err(refusal) if refusal.reason().is_overload());
+            parent.met(Met {
+                service: self.head().service.clone(),
+                demanded,
+                refused,
+            });
         }
         Ended {
             result,
@@ -129,28 +134,28 @@
                 Place::Refused(refuse) => Err(attempt.refuse_once(refuse)),
             };
         }
-        let want = Want {
-            level: head.priority.level(),
-            protected: self.accepted.protected,
-            avoid: self.avoid,
-        };
+        let want = self.want();
         let now = Instant::now();
         let picked = self.table(|table| table.choose(now, want, &mut rand::rng()));
         match picked {
             Pick::Target(instance) => Ok((attempt, instance)),
-            Pick::Refused(needed) => {
+            Pick::Refused(_) => {
                 let mut refusal = attempt.refuse(Reason::Shed(Shed::Overload), "");
                 refusal.retry_after = Some(self.entry.retry_after());
-                refusal.news = Some(crate::call::GuardNews {
-                    level: needed,
-                    ..Default::default()
-                });
                 Err(refusal)
             }
             Pick::Nothing => Err(attempt.refuse(Reason::Unreachable, "no server takes calls")),
         }
     }
 
+    fn want(&self) -> Want {
+        Want {
+            level: self.head().priority.level(),
+            protected: self.accepted.protected,
+            avoid: self.avoid,
+        }
+    }
+
     /// Counts an attempt as sent to the only instance that may take it, unless
     /// that has failed too often just now.
     fn may_reach(&self, instance: Instance) -> bool {
@@ -298,11 +303,7 @@
             Err(refusal) => refusal.news,
         };
         let report = match news {
-            Some(news) => Report::Heard {
-                load: news.load,
-                level: news.level,
-                leaving: news.leaving,
-            },
+            Some(news) => Report::Heard(news),
             None => Report::Failed,
         };
         let now = Instant::now();
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -8,10 +8,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::call::GuardNews;
-use crate::model::{ClassRank, Level, Priority, Slots};
+use crate::model::{ClassRank, GuardNews, Priority, Slots};
 use crate::policy::admission::{
-    Admission, Decision, Event, Outcome, Settings, Shed, Token, Waiting,
+    Admission, Decision, Event, Met, Outcome, Settings, Shed, Token, Waiting,
 };
 
 /// How often a waiting call looks whether its wait has ended.
@@ -129,15 +128,9 @@
         self.inner.lock().admission.reload(slots, protected);
     }
 
-    /// Returns what answers carry of this guard to callers of a class.
-    pub fn news(&self, rank: ClassRank) -> GuardNews {
-        let inner = self.inner.lock();
-        let admission = &inner.admission;
-        GuardNews {
-            level: admission.level(Instant::now(), rank),
-            load: u32::try_from(admission.in_flight() + admission.waiting()).unwrap_or(u32::MAX),
-            leaving: admission.is_leaving(),
-        }
+    /// Returns what answers carry of this guard.
+    pub fn news(&self) -> GuardNews {
+        self.inner.lock().admission.news(Instant::now())
     }
 
     /// Returns when a refused caller may come back.
@@ -184,12 +177,12 @@
         self.outcome = outcome;
     }
 
-    /// Notes that the call failed since `level` was demanded further down.
-    pub fn refused_below(&self, level: Level) {
+    /// Notes what the call met further down its chain.
+    pub fn met_below(&self, met: &[Met], answered: bool) {
         let mut inner = self.gate.inner.lock();
         inner
             .admission
-            .refused_below(Instant::now(), self.token, level);
+            .met_below(Instant::now(), self.token, met, answered);
     }
 }
 
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -16,9 +16,9 @@
 use super::once::{Change, Done, Entered};
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass, body_hash};
 use crate::call::{
-    Attempt, Call, CallHead, GuardNews, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
+    Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
 };
-use crate::model::{ClassRank, Depth, Instance, OnceKey, Retries, ServiceName, Slots};
+use crate::model::{Depth, GuardNews, Instance, OnceKey, Retries, ServiceName, Slots};
 use crate::platform::{Condition, Settled, settle};
 use crate::policy::admission::{Outcome, Settings, Shed};
 use crate::policy::once::{
@@ -142,7 +142,6 @@
     /// Returns what to tell the caller in place of an answer.
     pub async fn serve(self: &Arc<Self>, call: Call) -> Result<Reply, Refusal> {
         let attempt = Attempt::with_id(call.head.attempt);
-        let rank = call.head.priority.rank();
         let account = call.head.account;
         let result = match self.check(&call.head) {
             Err(reason) => Err(self.home(attempt.refuse(reason, ""), account)),
@@ -165,7 +164,7 @@
             },
         };
         result.map_err(|mut refusal| {
-            refusal.news = Some(self.gate.news(rank));
+            refusal.news = Some(self.gate.news());
             if refusal.reason().is_overload() {
                 refusal.retry_after = Some(self.gate.retry_after());
             }
@@ -227,7 +226,7 @@
             Ok(Ok(answered)) => answered,
         };
         self.note_end(&mut pass, &held, answered.status);
-        Ok(self.reply(head.priority.rank(), answered, pass, held))
+        Ok(self.reply(answered, pass, held))
     }
 
     /// Asks for an answer that is read whole, as the ledger needs it.
@@ -280,19 +279,21 @@
     fn note_end(&self, pass: &mut Pass, held: &Held, status: StatusCode) {
         let refused_here =
             status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
-        match held.refused() {
-            Some(level) if status.is_server_error() => {
-                pass.refused_below(level);
-                pass.ended(Outcome::Failed);
-            }
-            _ if refused_here => pass.ended(Outcome::Refused),
-            _ => pass.ended(Outcome::Answered),
-        }
+        let met = held.take_met();
+        let answered = !status.is_server_error();
+        let refused = met.iter().any(|met| met.refused);
+        pass.met_below(&met, answered);
+        let outcome = match (refused, answered) {
+            (true, false) => Outcome::Failed,
+            _ if refused_here => Outcome::Refused,
+            _ => Outcome::Answered,
+        };
+        pass.ended(outcome);
     }
 
     /// Makes the reply; a large body is passed on by a task that keeps the
     /// slot until its end.
-    fn reply(&self, rank: ClassRank, answered: Answered, pass: Pass, held: HeldCall) -> Reply {
+    fn reply(&self, answered: Answered, pass: Pass, held: HeldCall) -> Reply {
         let mut head = ReplyHead {
             status: answered.status,
             headers: answered.headers,
@@ -311,7 +312,7 @@
                 self.pass_on(answered.length, first, rest, (pass, held))
             }
         };
-        head.news = self.gate.news(rank);
+        head.news = self.gate.news();
         Reply { head, body }
     }
 
@@ -337,7 +338,6 @@
         once: OnceCall,
         body: Bytes,
     ) -> Result<Reply, Refusal> {
-        let rank = head.priority.rank();
         let account = head.account;
         let deadline = head.deadline;
         if let Err(refuse) = self.authority(&once.key) {
@@ -345,7 +345,7 @@
         }
         let hash = body_hash(&head, &body);
         let (mut end, started) = match self.once.enter(mint_now(), &once.key, hash) {
-            Entered::Answer(kept) => return Ok(self.kept(rank, kept, account, true)),
+            Entered::Answer(kept) => return Ok(self.kept(kept, account, true)),
             Entered::Refuse(refuse) => {
                 return Err(self.home(attempt.refuse_once(refuse), account));
             }
@@ -368,7 +368,7 @@
         };
         let account = if started { done.account } else { account };
         match done.result {
-            Ok(kept) => Ok(self.kept(rank, kept, account, !started)),
+            Ok(kept) => Ok(self.kept(kept, account, !started)),
             Err(refusal) => Err(self.home(refusal, account)),
         }
     }
@@ -384,10 +384,9 @@
         key: &OnceKey,
         wait: Duration,
     ) -> Result<Reply, Refusal> {
-        let rank = ClassRank::new(0);
         let none = Retries::new(0);
         let mut end = match self.once.inquire(key) {
-            Entered::Answer(kept) => return Ok(self.kept(rank, kept, none, true)),
+            Entered::Answer(kept) => return Ok(self.kept(kept, none, true)),
             Entered::Refuse(refuse) => return Err(attempt.refuse_once(refuse)),
             Entered::Attach(end) | Entered::Run { end, .. } => end,
         };
@@ -395,17 +394,14 @@
         let waited = tokio::time::timeout(wait, end.wait_for(|done| done.is_some())).await;
         match waited {
             Ok(Ok(done)) => match &*done {
-                Some(done) => done
-                    .result
-                    .clone()
-                    .map(|kept| self.kept(rank, kept, none, true)),
+                Some(done) => done.result.clone().map(|kept| self.kept(kept, none, true)),
                 None => Err(attempt.lose(Reason::Timeout, "")),
             },
             _ => Err(attempt.lose(Reason::Timeout, "the call still runs")),
         }
     }
 
-    fn kept(&self, rank: ClassRank, kept: Kept, account: Retries, again: bool) -> Reply {
+    fn kept(&self, kept: Kept, account: Retries, again: bool) -> Reply {
         let mut headers = HeaderMap::new();
         for (name, value) in &kept.headers {
             if let (Ok(name), Ok(value)) = (
@@ -421,7 +417,7 @@
                 status,
                 headers,
                 account,
-                news: self.gate.news(rank),
+                news: self.gate.news(),
                 kept: again,
             },
             body: Payload::Whole(kept.body.unwrap_or_default()),
--- a/src/model/level.rs
+++ b/src/model/level.rs
@@ -6,14 +6,14 @@
 
 /// A point in the order of shedding; work below a guard's level is refused.
 ///
-/// It is made of the class and seven bits of the root's hash. A greater level
+/// It is made of the class and ten bits of the root's hash. A greater level
 /// is more important.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Level(u16);
 
 impl Level {
     /// Steps within one class.
-    pub const STEPS: usize = 128;
+    pub const STEPS: usize = 1024;
     /// Number of distinct levels.
     pub const COUNT: usize = Self::STEPS * ClassRank::COUNT;
     /// The level that refuses nothing.
@@ -22,7 +22,7 @@
     /// Computes the level of a class and a 16-bit hash of the root.
     pub fn new(rank: ClassRank, hash: u16) -> Self {
         let class = ClassRank::COUNT as u16 - 1 - u16::from(rank.get());
-        Self(class * Self::STEPS as u16 + (hash >> 9))
+        Self(class * Self::STEPS as u16 + (hash >> 6))
     }
 
     /// Makes a level from its number; greater ones count as the greatest.
@@ -41,6 +41,11 @@
         usize::from(self.0)
     }
 
+    /// Returns the first level of the next more important class.
+    pub fn class_end(self) -> usize {
+        (self.index() / Self::STEPS + 1) * Self::STEPS
+    }
+
     /// Returns the class that this level cuts through.
     pub fn rank(self) -> ClassRank {
         ClassRank::new(ClassRank::COUNT - 1 - self.index() / Self::STEPS)
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -8,10 +8,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::generated as wire;
-use crate::call::{Attempt, CallHead, GuardNews, OnceCall, Reason, Refusal, ReplyHead, Sent};
+use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Sent};
 use crate::declare::Estate;
 use crate::error::Error;
-use crate::model::{AttemptId, CallId, Depth, Instance, Level, Priority, Retries, RootId, Verdict};
+use crate::model::{
+    AttemptId, CallId, Depth, GuardNews, Instance, Level, Priority, RankSet, Retries, RootId,
+    Verdict,
+};
 
 /// Most headers of a message.
 const MAX_HEADERS: usize = 128;
@@ -153,6 +156,8 @@
         digest,
         account: head.account.get(),
         level: u32::from(head.news.level.get()),
+        below: u32::from(head.news.below.get()),
+        classes: head.news.classes.bits(),
         load: head.news.load,
         leaving: head.news.leaving,
     }
@@ -173,6 +178,8 @@
         account: Retries::new(head.account),
         news: GuardNews {
             level: Level::from_raw(head.level),
+            below: Level::from_raw(head.below),
+            classes: RankSet::from_bits(head.classes),
             load: head.load,
             leaving: head.leaving,
         },
@@ -192,6 +199,8 @@
         retry_after_ms: refusal.retry_after.map_or(0, millis),
         account: refusal.account.get(),
         level: u32::from(news.level.get()),
+        below: u32::from(news.below.get()),
+        classes: news.classes.bits(),
         load: news.load,
         leaving: news.leaving,
     }
@@ -217,6 +226,8 @@
         };
         refusal.news = Some(GuardNews {
             level: Level::from_raw(message.level),
+            below: Level::from_raw(message.below),
+            classes: RankSet::from_bits(message.classes),
             load: message.load,
             leaving: message.leaving,
         });
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -92,6 +92,11 @@
     /// Set if the guard takes no new calls.
     #[prost(bool, tag = "10")]
     pub leaving: bool,
+    /// The level that services further down demand of these classes.
+    #[prost(uint32, tag = "11")]
+    pub below: u32,
+    #[prost(uint32, tag = "12")]
+    pub classes: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refusal {
@@ -114,6 +119,10 @@
     pub load: u32,
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    #[prost(uint32, tag = "10")]
+    pub below: u32,
+    #[prost(uint32, tag = "11")]
+    pub classes: u32,
 }
 /// Closes a streamed body: its length and digest as a whole.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/policy/admission/chain.rs
+++ b/src/policy/admission/chain.rs
@@ -1,54 +1,78 @@
 //! The level that services further down a chain impose on this one.
 
+use std::collections::BTreeMap;
+
 use tokio::time::Instant;
 
 use super::Heard;
-use crate::model::{ClassRank, Level};
+use crate::model::{ClassRank, Level, RankSet, ServiceName};
 
-/// Learns, per class, below which level calls fail further down.
-///
-/// A call that failed because an onward call was refused raises the level of
-/// its class; a call below that level which succeeds lowers it again, so that
-/// work that does not depend on the refusing service goes on.
-#[derive(Debug)]
-pub struct Chain {
-    classes: Box<[Heard]>,
+/// What a call met at a service that it called onwards.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Met {
+    /// The service.
+    pub service: ServiceName,
+    /// The level that it demands now.
+    pub demanded: Level,
+    /// Whether it refused.
+    pub refused: bool,
 }
 
-impl Default for Chain {
-    fn default() -> Self {
-        Self {
-            classes: vec![Heard::default(); ClassRank::COUNT].into(),
-        }
-    }
+#[derive(Clone, Copy, Debug, Default)]
+struct Below {
+    demanded: Heard,
+    depends: RankSet,
+}
+
+/// Learns below which level calls would fail further down.
+///
+/// Each answer to an onward call tells what the service called demands now.
+/// It counts for a class only once a call of the class has failed since the
+/// service refused, and until one was answered all the same; so work that
+/// does not depend on the refusing service goes on.
+#[derive(Debug, Default)]
+pub struct Chain {
+    services: BTreeMap<ServiceName, Below>,
 }
 
 impl Chain {
-    /// Takes note that a call failed since `refused` was demanded further down.
-    pub fn failed(&mut self, now: Instant, call: Level, refused: Level) {
-        if call < refused {
-            self.classes[call.rank().index()].raise(now, refused);
+    /// Takes note of what a call of `rank` met, and how it ended.
+    pub fn hear(&mut self, now: Instant, rank: ClassRank, met: &[Met], answered: bool) {
+        for one in met {
+            if let Some(below) = self.services.get_mut(&one.service) {
+                below.hear(now, rank, one, answered);
+            } else {
+                let below = self.services.entry(one.service.clone()).or_default();
+                below.hear(now, rank, one, answered);
+            }
         }
     }
 
-    /// Takes note that a call succeeded.
-    pub fn served(&mut self, call: Level) {
-        self.classes[call.rank().index()].served(call);
+    /// Returns the level that is demanded of a class.
+    pub fn level(&self, now: Instant, rank: ClassRank, protected: bool) -> Level {
+        self.services
+            .values()
+            .filter(|below| below.depends.contains(rank))
+            .map(|below| below.demanded.level(now, protected))
+            .max()
+            .unwrap_or_default()
     }
 
-    /// Tells whether a call would be refused further down.
-    pub fn refuses(&self, now: Instant, call: Level, protected: bool) -> bool {
-        let heard = &self.classes[call.rank().index()];
-        let needed = if protected {
-            heard.fresh_level(now)
-        } else {
-            heard.level(now)
-        };
-        call < needed
+    /// Returns the highest level that any service demands, and of whom.
+    pub fn highest(&self, now: Instant) -> (Level, RankSet) {
+        self.services
+            .values()
+            .map(|below| (below.demanded.level(now, false), below.depends))
+            .max_by_key(|(level, _)| *level)
+            .unwrap_or_default()
     }
+}
 
-    /// Returns the highest level that holds for the class of `call`.
-    pub fn level(&self, now: Instant, rank: ClassRank) -> Level {
-        self.classes[rank.index()].level(now)
+impl Below {
+    fn hear(&mut self, now: Instant, rank: ClassRank, met: &Met, answered: bool) {
+        self.demanded.hear(now, met.demanded);
+        if met.refused {
+            self.depends.set(rank, !answered);
+        }
     }
 }
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -6,13 +6,15 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::{Chain, Limit, Outcome, Queue, Shed, Threshold, Token, Waiting};
-use crate::model::{ClassRank, Level, Priority, Slots};
+use super::{Backlog, Chain, Limit, Met, Outcome, Queue, Shed, Threshold, Token, Waiting};
+use crate::model::{ClassRank, GuardNews, Level, Priority, Slots};
 
 /// Longest wait of a call that is not protected.
-const MAX_WAIT: Duration = Duration::from_millis(50);
-/// Waiting calls as a share of the limit.
-const QUEUE_SHARE: f64 = 0.5;
+const MAX_WAIT: Duration = Duration::from_millis(200);
+/// Time that a full queue takes to be served.
+const QUEUE_TIME: Duration = Duration::from_millis(50);
+/// Least and greatest length of the queue as a share of the limit.
+const QUEUE_SHARE: std::ops::RangeInclusive<f64> = 0.5..=4.0;
 /// Fewest calls that may wait.
 const MIN_QUEUE: usize = 4;
 /// Mean of the spread of `Retry-After` at no excess.
@@ -107,15 +109,13 @@
             return (Decision::Shed(Shed::Leaving), events);
         }
         let level = call.priority.level();
-        self.threshold.tick(now);
+        self.tick(now);
         self.threshold.arrived(level);
         if self.too_late(now, call.deadline) {
             return (Decision::Shed(Shed::Deadline), events);
         }
-        if self
-            .chain
-            .refuses(now, level, self.is_protected(call.priority))
-        {
+        let protected = self.is_protected(call.priority);
+        if level < self.chain.level(now, level.rank(), protected) {
             return (Decision::Shed(Shed::Downstream), events);
         }
         if self.queue.is_empty() && self.running.len() < self.limit.get() {
@@ -160,20 +160,17 @@
         if let Some(run) = self.running.remove(&token) {
             let latency = now.saturating_duration_since(run.started);
             self.limit.record(now, outcome, latency, in_flight);
-            if outcome == Outcome::Answered {
-                self.chain.served(run.level);
-            }
         }
-        self.threshold.tick(now);
+        self.tick(now);
         self.fill(now, &mut events);
         events
     }
 
-    /// Takes note that a running call failed since `refused` was demanded
-    /// further down its chain.
-    pub fn refused_below(&mut self, now: Instant, token: Token, refused: Level) {
+    /// Takes note of what a running call met further down its chain, and
+    /// whether it was answered well.
+    pub fn met_below(&mut self, now: Instant, token: Token, met: &[Met], answered: bool) {
         if let Some(run) = self.running.get(&token) {
-            self.chain.failed(now, run.level, refused);
+            self.chain.hear(now, run.level.rank(), met, answered);
         }
     }
 
@@ -188,7 +185,7 @@
         for call in self.queue.take_expired(now) {
             events.push(Event::Shed(call.token, self.expiry(now, &call)));
         }
-        self.threshold.tick(now);
+        self.tick(now);
         self.fill(now, &mut events);
         events
     }
@@ -242,9 +239,17 @@
         self.limit.get()
     }
 
-    /// Returns the level to advertise to callers of the class `rank`.
-    pub fn level(&self, now: Instant, rank: ClassRank) -> Level {
-        self.threshold.level().max(self.chain.level(now, rank))
+    /// Returns what answers carry of this guard.
+    pub fn news(&self, now: Instant) -> GuardNews {
+        let (below, classes) = self.chain.highest(now);
+        let load = self.running.len() + self.queue.len();
+        GuardNews {
+            level: self.threshold.level(),
+            below,
+            classes,
+            load: u32::try_from(load).unwrap_or(u32::MAX),
+            leaving: self.leaving,
+        }
     }
 
     /// Returns when a refused caller may come back, spread at random.
@@ -253,13 +258,23 @@
         mean.mul_f64(rng.random_range(0.5..1.5))
     }
 
+    fn tick(&mut self, now: Instant) {
+        let backlog = Backlog {
+            waiting: self.queue.len(),
+            bound: self.queue_bound(),
+        };
+        self.threshold.tick(now, backlog);
+    }
+
     fn is_protected(&self, priority: Priority) -> bool {
         self.protected.is_some_and(|rank| priority.rank() <= rank)
     }
 
     fn queue_bound(&self) -> usize {
-        let share = self.limit.get() as f64 * QUEUE_SHARE;
-        (share as usize).max(MIN_QUEUE)
+        let latency = self.limit.latency().unwrap_or(QUEUE_TIME).as_secs_f64();
+        let share = QUEUE_TIME.as_secs_f64() / latency.max(1e-6);
+        let share = share.clamp(*QUEUE_SHARE.start(), *QUEUE_SHARE.end());
+        ((self.limit.get() as f64 * share) as usize).max(MIN_QUEUE)
     }
 
     fn too_late(&self, now: Instant, deadline: Instant) -> bool {
--- a/src/policy/admission/mod.rs
+++ b/src/policy/admission/mod.rs
@@ -8,10 +8,10 @@
 mod shed;
 mod threshold;
 
-pub use chain::Chain;
+pub use chain::{Chain, Met};
 pub use control::{Admission, Decision, Event, Settings};
 pub use heard::Heard;
 pub use limit::{Limit, Outcome};
 pub use queue::{Queue, Token, Waiting};
 pub use shed::Shed;
-pub use threshold::Threshold;
+pub use threshold::{Backlog, Threshold};
--- a/src/policy/admission/threshold.rs
+++ b/src/policy/admission/threshold.rs
@@ -14,18 +14,41 @@
 const ENOUGH: u32 = 20;
 /// Demand that is let through over the measured capacity, so that the queue
 /// does not run dry.
-const HEADROOM: f64 = 1.15;
+const HEADROOM: f64 = 1.05;
+/// What is left of the counts of earlier windows.
+const MEMORY: f32 = 0.5;
+/// Fewest levels of which the density of arrivals is judged, and most that
+/// are opened at once when nothing is known.
+const BAND: usize = Level::STEPS / 64;
+/// Share by which the open part of a class may grow at once: in a balance,
+/// and when far less is offered than can be served.
+const GROW: f64 = 0.25;
+const GROW_FAST: f64 = 3.0;
+/// Share of the capacity below which far less is offered.
+const FAR_LESS: f64 = 0.6;
+
+/// The state of the queue when a window closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backlog {
+    /// Calls that wait.
+    pub waiting: usize,
+    /// Calls that may wait.
+    pub bound: usize,
+}
 
 /// Counts arrivals by level and sets the level that admits what can be served.
+///
+/// The level aims at a queue that is half full: then slots never idle, and
+/// little is shed here that others have worked for.
 #[derive(Debug)]
 pub struct Threshold {
     level: Level,
-    arrivals: Box<[u32]>,
+    arrivals: Box<[f32]>,
+    weight: f32,
     arrived: u32,
     started: u32,
     shed: u32,
     opened: Instant,
-    step: u16,
     excess: f64,
 }
 
@@ -34,19 +57,19 @@
     pub fn new(now: Instant) -> Self {
         Self {
             level: Level::OPEN,
-            arrivals: vec![0; Level::COUNT].into(),
+            arrivals: vec![0.0; Level::COUNT].into(),
+            weight: 0.0,
             arrived: 0,
             started: 0,
             shed: 0,
             opened: now,
-            step: 1,
             excess: 1.0,
         }
     }
 
     /// Counts an arrival.
     pub fn arrived(&mut self, level: Level) {
-        self.arrivals[level.index()] += 1;
+        self.arrivals[level.index()] += 1.0;
         self.arrived += 1;
     }
 
@@ -71,45 +94,78 @@
     }
 
     /// Closes the window if it is long enough and sets the level anew.
-    pub fn tick(&mut self, now: Instant) {
+    pub fn tick(&mut self, now: Instant, backlog: Backlog) {
         let age = now.saturating_duration_since(self.opened);
         let enough = self.started >= ENOUGH || age >= MAX_WINDOW;
         if age < MIN_WINDOW || !enough {
             return;
         }
-        if self.shed > 0 {
-            self.tighten();
-        } else {
-            self.relax();
+        self.weight = self.weight * MEMORY + 1.0;
+        if self.level > Level::OPEN || self.shed > 0 {
+            self.adjust(backlog);
         }
-        self.arrivals.fill(0);
+        let capacity = f64::from(self.started.max(1));
+        self.excess = if self.shed > 0 {
+            (f64::from(self.arrived) / capacity).max(1.0)
+        } else {
+            1.0
+        };
+        self.arrivals.iter_mut().for_each(|count| *count *= MEMORY);
         self.arrived = 0;
         self.started = 0;
         self.shed = 0;
         self.opened = now;
     }
 
-    fn tighten(&mut self) {
-        let capacity = f64::from(self.started.max(1));
-        self.excess = (f64::from(self.arrived) / capacity).max(1.0);
-        self.step = 1;
-        let want = capacity * HEADROOM;
+    fn adjust(&mut self, backlog: Backlog) {
+        let room = backlog.bound as f64 / 2.0 - backlog.waiting as f64;
+        let want = (f64::from(self.started) * HEADROOM + room).max(1.0);
+        let offered = self.offered();
+        if offered > want {
+            if self.shed > 0 {
+                self.level = self.level_admitting(want).max(self.level);
+            }
+            return;
+        }
+        let raw = f64::from(self.level.get()) - self.step(want, offered);
+        self.level = Level::from_raw(raw.max(0.0) as u32);
+    }
+
+    /// Returns how many levels to open so that about `want` is offered.
+    ///
+    /// What stands below the level is not seen; it is taken to be as dense as
+    /// what stands above in the same class, and opened in bounded steps.
+    fn step(&self, want: f64, offered: f64) -> f64 {
+        let low = self.level.index();
+        let open = self.level.class_end() - low;
+        let share = if offered < want * FAR_LESS {
+            GROW_FAST
+        } else {
+            GROW
+        };
+        let most = (open.max(BAND) as f64 * share).max(1.0);
+        let sum: f32 = self.arrivals[low..self.level.class_end()].iter().sum();
+        let density = f64::from(sum / self.weight) / open as f64;
+        if density <= 0.0 {
+            return most;
+        }
+        ((want - offered) / density).clamp(1.0, most)
+    }
+
+    /// Returns the arrivals of one window at or above the level.
+    fn offered(&self) -> f64 {
+        let sum: f32 = self.arrivals[self.level.index()..].iter().sum();
+        f64::from(sum / self.weight)
+    }
+
+    fn level_admitting(&self, want: f64) -> Level {
         let mut sum = 0.0;
-        let mut level = 0;
         for (index, count) in self.arrivals.iter().enumerate().rev() {
-            sum += f64::from(*count);
+            sum += f64::from(count / self.weight);
             if sum > want {
-                level = index as u32 + 1;
-                break;
+                return Level::from_raw(index as u32 + 1);
             }
         }
-        self.level = Level::from_raw(level);
-    }
-
-    fn relax(&mut self) {
-        self.excess = 1.0;
-        let lowered = self.level.get().saturating_sub(self.step);
-        self.level = Level::from_raw(u32::from(lowered));
-        self.step = self.step.saturating_mul(2);
+        Level::OPEN
     }
 }
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -8,6 +8,8 @@
 
 /// Load of the own data centre above which others are considered.
 const SPILL_LOAD: f64 = 0.9;
+/// Targets whose levels are looked at.
+const SAMPLE: usize = 8;
 /// Random draws before all targets are looked through.
 const DRAWS: usize = 4;
 
@@ -35,6 +37,14 @@
     pub(super) want: Want,
 }
 
+impl Choice<'_> {
+    fn is_sound(&self, now: Instant, target: &Target) -> bool {
+        target.state == TargetState::Serving
+            && self.want.avoid != Some(target.instance)
+            && self.ejector.admits(now, target.instance)
+    }
+}
+
 /// The call that a target is wanted for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Want {
@@ -47,49 +57,67 @@
 }
 
 impl Want {
-    /// Tells whether `target` is not known to refuse the call.
-    fn is_taken_by(&self, now: Instant, target: &Target) -> bool {
-        self.level >= target.level(now, self.protected)
+    /// Returns the level that `target` demands of the call, as far as known.
+    fn demanded(&self, now: Instant, target: &Target) -> Level {
+        target.level(now, self.level.rank(), self.protected)
+    }
+}
+
+/// Returns the level that a set of targets demands of a call: the mean of
+/// what some of them do.
+///
+/// The mean, rather than the least, keeps entries from sending all at the one
+/// guard that happens to demand least.
+pub(super) fn demanded(now: Instant, targets: &[Target], want: &Want) -> Level {
+    let step = targets.len().div_ceil(SAMPLE).max(1);
+    let mut sum = 0;
+    let mut count = 0;
+    for target in targets.iter().step_by(step) {
+        if target.state == TargetState::Serving {
+            sum += u32::from(want.demanded(now, target).get());
+            count += 1;
+        }
     }
+    Level::from_raw(sum.checked_div(count).unwrap_or(0))
 }
 
-/// Chooses a target for a call: the better of two random ones of
-/// the own data centre; of others if the own one has too much work or none.
+/// Chooses a target for a call: the better of two random ones of the own data
+/// centre; of others if the own one has too much work or none.
 pub(super) fn pick<R: Rng>(now: Instant, choice: Choice<'_>, rng: &mut R) -> Pick {
     let want = choice.want;
     let near = best_of_two(now, choice, choice.near, rng);
+    let near_demands = near.map(|_| demanded(now, choice.near, &want));
+    let near_takes = near_demands.is_some_and(|level| want.level >= level);
     if let Some(target) = near
+        && near_takes
         && target.load(now) < SPILL_LOAD
-        && want.is_taken_by(now, target)
     {
         return Pick::Target(target.instance);
     }
     let far = best_of_two(now, choice, choice.far, rng);
-    let found = match (near, far) {
-        (Some(near), Some(far)) => Some(spill(now, want, near, far)),
-        (near, far) => near.or(far),
-    };
-    match found {
-        Some(target) if !want.is_taken_by(now, target) => {
-            Pick::Refused(target.level(now, want.protected))
-        }
-        Some(target) => Pick::Target(target.instance),
-        None => Pick::Nothing,
+    let far_demands = far.map(|_| demanded(now, choice.far, &want));
+    let far_takes = far_demands.is_some_and(|level| want.level >= level);
+    let near = near.filter(|_| near_takes);
+    let far = far.filter(|_| far_takes);
+    match (near, far) {
+        (Some(near), Some(far)) => Pick::Target(spill(now, near, far).instance),
+        (Some(target), None) | (None, Some(target)) => Pick::Target(target.instance),
+        (None, None) => match near_demands.into_iter().chain(far_demands).min() {
+            Some(level) => Pick::Refused(level),
+            None => Pick::Nothing,
+        },
     }
 }
 
-/// Prefers the far target only if the near one would refuse, or is full while
-/// the far one has room to spare.
-fn spill<'a>(now: Instant, want: Want, near: &'a Target, far: &'a Target) -> &'a Target {
-    let near_takes = want.is_taken_by(now, near);
-    let far_takes = want.is_taken_by(now, far);
-    let far_better = match (near_takes, far_takes) {
-        (true, false) => false,
-        (false, true) => true,
-        (false, false) => far.level(now, want.protected) < near.level(now, want.protected),
-        (true, true) => far.load(now) < SPILL_LOAD && far.load(now) < near.load(now),
-    };
-    if far_better { far } else { near }
+/// Prefers the far target only if the near one is full while the far one has
+/// room to spare.
+fn spill<'a>(now: Instant, near: &'a Target, far: &'a Target) -> &'a Target {
+    let far_load = far.load(now);
+    if far_load < SPILL_LOAD && far_load < near.load(now) {
+        far
+    } else {
+        near
+    }
 }
 
 fn best_of_two<'a, R: Rng>(
@@ -100,8 +128,7 @@
 ) -> Option<&'a Target> {
     let first = draw(now, choice, targets, rng)?;
     let second = draw(now, choice, targets, rng)?;
-    let key = |t: &Target| (t.level(now, choice.want.protected), t.load(now));
-    Some(if key(second) < key(first) {
+    Some(if second.load(now) < first.load(now) {
         second
     } else {
         first
@@ -118,15 +145,10 @@
     if targets.is_empty() {
         return None;
     }
-    let sound = |target: &Target| {
-        target.state == TargetState::Serving
-            && choice.want.avoid != Some(target.instance)
-            && choice.ejector.admits(now, target.instance)
-    };
     let mut start = 0;
     for _ in 0..DRAWS {
         start = rng.random_range(0..targets.len());
-        if sound(&targets[start]) {
+        if choice.is_sound(now, &targets[start]) {
             return Some(&targets[start]);
         }
     }
@@ -134,6 +156,6 @@
     let mut around = after.iter().chain(before);
     around
         .clone()
-        .find(|target| sound(target))
+        .find(|target| choice.is_sound(now, target))
         .or_else(|| around.find(|target| target.state == TargetState::Serving))
 }
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -5,23 +5,16 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::pick::{Choice, Want, pick};
-use super::{Ejector, Pick, Target, TargetState};
-use crate::model::{CentreName, Instance, Level};
+use super::pick::{Choice, Want, demanded, pick};
+use super::{Ejector, Pick, Target};
+use crate::model::{CentreName, GuardNews, Instance, Level};
 use crate::policy::retry::Ratio;
 
 /// What a call met at its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Report {
-    /// The guard answered or refused; its load and level came with it.
-    Heard {
-        /// Calls in flight at the guard.
-        load: u32,
-        /// The guard's admission level.
-        level: Level,
-        /// Whether the guard takes no new calls.
-        leaving: bool,
-    },
+    /// The guard answered or refused, and told of itself.
+    Heard(GuardNews),
     /// The connection failed, went silent or gave garbage.
     Failed,
     /// The caller went away first, which says nothing of the target.
@@ -127,7 +120,7 @@
     pub fn report(&mut self, now: Instant, instance: Instance, report: Report) {
         let known = self.places.len();
         match report {
-            Report::Heard { .. } => self.ejector.succeeded(instance),
+            Report::Heard(_) => self.ejector.succeeded(instance),
             Report::Failed => self.ejector.failed(now, instance, known),
             Report::Abandoned => self.ejector.abandoned(now, instance),
         }
@@ -135,19 +128,18 @@
             return;
         };
         target.ended();
-        if let Report::Heard {
-            load,
-            level,
-            leaving,
-        } = report
-        {
-            target.hear(now, load, level);
-            if leaving {
-                target.state = TargetState::Leaving;
-            }
+        if let Report::Heard(news) = report {
+            target.hear(now, news);
         }
     }
 
+    /// Returns the level that the service demands of a call now.
+    pub fn demanded(&self, now: Instant, want: &Want) -> Level {
+        let near = (!self.near.is_empty()).then(|| demanded(now, &self.near, want));
+        let far = (!self.far.is_empty()).then(|| demanded(now, &self.far, want));
+        near.into_iter().chain(far).min().unwrap_or_default()
+    }
+
     /// Returns the retry ratio of the service.
     pub fn ratio(&mut self) -> &mut Ratio {
         &mut self.ratio
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::model::{CentreName, Instance, Level, Slots};
+use crate::model::{CentreName, ClassRank, GuardNews, Instance, Level, RankSet, Slots};
 use crate::policy::admission::Heard;
 
 /// Half-life of a load that was heard on an answer.
@@ -35,6 +35,8 @@
     in_flight: u32,
     load: Option<(u32, Instant)>,
     level: Heard,
+    below: Heard,
+    classes: RankSet,
 }
 
 impl Target {
@@ -48,6 +50,8 @@
             in_flight: 0,
             load: None,
             level: Heard::default(),
+            below: Heard::default(),
+            classes: RankSet::default(),
         }
     }
 
@@ -68,10 +72,15 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Takes note of the load and level that came with an answer.
-    pub fn hear(&mut self, now: Instant, load: u32, level: Level) {
-        self.load = Some((load, now));
-        self.level.hear(now, level);
+    /// Takes note of what a guard told with an answer.
+    pub fn hear(&mut self, now: Instant, news: GuardNews) {
+        self.load = Some((news.load, now));
+        self.level.hear(now, news.level);
+        self.below.hear(now, news.below);
+        self.classes = news.classes;
+        if news.leaving {
+            self.state = TargetState::Leaving;
+        }
     }
 
     /// Returns the calls of this entry in flight there.
@@ -79,13 +88,14 @@
         self.in_flight
     }
 
-    /// Returns the level below which it refuses calls, as far as known; for
-    /// protected classes only fresh news counts.
-    pub fn level(&self, now: Instant, protected: bool) -> Level {
-        if protected {
-            self.level.fresh_level(now)
+    /// Returns the level below which it refuses calls of `rank`, as far as
+    /// known; for protected classes only fresh news counts.
+    pub fn level(&self, now: Instant, rank: ClassRank, protected: bool) -> Level {
+        let own = self.level.level(now, protected);
+        if self.classes.contains(rank) {
+            own.max(self.below.level(now, protected))
         } else {
-            self.level.level(now)
+            own
         }
     }
 
--- a/src/tables/calls.rs
+++ b/src/tables/calls.rs
@@ -6,9 +6,8 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::model::{
-    CallId, CallerName, ClassName, Depth, Level, OnceKey, Priority, Retries, RootId,
-};
+use crate::model::{CallId, CallerName, ClassName, Depth, OnceKey, Priority, Retries, RootId};
+use crate::policy::admission::Met;
 use crate::policy::retry::Account;
 
 /// What onward calls of a held call need to know of it.
@@ -30,7 +29,7 @@
     pub once: Option<OnceKey>,
     /// The retries of the call and all below it.
     pub account: Mutex<Account>,
-    refused: Mutex<Option<Level>>,
+    met: Mutex<Vec<Met>>,
 }
 
 impl Held {
@@ -45,19 +44,18 @@
             deadline: head.deadline,
             once: head.once.as_ref().map(|once| once.key.clone()),
             account: Mutex::new(Account::open(head.account)),
-            refused: Mutex::new(None),
+            met: Mutex::default(),
         }
     }
 
-    /// Takes note that an onward call was refused below `level`.
-    pub fn refused_below(&self, level: Level) {
-        let mut refused = self.refused.lock();
-        *refused = Some(refused.unwrap_or_default().max(level));
+    /// Takes note of what an onward call met.
+    pub fn met(&self, met: Met) {
+        self.met.lock().push(met);
     }
 
-    /// Returns the highest level that an onward call was refused below.
-    pub fn refused(&self) -> Option<Level> {
-        *self.refused.lock()
+    /// Returns what the onward calls met so far.
+    pub fn take_met(&self) -> Vec<Met> {
+        std::mem::take(&mut self.met.lock())
     }
 
     /// Ends the holding and returns the retries that go home.
