Pass on what is demanded further down with the classes it holds for

Cause: a class that does not fail further down overwrote what others must heed, so calls were worked for and refused at the third service. Change: Demand carries level, level below and its classes; the threshold makes up only a fifth of the queue's distance a window; a backend server's own refusal sets the limit to what was in flight.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -78,12 +78,11 @@
         let result = result.map_err(|refusal| refusal.after(self.earlier));
         if let Some(parent) = &self.accepted.parent {
             let now = Instant::now();
-            let want = self.want();
-            let demanded = self.table(|table| table.demanded(now, &want));
+            let demand = self.table(|table| table.demand(now));
             let refused = matches!(&result, Err(refusal) if refusal.reason().is_overload());
             parent.met(Met {
                 service: self.head().service.clone(),
-                demanded,
+                demand,
                 refused,
             });
         }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -16,7 +16,7 @@
 pub use instance::{Instance, StartStamp};
 pub use level::Level;
 pub use name::{CallerName, CentreName, ClassName, HallName, ServiceName};
-pub use news::{GuardNews, RankSet};
+pub use news::{Demand, GuardNews, RankSet};
 pub use once_key::{MintTime, OnceKey};
 pub use priority::{ClassRank, Depth, Priority};
 pub use size::{Bytes, Connections, Retries, Slots};
--- a/src/model/news.rs
+++ b/src/model/news.rs
@@ -17,6 +17,16 @@
         self.0
     }
 
+    /// Returns the ranks that are in both sets.
+    pub const fn both(self, other: Self) -> Self {
+        Self(self.0 & other.0)
+    }
+
+    /// Returns the ranks that are in either set.
+    pub const fn either(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
     /// Tells whether a rank is in the set.
     pub const fn contains(self, rank: ClassRank) -> bool {
         self.0 & (1 << rank.get()) != 0
@@ -33,24 +43,20 @@
     }
 }
 
-/// What a guard tells of itself with each answer and refusal.
+/// What is demanded of calls to a service, by itself and further down.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct GuardNews {
+pub struct Demand {
     /// The level below which it sheds.
     pub level: Level,
     /// The level that services further down demand.
     pub below: Level,
     /// The classes of which they demand it.
     pub classes: RankSet,
-    /// Calls in flight at its backend server and waiting.
-    pub load: u32,
-    /// Whether it takes no new calls.
-    pub leaving: bool,
 }
 
-impl GuardNews {
+impl Demand {
     /// Returns the level that is demanded of a class.
-    pub fn demanded(&self, rank: ClassRank) -> Level {
+    pub fn of(&self, rank: ClassRank) -> Level {
         if self.classes.contains(rank) {
             self.level.max(self.below)
         } else {
@@ -58,3 +64,14 @@
         }
     }
 }
+
+/// What a guard tells of itself with each answer and refusal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GuardNews {
+    /// What is demanded of calls to it.
+    pub demand: Demand,
+    /// Calls in flight at its backend server and waiting.
+    pub load: u32,
+    /// Whether it takes no new calls.
+    pub leaving: bool,
+}
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -12,8 +12,8 @@
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
-    AttemptId, CallId, Depth, GuardNews, Instance, Level, Priority, RankSet, Retries, RootId,
-    Verdict,
+    AttemptId, CallId, Demand, Depth, GuardNews, Instance, Level, Priority, RankSet, Retries,
+    RootId, Verdict,
 };
 
 /// Most headers of a message.
@@ -155,9 +155,9 @@
         body: body.unwrap_or_default(),
         digest,
         account: head.account.get(),
-        level: u32::from(head.news.level.get()),
-        below: u32::from(head.news.below.get()),
-        classes: head.news.classes.bits(),
+        level: u32::from(head.news.demand.level.get()),
+        below: u32::from(head.news.demand.below.get()),
+        classes: head.news.demand.classes.bits(),
         load: head.news.load,
         leaving: head.news.leaving,
     }
@@ -177,9 +177,11 @@
         headers: headers_in(head.headers)?,
         account: Retries::new(head.account),
         news: GuardNews {
-            level: Level::from_raw(head.level),
-            below: Level::from_raw(head.below),
-            classes: RankSet::from_bits(head.classes),
+            demand: Demand {
+                level: Level::from_raw(head.level),
+                below: Level::from_raw(head.below),
+                classes: RankSet::from_bits(head.classes),
+            },
             load: head.load,
             leaving: head.leaving,
         },
@@ -198,9 +200,9 @@
         detail: refusal.detail.to_string(),
         retry_after_ms: refusal.retry_after.map_or(0, millis),
         account: refusal.account.get(),
-        level: u32::from(news.level.get()),
-        below: u32::from(news.below.get()),
-        classes: news.classes.bits(),
+        level: u32::from(news.demand.level.get()),
+        below: u32::from(news.demand.below.get()),
+        classes: news.demand.classes.bits(),
         load: news.load,
         leaving: news.leaving,
     }
@@ -225,9 +227,11 @@
             ms => Some(Duration::from_millis(u64::from(ms))),
         };
         refusal.news = Some(GuardNews {
-            level: Level::from_raw(message.level),
-            below: Level::from_raw(message.below),
-            classes: RankSet::from_bits(message.classes),
+            demand: Demand {
+                level: Level::from_raw(message.level),
+                below: Level::from_raw(message.below),
+                classes: RankSet::from_bits(message.classes),
+            },
             load: message.load,
             leaving: message.leaving,
         });
--- a/src/policy/admission/chain.rs
+++ b/src/policy/admission/chain.rs
@@ -5,22 +5,24 @@
 use tokio::time::Instant;
 
 use super::Heard;
-use crate::model::{ClassRank, Level, RankSet, ServiceName};
+use crate::model::{ClassRank, Demand, Level, RankSet, ServiceName};
 
 /// What a call met at a service that it called onwards.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Met {
     /// The service.
     pub service: ServiceName,
-    /// The level that it demands now.
-    pub demanded: Level,
+    /// What it demands now.
+    pub demand: Demand,
     /// Whether it refused.
     pub refused: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Below {
-    demanded: Heard,
+    level: Heard,
+    below: Heard,
+    classes: RankSet,
     depends: RankSet,
 }
 
@@ -52,8 +54,7 @@
     pub fn level(&self, now: Instant, rank: ClassRank, protected: bool) -> Level {
         self.services
             .values()
-            .filter(|below| below.depends.contains(rank))
-            .map(|below| below.demanded.level(now, protected))
+            .map(|below| below.level(now, rank, protected))
             .max()
             .unwrap_or_default()
     }
@@ -62,7 +63,7 @@
     pub fn highest(&self, now: Instant) -> (Level, RankSet) {
         self.services
             .values()
-            .map(|below| (below.demanded.level(now, false), below.depends))
+            .map(|below| below.highest(now))
             .max_by_key(|(level, _)| *level)
             .unwrap_or_default()
     }
@@ -70,9 +71,33 @@
 
 impl Below {
     fn hear(&mut self, now: Instant, rank: ClassRank, met: &Met, answered: bool) {
-        self.demanded.hear(now, met.demanded);
+        self.level.hear(now, met.demand.level);
+        self.below.hear(now, met.demand.below);
+        self.classes = met.demand.classes;
         if met.refused {
             self.depends.set(rank, !answered);
         }
     }
+
+    fn level(&self, now: Instant, rank: ClassRank, protected: bool) -> Level {
+        if !self.depends.contains(rank) {
+            return Level::OPEN;
+        }
+        let own = self.level.level(now, protected);
+        if self.classes.contains(rank) {
+            own.max(self.below.level(now, protected))
+        } else {
+            own
+        }
+    }
+
+    fn highest(&self, now: Instant) -> (Level, RankSet) {
+        let own = self.level.level(now, false);
+        let below = self.below.level(now, false);
+        if below > own {
+            (below, self.depends.both(self.classes))
+        } else {
+            (own, self.depends)
+        }
+    }
 }
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::{Backlog, Chain, Limit, Met, Outcome, Queue, Shed, Threshold, Token, Waiting};
-use crate::model::{ClassRank, GuardNews, Level, Priority, Slots};
+use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
 
 /// Longest wait of a call that is not protected.
 const MAX_WAIT: Duration = Duration::from_millis(200);
@@ -244,9 +244,11 @@
         let (below, classes) = self.chain.highest(now);
         let load = self.running.len() + self.queue.len();
         GuardNews {
-            level: self.threshold.level(),
-            below,
-            classes,
+            demand: Demand {
+                level: self.threshold.level(),
+                below,
+                classes,
+            },
             load: u32::try_from(load).unwrap_or(u32::MAX),
             leaving: self.leaving,
         }
--- a/src/policy/admission/limit.rs
+++ b/src/policy/admission/limit.rs
@@ -8,8 +8,6 @@
 
 /// Share of the slots at which a cold backend server starts.
 const COLD_SHARE: f64 = 0.1;
-/// What is left of the limit after the backend server shed a call.
-const DECREASE: f64 = 0.9;
 /// Shortest time between two decreases.
 const MIN_HOLD: Duration = Duration::from_millis(20);
 /// Weight of one call in the moving average of latency.
@@ -29,7 +27,8 @@
 /// Adapts how many calls may be in flight; never above the slots.
 ///
 /// It grows by one for each answer while cold and by one for each full round
-/// of answers later; it shrinks when the backend server sheds.
+/// of answers later; when the backend server sheds, it shrinks to what was in
+/// flight then.
 #[derive(Clone, Debug)]
 pub struct Limit {
     ceiling: f64,
@@ -80,7 +79,7 @@
     pub fn record(&mut self, now: Instant, outcome: Outcome, latency: Duration, in_flight: usize) {
         match outcome {
             Outcome::Answered => self.answered(latency, in_flight),
-            Outcome::Refused => self.refused(now),
+            Outcome::Refused => self.refused(now, in_flight),
             Outcome::Failed => {}
         }
     }
@@ -100,12 +99,13 @@
         }
     }
 
-    fn refused(&mut self, now: Instant) {
+    fn refused(&mut self, now: Instant, in_flight: usize) {
         self.cold = false;
         if self.hold_until.is_some_and(|until| now < until) {
             return;
         }
-        self.current = (self.current * DECREASE).max(1.0);
+        // What was in flight besides the refused call is what it can bear.
+        self.current = self.current.min(in_flight as f64 - 1.0).max(1.0);
         let round = self.latency().unwrap_or(MIN_HOLD).max(MIN_HOLD);
         self.hold_until = Some(now + round);
     }
--- a/src/policy/admission/threshold.rs
+++ b/src/policy/admission/threshold.rs
@@ -15,6 +15,8 @@
 /// Demand that is let through over the measured capacity, so that the queue
 /// does not run dry.
 const HEADROOM: f64 = 1.05;
+/// Share of the queue's distance from half full that one window makes up.
+const CATCH_UP: f64 = 0.2;
 /// What is left of the counts of earlier windows.
 const MEMORY: f32 = 0.5;
 /// Fewest levels of which the density of arrivals is judged, and most that
@@ -119,7 +121,7 @@
 
     fn adjust(&mut self, backlog: Backlog) {
         let room = backlog.bound as f64 / 2.0 - backlog.waiting as f64;
-        let want = (f64::from(self.started) * HEADROOM + room).max(1.0);
+        let want = (f64::from(self.started) * HEADROOM + room * CATCH_UP).max(1.0);
         let offered = self.offered();
         if offered > want {
             if self.shed > 0 {
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 use super::{Ejector, Target, TargetState};
-use crate::model::{Instance, Level};
+use crate::model::{Demand, Instance, Level, RankSet};
 
 /// Load of the own data centre above which others are considered.
 const SPILL_LOAD: f64 = 0.9;
@@ -56,29 +56,31 @@
     pub avoid: Option<Instance>,
 }
 
-impl Want {
-    /// Returns the level that `target` demands of the call, as far as known.
-    fn demanded(&self, now: Instant, target: &Target) -> Level {
-        target.level(now, self.level.rank(), self.protected)
-    }
-}
-
-/// Returns the level that a set of targets demands of a call: the mean of
-/// what some of them do.
+/// Returns what a set of targets demands of calls: the mean of some of them.
 ///
 /// The mean, rather than the least, keeps entries from sending all at the one
 /// guard that happens to demand least.
-pub(super) fn demanded(now: Instant, targets: &[Target], want: &Want) -> Level {
+pub(super) fn demand(now: Instant, targets: &[Target], protected: bool) -> Demand {
     let step = targets.len().div_ceil(SAMPLE).max(1);
-    let mut sum = 0;
+    let mut level = 0;
+    let mut below = 0;
+    let mut classes = RankSet::default();
     let mut count = 0;
     for target in targets.iter().step_by(step) {
-        if target.state == TargetState::Serving {
-            sum += u32::from(want.demanded(now, target).get());
-            count += 1;
+        if target.state != TargetState::Serving {
+            continue;
         }
+        let demand = target.demand(now, protected);
+        level += u32::from(demand.level.get());
+        below += u32::from(demand.below.get());
+        classes = classes.either(demand.classes);
+        count += 1;
+    }
+    Demand {
+        level: Level::from_raw(level.checked_div(count).unwrap_or(0)),
+        below: Level::from_raw(below.checked_div(count).unwrap_or(0)),
+        classes,
     }
-    Level::from_raw(sum.checked_div(count).unwrap_or(0))
 }
 
 /// Chooses a target for a call: the better of two random ones of the own data
@@ -86,7 +88,8 @@
 pub(super) fn pick<R: Rng>(now: Instant, choice: Choice<'_>, rng: &mut R) -> Pick {
     let want = choice.want;
     let near = best_of_two(now, choice, choice.near, rng);
-    let near_demands = near.map(|_| demanded(now, choice.near, &want));
+    let demanded = |targets| demand(now, targets, want.protected).of(want.level.rank());
+    let near_demands = near.map(|_| demanded(choice.near));
     let near_takes = near_demands.is_some_and(|level| want.level >= level);
     if let Some(target) = near
         && near_takes
@@ -95,7 +98,7 @@
         return Pick::Target(target.instance);
     }
     let far = best_of_two(now, choice, choice.far, rng);
-    let far_demands = far.map(|_| demanded(now, choice.far, &want));
+    let far_demands = far.map(|_| demanded(choice.far));
     let far_takes = far_demands.is_some_and(|level| want.level >= level);
     let near = near.filter(|_| near_takes);
     let far = far.filter(|_| far_takes);
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -5,9 +5,9 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::pick::{Choice, Want, demanded, pick};
+use super::pick::{Choice, Want, demand, pick};
 use super::{Ejector, Pick, Target};
-use crate::model::{CentreName, GuardNews, Instance, Level};
+use crate::model::{CentreName, Demand, GuardNews, Instance};
 use crate::policy::retry::Ratio;
 
 /// What a call met at its target.
@@ -133,11 +133,15 @@
         }
     }
 
-    /// Returns the level that the service demands of a call now.
-    pub fn demanded(&self, now: Instant, want: &Want) -> Level {
-        let near = (!self.near.is_empty()).then(|| demanded(now, &self.near, want));
-        let far = (!self.far.is_empty()).then(|| demanded(now, &self.far, want));
-        near.into_iter().chain(far).min().unwrap_or_default()
+    /// Returns what the service demands of calls now, in the own data centre
+    /// if it has servers there.
+    pub fn demand(&self, now: Instant) -> Demand {
+        let targets = if self.near.is_empty() {
+            &self.far
+        } else {
+            &self.near
+        };
+        demand(now, targets, false)
     }
 
     /// Returns the retry ratio of the service.
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::model::{CentreName, ClassRank, GuardNews, Instance, Level, RankSet, Slots};
+use crate::model::{CentreName, Demand, GuardNews, Instance, RankSet, Slots};
 use crate::policy::admission::Heard;
 
 /// Half-life of a load that was heard on an answer.
@@ -75,9 +75,9 @@
     /// Takes note of what a guard told with an answer.
     pub fn hear(&mut self, now: Instant, news: GuardNews) {
         self.load = Some((news.load, now));
-        self.level.hear(now, news.level);
-        self.below.hear(now, news.below);
-        self.classes = news.classes;
+        self.level.hear(now, news.demand.level);
+        self.below.hear(now, news.demand.below);
+        self.classes = news.demand.classes;
         if news.leaving {
             self.state = TargetState::Leaving;
         }
@@ -88,14 +88,13 @@
         self.in_flight
     }
 
-    /// Returns the level below which it refuses calls of `rank`, as far as
-    /// known; for protected classes only fresh news counts.
-    pub fn level(&self, now: Instant, rank: ClassRank, protected: bool) -> Level {
-        let own = self.level.level(now, protected);
-        if self.classes.contains(rank) {
-            own.max(self.below.level(now, protected))
-        } else {
-            own
+    /// Returns what it demands of calls, as far as known; of protected classes
+    /// only what is fresh.
+    pub fn demand(&self, now: Instant, protected: bool) -> Demand {
+        Demand {
+            level: self.level.level(now, protected),
+            below: self.below.level(now, protected),
+            classes: self.classes,
         }
     }
 
