Open admission quickly once slots are free

Cause: after a surge the threshold opened over windows of 250 ms, since few calls arrived to close them. Change: a window closes early when slots are free and nothing was shed, and the open part of the class may grow fourfold at once.

--- a/benches/overload/measure.rs
+++ b/benches/overload/measure.rs
@@ -78,7 +78,7 @@
 
 /// The lesser of demand and the capacity of the bottleneck.
 fn limit(scenario: &Scenario, world: &World) -> f64 {
-    let demand = scenario.rate * scenario.disturb.demand * world.reachable_share();
+    let demand = scenario.rate * scenario.disturb.demand;
     demand.min(world.bottleneck_capacity())
 }
 
--- a/benches/overload/world.rs
+++ b/benches/overload/world.rs
@@ -934,11 +934,6 @@
         self.roots.iter().map(|r| r.retries).max().unwrap_or(0)
     }
 
-    /// Share of callers whose requests can be served at all.
-    pub(crate) fn reachable_share(&self) -> f64 {
-        1.0
-    }
-
     /// Calls a second that the bottleneck can run during the disturbance.
     pub(crate) fn bottleneck_capacity(&self) -> f64 {
         let service = self.scenario.bottleneck();
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -264,6 +264,7 @@
         let backlog = Backlog {
             waiting: self.queue.len(),
             bound: self.queue_bound(),
+            idle: self.queue.is_empty() && self.running.len() < self.limit.get(),
         };
         self.threshold.tick(now, backlog);
     }
--- a/src/policy/admission/threshold.rs
+++ b/src/policy/admission/threshold.rs
@@ -25,7 +25,7 @@
 /// Share by which the open part of a class may grow at once: in a balance,
 /// and when far less is offered than can be served.
 const GROW: f64 = 0.25;
-const GROW_FAST: f64 = 3.0;
+const GROW_FAST: f64 = 4.0;
 /// Share of the capacity below which far less is offered.
 const FAR_LESS: f64 = 0.6;
 
@@ -36,6 +36,8 @@
     pub waiting: usize,
     /// Calls that may wait.
     pub bound: usize,
+    /// Whether slots were free just now.
+    pub idle: bool,
 }
 
 /// Counts arrivals by level and sets the level that admits what can be served.
@@ -98,7 +100,8 @@
     /// Closes the window if it is long enough and sets the level anew.
     pub fn tick(&mut self, now: Instant, backlog: Backlog) {
         let age = now.saturating_duration_since(self.opened);
-        let enough = self.started >= ENOUGH || age >= MAX_WINDOW;
+        let idle = backlog.idle && self.shed == 0;
+        let enough = self.started >= ENOUGH || age >= MAX_WINDOW || idle;
         if age < MIN_WINDOW || !enough {
             return;
         }
@@ -129,7 +132,7 @@
             }
             return;
         }
-        let raw = f64::from(self.level.get()) - self.step(want, offered);
+        let raw = f64::from(self.level.get()) - self.step(want, offered, backlog.idle);
         self.level = Level::from_raw(raw.max(0.0) as u32);
     }
 
@@ -137,10 +140,10 @@
     ///
     /// What stands below the level is not seen; it is taken to be as dense as
     /// what stands above in the same class, and opened in bounded steps.
-    fn step(&self, want: f64, offered: f64) -> f64 {
+    fn step(&self, want: f64, offered: f64, idle: bool) -> f64 {
         let low = self.level.index();
         let open = self.level.class_end() - low;
-        let share = if offered < want * FAR_LESS {
+        let share = if idle && offered < want * FAR_LESS {
             GROW_FAST
         } else {
             GROW
@@ -148,7 +151,7 @@
         let most = (open.max(BAND) as f64 * share).max(1.0);
         let sum: f32 = self.arrivals[low..self.level.class_end()].iter().sum();
         let density = f64::from(sum / self.weight) / open as f64;
-        if density <= 0.0 {
+        if density <= 0.0 || (idle && offered < want * FAR_LESS) {
             return most;
         }
         ((want - offered) / density).clamp(1.0, most)
