Say not-run of a once key only where it is proved for the key as a whole

Cause: an entry with an old home row, or one that could not reach the owner, said not-run of a key that an earlier attempt had run elsewhere. Change: refusals carry a scope; only the instance that may start the key, a home row read after the call arrived, or a caller that says it is its first attempt makes not-run; place and authority are pure policy now. Conclusion: the claim is now in the type.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -10,5 +10,5 @@
 pub use attempt::{Attempt, Planned, Sent};
 pub use head::{Call, CallHead, OnceCall};
 pub use reason::Reason;
-pub use refusal::Refusal;
+pub use refusal::{Refusal, Scope};
 pub use reply::{Reply, ReplyHead};
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -5,6 +5,15 @@
 use super::Reason;
 use crate::model::{GuardNews, Retries, Verdict};
 
+/// What a verdict of `not-run` speaks of, where a call bears a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// This attempt; an earlier one with the same key may have run.
+    Attempt,
+    /// The key as a whole, by the only instance that may start it.
+    Key,
+}
+
 /// A call without an answer of a backend server.
 ///
 /// Only an [`Attempt`](super::Attempt) makes one, since only it knows whether
@@ -13,6 +22,7 @@
 pub struct Refusal {
     verdict: Verdict,
     reason: Reason,
+    scope: Scope,
     /// More on the cause, for people.
     pub detail: Box<str>,
     /// When the caller may come back.
@@ -28,6 +38,7 @@
         Self {
             verdict,
             reason,
+            scope: Scope::Attempt,
             detail: detail.into(),
             retry_after: None,
             account: Retries::new(0),
@@ -45,6 +56,21 @@
         self.reason
     }
 
+    /// Returns what a verdict of `not-run` speaks of.
+    pub fn scope(&self) -> Scope {
+        self.scope
+    }
+
+    /// Marks the refusal as speaking of the key as a whole.
+    ///
+    /// Only for the instance that may start the key and knows that it has not,
+    /// or by a home row read after the call arrived.
+    #[must_use]
+    pub fn of_key(mut self) -> Self {
+        self.scope = Scope::Key;
+        self
+    }
+
     /// Weakens the verdict where an earlier attempt at the same call may have
     /// run.
     #[must_use]
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -29,6 +29,8 @@
     pub(super) retries: Retries,
     /// Whether the class is protected.
     pub(super) protected: bool,
+    /// Whether the caller says that this is its first attempt.
+    pub(super) first: bool,
     /// Name of the caller, for metrics.
     pub(super) caller: Option<CallerName>,
 }
@@ -93,6 +95,7 @@
         safety,
         retries,
         protected,
+        first: header::attempt(&parts.headers) == Some(1),
         caller,
     })
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -7,15 +7,15 @@
 
 use super::accept::Accepted;
 use super::handler::Entry;
-use super::once::{Place, place};
-use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
+use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply, Scope};
 use crate::model::{Instance, OnceKey, Verdict};
 use crate::peer;
 use crate::policy::admission::{Met, Shed};
-use crate::policy::once::Refuse;
+use crate::policy::once::{Place, Refuse, place};
 use crate::policy::retry::{Account, Failure, Loan, Retry, decide};
 use crate::policy::route::{Pick, Report, Want};
 use crate::tables::{Held, Step};
+use crate::task::read_home;
 use crate::web::Payload;
 
 /// How a call ended, and how many retries it took here.
@@ -75,7 +75,7 @@
                 Err(refusal) => Err(refusal),
             },
         };
-        let result = result.map_err(|refusal| refusal.after(self.earlier));
+        let result = result.map_err(|refusal| self.weigh(refusal));
         if let Some(parent) = &self.accepted.parent {
             let now = Instant::now();
             let demand = self.table(|table| table.demand(now));
@@ -93,6 +93,7 @@
     }
 
     async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
+        self.refresh_home().await?;
         loop {
             let (attempt, target) = self.target(Attempt::plan())?;
             let failed = match self
@@ -116,6 +117,41 @@
         }
     }
 
+    /// Weakens `not-run` where earlier attempts at the call may have run.
+    ///
+    /// Of a key that the caller may have sent before, elsewhere, only the
+    /// instance that may start it can say that it was not run.
+    fn weigh(&self, refusal: Refusal) -> Refusal {
+        let unsure =
+            self.head().once.is_some() && !self.accepted.first && refusal.scope() == Scope::Attempt;
+        let earlier = if unsure {
+            Verdict::MayHaveRun
+        } else {
+            self.earlier
+        };
+        refusal.after(earlier)
+    }
+
+    /// Reads the home row anew if nobody owns the key by the row known here.
+    ///
+    /// # Errors
+    ///
+    /// If nobody owns it by the row just read either, nobody can have run it.
+    async fn refresh_home(&self) -> Result<(), Refusal> {
+        let Some(once) = &self.head().once else {
+            return Ok(());
+        };
+        let not_owned = Place::Refused(Refuse::NotOwned);
+        if self.place(&once.key) != not_owned || !self.entry.may_read_home() {
+            return Ok(());
+        }
+        let service = &self.head().service;
+        if !read_home(&self.entry.shared, service).await || self.place(&once.key) != not_owned {
+            return Ok(());
+        }
+        Err(Attempt::plan().refuse_once(Refuse::NotOwned).of_key())
+    }
+
     fn head(&self) -> &CallHead {
         &self.accepted.head
     }
@@ -127,7 +163,7 @@
             return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
         }
         if let Some(once) = &head.once {
-            return match place(&self.entry.shared, &head.service, &once.key) {
+            return match self.place(&once.key) {
                 Place::At(instance) if self.may_reach(instance) => Ok((attempt, instance)),
                 Place::At(_) => Err(attempt.refuse_once(Refuse::OwnerUnreachable)),
                 Place::Refused(refuse) => Err(attempt.refuse_once(refuse)),
@@ -155,6 +191,14 @@
         }
     }
 
+    fn place(&self, key: &OnceKey) -> Place {
+        let shared = &self.entry.shared;
+        let service = &self.head().service;
+        let view = shared.view.lock();
+        let home = shared.homes.get(service);
+        place(key, home.as_ref().map(|home| &*home.row), &view, service)
+    }
+
     /// Counts an attempt as sent to the only instance that may take it, unless
     /// that has failed too often just now.
     fn may_reach(&self, instance: Instance) -> bool {
@@ -232,9 +276,7 @@
         let asked = self.inquire(target, &once.key).await;
         match asked {
             Err(answer) if answer.reason() == Reason::Once(Refuse::Unseen) => Err(failed),
-            Err(answer) if answer.verdict() == Verdict::NotRun => {
-                Err(answer.after(Verdict::MayHaveRun))
-            }
+            Err(answer) => Err(answer.after(Verdict::MayHaveRun)),
             other => other,
         }
     }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -21,6 +21,7 @@
 use crate::model::{CallId, OnceKey, ServiceName};
 use crate::peer::Pool;
 use crate::policy::admission::Shed;
+use crate::policy::member::Budget;
 use crate::policy::once::Refuse;
 use crate::policy::retry::Repeats;
 use crate::tables::{Shared, Step};
@@ -29,12 +30,17 @@
 /// The name in metrics of callers and classes that are not declared.
 const OTHER: &str = "other";
 
+/// Home rows a second and at once that one entry may read for callers.
+const HOME_RATE: f64 = 1.0;
+const HOME_BURST: f64 = 4.0;
+
 /// Takes calls and brings back their answers.
 pub struct Entry {
     pub(super) shared: Arc<Shared>,
     pub(super) guard: Arc<Guard>,
     pub(super) pool: Arc<Pool>,
     repeats: Mutex<Repeats>,
+    home_reads: Mutex<Budget>,
     in_flight: AtomicUsize,
     closed: AtomicBool,
 }
@@ -47,6 +53,7 @@
             guard,
             pool,
             repeats: Mutex::default(),
+            home_reads: Mutex::new(Budget::new(Instant::now(), HOME_RATE, HOME_BURST)),
             in_flight: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
         })
@@ -63,6 +70,11 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Takes leave to read a home row from the platform.
+    pub(super) fn may_read_home(&self) -> bool {
+        self.home_reads.lock().take(Instant::now())
+    }
+
     /// Returns when a refused caller may come back, spread at random.
     pub(super) fn retry_after(&self) -> Duration {
         Duration::from_secs(1).mul_f64(rand::rng().random_range(0.5..1.5))
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,7 +6,6 @@
 mod forward;
 mod handler;
 mod header;
-mod once;
 
 pub use handler::{Entry, serve_callers};
 pub use header::{ATTEMPT, REASON, TICKET, TIMEOUT, VERDICT};
--- a/src/guard/once.rs
+++ b/src/guard/once.rs
@@ -37,7 +37,6 @@
 struct Inner {
     ledger: Ledger,
     running: HashMap<OnceKey, watch::Sender<Option<Done>>>,
-    stopped: bool,
 }
 
 /// The ledger with the runs under way.
@@ -52,23 +51,15 @@
             inner: Mutex::new(Inner {
                 ledger: Ledger::new(limits),
                 running: HashMap::new(),
-                stopped: false,
             }),
         }
     }
 
     pub(super) fn enter(&self, now: MintTime, key: &OnceKey, hash: u64) -> Entered {
         let mut inner = self.inner.lock();
-        if inner.stopped && inner.ledger.get(key).is_none() {
-            return Entered::Refuse(Refuse::WrongOwner);
-        }
         let begin = inner.ledger.begin(now, key, hash);
         let resumed = begin == Begin::Resume;
         match begin {
-            Begin::Start | Begin::Resume if inner.stopped => {
-                inner.ledger.release(key);
-                Entered::Refuse(Refuse::WrongOwner)
-            }
             Begin::Start | Begin::Resume => {
                 let (sender, end) = watch::channel(None);
                 inner.running.insert(key.clone(), sender);
@@ -114,7 +105,7 @@
 
     /// Starts no key from now on, for good.
     pub fn stop(&self) {
-        self.inner.lock().stopped = true;
+        self.inner.lock().ledger.stop();
     }
 
     /// Returns the entries and the bound of forgotten keys, for a hand-over.
@@ -137,7 +128,7 @@
         forgotten: MintTime,
     ) -> bool {
         let mut inner = self.inner.lock();
-        if inner.stopped {
+        if inner.ledger.is_stopped() {
             return false;
         }
         inner.ledger.adopt_forgotten(forgotten);
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -22,7 +22,7 @@
 use crate::platform::{Condition, Settled, settle};
 use crate::policy::admission::{Outcome, Settings, Shed};
 use crate::policy::once::{
-    Claim, ClaimCheck, Kept, LedgerLimits, Nonce, Owner, Refuse, claim_key, judge_claim,
+    Claim, ClaimCheck, Kept, LedgerLimits, Nonce, Refuse, authority, claim_key, judge_claim,
 };
 use crate::tables::{Held, HeldCall, Shared, Step, mint_now};
 use crate::web::{Chunks, Payload};
@@ -264,9 +264,10 @@
 
     fn failed(&self, attempt: Attempt<Sent>, error: &BackendError, held: &HeldCall) -> Refusal {
         let refusal = match error {
-            BackendError::Connect(cause) => {
-                attempt.unsent().refuse(Reason::Unreachable, cause.clone())
-            }
+            BackendError::Connect(cause) => attempt
+                .unsent()
+                .refuse(Reason::Unreachable, cause.clone())
+                .of_key(),
             BackendError::Cut(cause) => attempt.lose(Reason::Cut, cause.clone()),
             BackendError::Garbage(cause) => attempt.lose(Reason::Garbage, cause.clone()),
         };
@@ -424,25 +425,10 @@
         }
     }
 
-    /// Checks that this instance is the one that may start a key, so far as
-    /// the key and the home row tell.
     fn authority(&self, key: &OnceKey) -> Result<(), Refuse> {
-        let own = self.shared.instance;
-        match key {
-            OnceKey::Ticket { instance, .. } if *instance == own => Ok(()),
-            OnceKey::Ticket { .. } => Err(Refuse::WrongOwner),
-            OnceKey::Dated(_) => {
-                let home = self.shared.homes.get(self.service());
-                let mint = key.mint_time().unwrap_or_default();
-                match home.map(|home| home.row.owner(key, mint)) {
-                    Some(Owner::Instance(owner)) if owner == own => Ok(()),
-                    Some(Owner::Instance(_)) => Err(Refuse::WrongOwner),
-                    Some(Owner::Forgotten) => Err(Refuse::Forgotten),
-                    Some(Owner::NotYet | Owner::Never) | None => Err(Refuse::NotOwned),
-                }
-            }
-            OnceKey::Opaque(_) => Ok(()),
-        }
+        let home = self.shared.homes.get(self.service());
+        let row = home.as_ref().map(|home| &*home.row);
+        authority(key, self.shared.instance, row)
     }
 
     async fn run_once(self: Arc<Self>, head: CallHead, once: OnceCall, body: Bytes, resumed: bool) {
@@ -465,7 +451,7 @@
         let mut pass = match self.enter(&head).await {
             Ok(pass) => pass,
             Err(shed) => {
-                let done = not_started(attempt.refuse(Reason::Shed(shed), ""));
+                let done = not_started(attempt.refuse(Reason::Shed(shed), "").of_key());
                 return self.once.end(&key, Change::Release, done);
             }
         };
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::generated as wire;
-use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Sent};
+use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Scope, Sent};
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
@@ -199,6 +199,7 @@
         reason: refusal.reason().to_string(),
         detail: refusal.detail.to_string(),
         retry_after_ms: refusal.retry_after.map_or(0, millis),
+        of_key: refusal.scope() == Scope::Key,
         account: refusal.account.get(),
         level: u32::from(news.demand.level.get()),
         below: u32::from(news.demand.below.get()),
@@ -221,6 +222,9 @@
     };
     let mut refusal = attempt.relay(of, verdict, reason, &message.detail);
     if refusal.reason() == reason {
+        if message.of_key {
+            refusal = refusal.of_key();
+        }
         refusal.account = Retries::new(message.account);
         refusal.retry_after = match message.retry_after_ms {
             0 => None,
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -123,6 +123,9 @@
     pub below: u32,
     #[prost(uint32, tag = "11")]
     pub classes: u32,
+    /// Whether the verdict speaks of the key as a whole.
+    #[prost(bool, tag = "12")]
+    pub of_key: bool,
 }
 /// Closes a streamed body: its length and digest as a whole.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/policy/once/ledger.rs
+++ b/src/policy/once/ledger.rs
@@ -90,6 +90,7 @@
     order: BTreeSet<(MintTime, OnceKey)>,
     bytes: usize,
     forgotten: MintTime,
+    stopped: bool,
 }
 
 impl Ledger {
@@ -101,6 +102,7 @@
             order: BTreeSet::new(),
             bytes: 0,
             forgotten: MintTime::default(),
+            stopped: false,
         }
     }
 
@@ -108,12 +110,18 @@
     pub fn begin(&mut self, now: MintTime, key: &OnceKey, body_hash: u64) -> Begin {
         self.expire(now);
         if let Some(entry) = self.entries.get_mut(key) {
+            if self.stopped && entry.state == State::Claimed {
+                return Begin::Refuse(Refuse::WrongOwner);
+            }
             let begin = Self::resume(entry, body_hash);
             if begin == Begin::Resume {
                 self.bytes += MAX_KEPT;
             }
             return begin;
         }
+        if self.stopped {
+            return Begin::Refuse(Refuse::WrongOwner);
+        }
         let age = key.mint_time().unwrap_or(now);
         if age <= self.forgotten {
             return Begin::Refuse(Refuse::Forgotten);
@@ -190,6 +198,16 @@
         self.entries.iter()
     }
 
+    /// Starts no key from now on, for good.
+    pub fn stop(&mut self) {
+        self.stopped = true;
+    }
+
+    /// Tells whether no key is started any more.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
     /// Takes over an entry of an instance that stops.
     ///
     /// A key that is known here already is kept as it is.
--- a/src/policy/once/reason.rs
+++ b/src/policy/once/reason.rs
@@ -32,11 +32,10 @@
 }
 
 impl Refuse {
-    /// Returns what the refusal says of the key as a whole, not only of the
-    /// one attempt.
+    /// Returns what the refusal says of the attempt.
     ///
-    /// An instance that is not the owner knows nothing of the key; the entry
-    /// that asked it turns that into what it knows itself.
+    /// An earlier attempt with the same key may have run elsewhere; the entry
+    /// takes that into account.
     pub const fn verdict(self) -> Verdict {
         match self {
             Self::NotOwned | Self::WrongOwner | Self::NoPlatform | Self::LedgerFull => {
--- a/src/task/homes.rs
+++ b/src/task/homes.rs
@@ -110,3 +110,18 @@
         Settled::NotSent(_) | Settled::Unsettled(_) => None,
     }
 }
+
+/// Reads the home row of a service from the platform; returns whether the
+/// platform answered.
+pub async fn read_home(shared: &Shared, service: &ServiceName) -> bool {
+    match shared.platform.read(&row_key(service)).await {
+        Ok(Some(found)) => {
+            if let Ok(row) = HomeRow::decode(&found.content) {
+                shared.homes.take(service, found.revision, row);
+            }
+            true
+        }
+        Ok(None) => true,
+        Err(_) => false,
+    }
+}
--- a/src/task/mod.rs
+++ b/src/task/mod.rs
@@ -8,7 +8,7 @@
 mod stop;
 
 pub use gossip::gossip;
-pub use homes::keep_homes;
+pub use homes::{keep_homes, read_home};
 pub use lease::watch_lease;
 pub use poll::{CURRENT_ROW, CurrentRow, fetch_version, poll};
 pub use row::{find_members, keep_row};
