Add the fault matrix: every fault at every step, pairs, random schedules

Cause: promises were argued, not shown. Change: tests/fault_matrix drives home rows, ledgers, claims, membership and versions with callers, pauses, crashes, cuts, lost answers and two operators.

--- a/benches/overload/world.rs
+++ b/benches/overload/world.rs
@@ -816,7 +816,7 @@
 
     /// Slots that the backend server really has now.
     fn slots(&self, id: ServerId) -> usize {
-        let slots = self.scenario.services[self.servers[id].service].slots as f64;
+        let slots = f64::from(self.scenario.services[self.servers[id].service].slots);
         let share = self.servers[id].cold_since.map_or(1.0, |since| {
             let age = (self.now - since) / 1000.0 / COLD_S;
             (COLD_SHARE + (1.0 - COLD_SHARE) * age).min(1.0)
--- /dev/null
+++ b/tests/fault_matrix/platform.rs
@@ -0,0 +1,106 @@
+//! A table whose answers are there at once, reached by nodes that may be cut
+//! off from it.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use bramleymount::platform::{Condition, ReadError, Revision, Row, TableStore, WriteError};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mood {
+    Well,
+    Down,
+    LoseAnswers,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<String, (u64, Bytes)>,
+    down: bool,
+    lose: bool,
+}
+
+/// Used by one thread only; the lock is there for the trait's bounds.
+#[derive(Default)]
+pub(crate) struct Table {
+    state: std::sync::Mutex<RefCell<State>>,
+}
+
+impl Table {
+    pub(crate) fn mood(&self, mood: Mood) {
+        let state = self.state.lock().expect("one thread");
+        let mut state = state.borrow_mut();
+        state.down = mood == Mood::Down;
+        state.lose = mood == Mood::LoseAnswers;
+    }
+
+    fn with<T>(&self, use_it: impl FnOnce(&mut State) -> T) -> T {
+        let state = self.state.lock().expect("one thread");
+        let mut state = state.borrow_mut();
+        use_it(&mut state)
+    }
+}
+
+/// Runs a future of this table, which never waits.
+pub(crate) fn now<T>(future: impl Future<Output = T>) -> T {
+    future.now_or_never().expect("the table never waits")
+}
+
+fn row(state: &State, key: &str) -> Option<Row> {
+    state.rows.get(key).map(|(revision, content)| Row {
+        key: key.into(),
+        revision: Revision(*revision),
+        content: content.clone(),
+    })
+}
+
+impl TableStore for Table {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Row>, ReadError>> {
+        let result = self.with(|state| {
+            if state.down {
+                Err(ReadError("down".into()))
+            } else {
+                Ok(row(state, key))
+            }
+        });
+        Box::pin(std::future::ready(result))
+    }
+
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        condition: Condition,
+        content: Bytes,
+    ) -> BoxFuture<'a, Result<Revision, WriteError>> {
+        let result = self.with(|state| {
+            if state.down {
+                return Err(WriteError::NotSent("down".into()));
+            }
+            let found = row(state, key);
+            let next = match (condition, &found) {
+                (Condition::Absent, None) => 1,
+                (Condition::Revision(r), Some(row)) if row.revision == r => r.0 + 1,
+                _ => return Err(WriteError::Conflict(found)),
+            };
+            state.rows.insert(key.into(), (next, content));
+            if state.lose {
+                return Err(WriteError::Unknown("lost".into()));
+            }
+            Ok(Revision(next))
+        });
+        Box::pin(std::future::ready(result))
+    }
+
+    fn delete<'a>(&'a self, _: &'a str, _: Revision) -> BoxFuture<'a, Result<(), WriteError>> {
+        Box::pin(std::future::ready(Err(WriteError::NotSent(
+            "unused".into(),
+        ))))
+    }
+
+    fn scan<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<Vec<Row>, ReadError>> {
+        Box::pin(std::future::ready(Err(ReadError("unused".into()))))
+    }
+}
