Wait for once calls that are being claimed before a planned stop

The contract test found that a key minted before a service's first home row could never run, and that entries lost the mark of a kept answer. Change: the drain counts runs under way; the first interval begins at time 0 and a successor's at the end of the last one; the mark travels. Conclusion: fixed, each with the test that brings it about.

--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -207,7 +207,11 @@
     }
 
     /// Waits until every daemon knows all others and the version in force.
-    async fn settle(&self) -> Result<(), Error> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn settle(&self) -> Result<(), Error> {
         let ready = || {
             self.servers.iter().all(|server| {
                 let shared = server.daemon.shared();
--- a/src/guard/once.rs
+++ b/src/guard/once.rs
@@ -138,6 +138,11 @@
         true
     }
 
+    /// Returns the number of runs under way, those not yet started included.
+    pub fn in_flight(&self) -> usize {
+        self.inner.lock().running.len()
+    }
+
     /// Returns the number of keys and the bytes that are accounted for.
     pub fn size(&self) -> (usize, usize) {
         let inner = self.inner.lock();
--- a/src/model/size.rs
+++ b/src/model/size.rs
@@ -24,7 +24,7 @@
                 self.0
             }
 
-            fn checked(value: u64) -> Result<Self, Error> {
+            fn checked(value: i64) -> Result<Self, Error> {
                 match u32::try_from(value) {
                     Ok(n) if ($low..=$high).contains(&n) => Ok(Self(n)),
                     _ => Err(Error::value(
@@ -60,7 +60,7 @@
 
         impl<'de> Deserialize<'de> for $type {
             fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-                let value = u64::deserialize(d)?;
+                let value = i64::deserialize(d)?;
                 Self::checked(value).map_err(serde::de::Error::custom)
             }
         }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -155,6 +155,7 @@
         body: body.unwrap_or_default(),
         digest,
         account: head.account.get(),
+        kept: head.kept,
         level: u32::from(head.news.demand.level.get()),
         below: u32::from(head.news.demand.below.get()),
         classes: head.news.demand.classes.bits(),
@@ -185,7 +186,7 @@
             load: head.load,
             leaving: head.leaving,
         },
-        kept: false,
+        kept: head.kept,
     };
     Ok((reply, head.body))
 }
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -97,6 +97,9 @@
     pub below: u32,
     #[prost(uint32, tag = "12")]
     pub classes: u32,
+    /// Whether the answer was kept from an earlier run of the same key.
+    #[prost(bool, tag = "13")]
+    pub kept: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refusal {
--- a/src/policy/once/plan.rs
+++ b/src/policy/once/plan.rs
@@ -42,7 +42,7 @@
     let mut shares = Shares::new(row, live);
     let until = now.plus(horizon.ahead_ms());
     for slot in next.slots_mut() {
-        extend(slot, now, until, &mut shares);
+        extend(slot, until, &mut shares);
     }
     let memory = horizon.memory_ms();
     next.forget(MintTime::from_millis(
@@ -59,11 +59,12 @@
     })
 }
 
-fn extend(slot: &mut Vec<Interval>, now: MintTime, until: MintTime, shares: &mut Shares) {
+fn extend(slot: &mut Vec<Interval>, until: MintTime, shares: &mut Shares) {
     let Some(last) = slot.last_mut() else {
         slot.push(Interval {
             owner: shares.take(None),
-            from: now,
+            // Nobody owned any earlier mint time, so nobody can have run it.
+            from: MintTime::default(),
             until,
         });
         return;
@@ -73,9 +74,8 @@
         last.until = last.until.max(until);
         return;
     }
-    // The successor begins where the last owner's right ends. If that is
-    // past, the time between belongs to nobody, for good.
-    let from = last.until.max(now);
+    // The successor begins where the last owner's right ends.
+    let from = last.until;
     slot.push(Interval {
         owner,
         from,
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -73,7 +73,8 @@
 async fn drain(entry: &Entry, guard: &Guard, shared: &Shared, limit: Instant) -> bool {
     while Instant::now() < limit {
         let (in_flight, waiting, _) = guard.gate().load();
-        if entry.in_flight() == 0 && in_flight == 0 && waiting == 0 && shared.calls.is_empty() {
+        let guarded = in_flight + waiting + guard.once().in_flight();
+        if entry.in_flight() == 0 && guarded == 0 && shared.calls.is_empty() {
             return true;
         }
         tokio::time::sleep(LOOK).await;
--- a/tests/fault_matrix/fault.rs
+++ b/tests/fault_matrix/fault.rs
@@ -32,12 +32,14 @@
     Double,
     /// Guards shed for a while.
     Overload,
+    /// Entries send once calls to instances at random.
+    Misroute,
     /// Two operators change the configuration at the same moment.
     TwoOperators,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Self; 19] = [
+    pub(crate) const ALL: [Self; 20] = [
         Self::Crash(0),
         Self::Crash(1),
         Self::Pause(0),
@@ -56,6 +58,7 @@
         Self::Late,
         Self::Double,
         Self::Overload,
+        Self::Misroute,
         Self::TwoOperators,
     ];
 
--- a/tests/fault_matrix/world.rs
+++ b/tests/fault_matrix/world.rs
@@ -156,6 +156,7 @@
     late: u32,
     double: u32,
     shedding: bool,
+    misroute: bool,
     faults: Vec<(usize, Fault)>,
     steps: usize,
     end: u64,
@@ -184,6 +185,7 @@
             late: 0,
             double: 0,
             shedding: false,
+            misroute: false,
             faults: Vec::new(),
             steps: 0,
             end: END,
@@ -346,6 +348,7 @@
             Fault::Late => self.late = 4,
             Fault::Double => self.double = 4,
             Fault::Overload => self.shedding = true,
+            Fault::Misroute => self.misroute = true,
             Fault::TwoOperators => {
                 let base = self.accepted.last().map_or(Version::NONE, |(v, _)| *v);
                 self.after(
@@ -475,6 +478,7 @@
         self.platform_cuts.clear();
         self.table.mood(Mood::Well);
         self.shedding = false;
+        self.misroute = false;
     }
 
     /// Sends a message between nodes through the faulty network.
@@ -569,6 +573,7 @@
         }
         let key = self.callers[caller].key.clone();
         let target = match self.place(n, &key) {
+            Ok(_) if self.misroute => self.nodes[self.rng.random_range(0..NODES)].instance,
             Ok(target) => target,
             Err(refusal) => return self.refuse(caller, first, refusal),
         };
@@ -1044,7 +1049,8 @@
                 self.after(1500, Event::StopStep { at, step: 1 });
             }
             1 => {
-                let busy = self.running.iter().any(|(i, _)| *i == at);
+                // A call that is being claimed is under way too.
+                let busy = !self.nodes[n].attached.is_empty();
                 let next = if busy { 1 } else { 2 };
                 self.after(20, Event::StopStep { at, step: next });
             }
