--- a/src/guard/once.rs
+++ b/src/guard/once.rs
@@ -138,6 +138,11 @@
         true
     }
 
+    /// Tells whether a call with `key` can be answered without starting it.
+    pub fn has_begun(&self, key: &OnceKey) -> bool {
+        self.inner.lock().ledger.has_begun(key)
+    }
+
     /// Returns the number of runs under way, those not yet started included.
     pub fn in_flight(&self) -> usize {
         self.inner.lock().running.len()
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -179,8 +179,11 @@
         if head.depth > Depth::MAX {
             return Err(Reason::TooDeep);
         }
+        let begun = |once: &OnceCall| self.once.has_begun(&once.key);
         match self.lease_state() {
             LeaseState::Serving => Ok(()),
+            // A repeat that starts nothing is answered to the end.
+            LeaseState::Leaving if head.once.as_ref().is_some_and(begun) => Ok(()),
             LeaseState::Leaving => Err(Reason::Shed(Shed::Leaving)),
             LeaseState::Absent => Err(Reason::Unreachable),
         }
--- a/src/policy/once/ledger.rs
+++ b/src/policy/once/ledger.rs
@@ -193,6 +193,13 @@
         self.entries.get(key)
     }
 
+    /// Tells whether a call with `key` can be answered without starting it.
+    pub fn has_begun(&self, key: &OnceKey) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|entry| entry.state != State::Claimed)
+    }
+
     /// Returns all entries, for a hand-over.
     pub fn entries(&self) -> impl Iterator<Item = (&OnceKey, &Entry)> {
         self.entries.iter()
--- a/tests/fault_matrix/world.rs
+++ b/tests/fault_matrix/world.rs
@@ -713,7 +713,7 @@
         if let Err(refuse) = authority(key, to, own_row) {
             return self.answer(to, from, attempt, Err(planned.refuse_once(refuse)));
         }
-        if self.nodes[n].left_at.is_some() && self.nodes[n].ledger.get(key).is_none() {
+        if self.nodes[n].left_at.is_some() && !self.nodes[n].ledger.has_begun(key) {
             let refusal = planned.refuse(Reason::Shed(Shed::Leaving), "");
             return self.answer(to, from, attempt, Err(refusal));
         }
