--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -32,7 +32,7 @@
     /// The zone of its data centre.
     pub zone: Zone,
     renewing: tokio::task::JoinHandle<()>,
-    _relay: Relay,
+    _relay: Option<Relay>,
 }
 
 impl Server {
@@ -53,6 +53,7 @@
     pub network: Arc<Network>,
     /// The declarations in force.
     pub estate: Estate,
+    direct: bool,
 }
 
 impl Site {
@@ -84,12 +85,34 @@
     pub async fn start(
         estate: Estate,
         behave: impl Fn(&ServiceName) -> Behaviour,
+    ) -> Result<Self, Error> {
+        Self::start_with(estate, behave, false).await
+    }
+
+    /// Starts all servers of an estate without a network between them that
+    /// could be cut, for measurements of latency.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or the estate does not settle.
+    pub async fn start_direct(
+        estate: Estate,
+        behave: impl Fn(&ServiceName) -> Behaviour,
+    ) -> Result<Self, Error> {
+        Self::start_with(estate, behave, true).await
+    }
+
+    async fn start_with(
+        estate: Estate,
+        behave: impl Fn(&ServiceName) -> Behaviour,
+        direct: bool,
     ) -> Result<Self, Error> {
         let mut site = Self {
             servers: Vec::new(),
             platform: Arc::new(Memory::default()),
             network: Arc::new(Network::default()),
             estate,
+            direct,
         };
         let services: Vec<_> = site.estate.services.values().cloned().collect();
         for service in &services {
@@ -122,8 +145,8 @@
         let place = self.estate.centres.iter().position(|c| c.name == *centre);
         let number = u8::try_from(place.unwrap_or_default() + 1).unwrap_or(1);
         let zone = Zone::new(number);
-        let advertised = free_address_on(zone.ip())?;
-        let config = self.config(service, centre, hall, zone.ip(), advertised)?;
+        let config = self.config(service, centre, hall, zone.ip())?;
+        let advertised = config.listen.advertised;
         let declared = self.estate.services.get(service);
         if behaviour.onward.is_empty() {
             behaviour.onward = declared.map(onward).unwrap_or_default();
@@ -131,7 +154,11 @@
         let slots = declared.map_or(1, |service| service.slots.get());
         let callers = config.listen.callers;
         let peers = config.listen.peers;
-        let relay = Relay::start(advertised, peers, Arc::clone(&self.network)).await?;
+        let relay = if advertised == peers {
+            None
+        } else {
+            Some(Relay::start(advertised, peers, Arc::clone(&self.network)).await?)
+        };
         let backend = BackendServer::start(config.backend, callers, slots as usize, behaviour)?;
         let daemon = Daemon::start_on(config, Arc::clone(&self.platform) as _).await?;
         daemon.guard().announce(false);
@@ -160,8 +187,13 @@
         centre: &CentreName,
         hall: &HallName,
         ip: IpAddr,
-        advertised: SocketAddr,
     ) -> Result<Config, Error> {
+        let peers = free_address_on(ip)?;
+        let advertised = if self.direct {
+            peers
+        } else {
+            free_address_on(ip)?
+        };
         let first = self.servers.iter().take(3);
         Ok(Config {
             centre: centre.clone(),
@@ -169,7 +201,7 @@
             service: service.clone(),
             listen: Listen {
                 callers: free_address_on(ip)?,
-                peers: free_address_on(ip)?,
+                peers,
                 advertised,
                 operators: free_address_on(ip)?,
             },
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
+use tokio_stream::StreamExt;
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
@@ -236,11 +237,16 @@
     let service = PeerServer::new(peers)
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
+    let incoming = TcpListenerStream::new(listener).map(|stream| {
+        let stream = stream?;
+        // Frames are small and each is waited for.
+        stream.set_nodelay(true)?;
+        Ok::<_, std::io::Error>(stream)
+    });
     let served = Server::builder()
-        .tcp_nodelay(true)
         .max_concurrent_streams(MAX_STREAMS)
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async {
+        .serve_with_incoming_shutdown(incoming, async {
             let _ = stop.await;
         });
     Ok(tokio::spawn(async move {
