Count the retry ratio in tenths

Cause: ten times 0.1 is less than 1 in floating point, so ten answers did not earn a retry (tests/retry.rs, ratio_runs_out_and_fills). Change: whole tenths. Conclusion: mended.

--- a/src/policy/retry/ratio.rs
+++ b/src/policy/retry/ratio.rs
@@ -1,9 +1,11 @@
 //! Retries of one service as a share of its answered calls.
 
-/// Retries earned by one answered call.
-const EARNED: f64 = 0.1;
-/// Most retries that can be saved up.
-const SAVED: f64 = 10.0;
+/// What one answered call earns, in tenths of a retry.
+const EARNED: u32 = 1;
+/// What one retry costs, in tenths of a retry.
+const COST: u32 = 10;
+/// Most that can be saved up, in tenths of a retry.
+const SAVED: u32 = 10 * COST;
 
 /// A token bucket that calls answered fill and retries empty.
 ///
@@ -11,27 +13,27 @@
 /// few are retried.
 #[derive(Clone, Copy, Debug)]
 pub struct Ratio {
-    tokens: f64,
+    tenths: u32,
 }
 
 impl Default for Ratio {
     fn default() -> Self {
-        Self { tokens: SAVED }
+        Self { tenths: SAVED }
     }
 }
 
 impl Ratio {
     /// Takes note of a call that was answered.
     pub fn answered(&mut self) {
-        self.tokens = (self.tokens + EARNED).min(SAVED);
+        self.tenths = (self.tenths + EARNED).min(SAVED);
     }
 
     /// Takes one retry out, if there is one.
     pub fn take(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if self.tenths < COST {
             return false;
         }
-        self.tokens -= 1.0;
+        self.tenths -= COST;
         true
     }
 }
