--- a/src/guard/once.rs
+++ b/src/guard/once.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Takes changed bounds.
+    pub fn set_limits(&self, limits: LedgerLimits) {
+        self.inner.lock().ledger.set_limits(limits);
+    }
+
     pub(super) fn enter(&self, now: MintTime, key: &OnceKey, hash: u64) -> Entered {
         let mut inner = self.inner.lock();
         let begin = inner.ledger.begin(now, key, hash);
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -116,12 +116,15 @@
 
     /// Takes the rules in force.
     pub fn reload(&self) {
-        let protected = self
-            .shared
-            .current
-            .get()
-            .and_then(|in_force| in_force.estate.protected());
-        self.gate.reload(self.slots(), protected);
+        let Some(in_force) = self.shared.current.get() else {
+            return;
+        };
+        let estate = &in_force.estate;
+        self.gate.reload(self.slots(), estate.protected());
+        self.once.set_limits(LedgerLimits {
+            bytes: estate.once.ledger_bytes.get() as usize,
+            memory: estate.once.memory.get(),
+        });
     }
 
     fn slots(&self) -> Slots {
--- a/src/policy/once/ledger.rs
+++ b/src/policy/once/ledger.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Takes changed bounds; what no longer fits is dropped as calls come.
+    pub fn set_limits(&mut self, limits: LedgerLimits) {
+        self.limits = limits;
+    }
+
     /// Decides on a call with `key` that this instance may start.
     pub fn begin(&mut self, now: MintTime, key: &OnceKey, body_hash: u64) -> Begin {
         self.expire(now);
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,86 @@
+//! The ledger of once calls: bounds, and forgetting without running again.
+
+#![allow(missing_docs)]
+
+use std::time::Duration;
+
+use bramleymount::model::{MintTime, OnceKey};
+use bramleymount::policy::once::{Begin, Kept, Ledger, LedgerLimits, Refuse};
+use uuid::{NoContext, Timestamp, Uuid};
+
+const SECOND: u64 = 1_000_000;
+
+fn key(ms: u64) -> OnceKey {
+    let time = Timestamp::from_unix(NoContext, ms / 1000, (ms % 1000) as u32 * 1_000_000);
+    OnceKey::Dated(Uuid::new_v7(time))
+}
+
+fn kept(size: usize) -> Kept {
+    let body = Some(vec![0; size].into());
+    Kept {
+        status: 200,
+        headers: Vec::new(),
+        body,
+    }
+}
+
+fn ledger(bytes: usize) -> Ledger {
+    let memory = Duration::from_secs(3600);
+    Ledger::new(LedgerLimits { bytes, memory })
+}
+
+#[test]
+fn begin_refuses_what_was_forgotten() {
+    let mut ledger = ledger(200_000);
+    let keys: Vec<OnceKey> = (0..100).map(|n| key(SECOND + n * 10)).collect();
+    for (n, key) in keys.iter().enumerate() {
+        let now = MintTime::from_millis(SECOND + n as u64 * 10);
+        assert_eq!(ledger.begin(now, key, 1), Begin::Start);
+        ledger.finish(key, kept(10_000));
+        assert!(ledger.bytes() <= 200_000);
+    }
+    let now = MintTime::from_millis(SECOND + 2000);
+    let again = ledger.begin(now, &keys[0], 1);
+    assert_eq!(again, Begin::Refuse(Refuse::Forgotten));
+    assert!(matches!(ledger.begin(now, &keys[99], 1), Begin::Answer(_)));
+}
+
+#[test]
+fn set_limits_bounds_what_is_kept() {
+    let mut ledger = ledger(1 << 20);
+    let now = MintTime::from_millis(SECOND);
+    for n in 0..40 {
+        let key = key(SECOND + n);
+        ledger.begin(now, &key, 1);
+        ledger.finish(&key, kept(10_000));
+    }
+    let memory = Duration::from_secs(3600);
+    let bytes = 100_000;
+    ledger.set_limits(LedgerLimits { bytes, memory });
+    ledger.begin(now, &key(SECOND + 500), 1);
+    assert!(ledger.bytes() <= bytes, "{}", ledger.bytes());
+}
+
+#[test]
+fn begin_refuses_when_all_run() {
+    let mut ledger = ledger(60_000);
+    let now = MintTime::from_millis(SECOND);
+    let begun: Vec<Begin> = (0..5)
+        .map(|n| ledger.begin(now, &key(SECOND + n), 1))
+        .collect();
+    assert_eq!(begun[0], Begin::Start);
+    assert_eq!(begun[4], Begin::Refuse(Refuse::LedgerFull));
+}
+
+#[test]
+fn finish_drops_large_body_and_says_ran() {
+    let mut ledger = ledger(1 << 20);
+    let now = MintTime::from_millis(SECOND);
+    let key = key(SECOND);
+    ledger.begin(now, &key, 1);
+    ledger.finish(&key, kept(100_000));
+    assert_eq!(
+        ledger.begin(now, &key, 1),
+        Begin::Refuse(Refuse::AnswerNotKept)
+    );
+}
