Move the store's traits, client and stand-in out of the platform folder

Cause: src/platform/ is to hold the adapter alone, while traits, memory, stand-in and settling belong to the product whatever platform it runs on. Ruled out: a second copy of the traits inside the adapter. Change: src/platform/ becomes src/store/; names of types are unchanged.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bramleymount::emulator::{Behaviour, Site};
-use bramleymount::platform::Fault;
+use bramleymount::store::Fault;
 
 const QUIET: Duration = Duration::from_secs(10);
 
--- a/examples/platform.rs
+++ b/examples/platform.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bramleymount::platform::{Memory, serve_standin};
+use bramleymount::store::{Memory, serve_standin};
 use eyre::{WrapErr, eyre};
 
 fn main() -> eyre::Result<()> {
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -12,7 +12,7 @@
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Slots, Span, Version};
 use crate::operator::{ApplyRequest, ApplyResult, apply};
-use crate::platform::Memory;
+use crate::store::Memory;
 
 /// How often emulated backend servers renew their announcements.
 const RENEW: Duration = Duration::from_secs(3);
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -19,11 +19,11 @@
     Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
 };
 use crate::model::{Depth, GuardNews, Instance, OnceKey, Retries, ServiceName, Slots};
-use crate::platform::{Condition, Settled, settle};
 use crate::policy::admission::{Outcome, Settings, Shed};
 use crate::policy::once::{
     Claim, ClaimCheck, Kept, LedgerLimits, Nonce, Refuse, authority, claim_key, judge_claim,
 };
+use crate::store::{Condition, Settled, settle};
 use crate::tables::{Held, HeldCall, Shared, Step, mint_now};
 use crate::web::{Chunks, Payload};
 
--- a/src/operator/apply.rs
+++ b/src/operator/apply.rs
@@ -6,7 +6,7 @@
 use crate::declare::{Document, Hash, Manifest, diff, join};
 use crate::model::Version;
 use crate::peer::put_in_force;
-use crate::platform::{Condition, Row, Settled, WriteError, settle};
+use crate::store::{Condition, Row, Settled, WriteError, settle};
 use crate::tables::{Shared, unix_ms};
 use crate::task::{CURRENT_ROW, CurrentRow, fetch_version};
 
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -139,7 +139,7 @@
 
     async fn read_history(&self) -> Result<Vec<HistoryEntry>, Error> {
         let platform = &self.shared.platform;
-        let failed = |e: crate::platform::ReadError| Error::remote(e.to_string());
+        let failed = |e: crate::store::ReadError| Error::remote(e.to_string());
         let Some(row) = platform.read(CURRENT_ROW).await.map_err(failed)? else {
             return Ok(Vec::new());
         };
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -14,9 +14,9 @@
 use crate::declare::{Document, DocumentName, Manifest};
 use crate::error::Error;
 use crate::model::{Instance, MintTime, OnceKey, ServiceName, Version};
-use crate::platform::Revision;
 use crate::policy::member::{Beat, Change, Member, Offer, Told};
 use crate::policy::once::{HomeRow, Kept, State};
+use crate::store::Revision;
 use crate::tables::{Home, InForce, Shared};
 
 /// How long a neighbour may take to answer.
--- a/src/tables/homes.rs
+++ b/src/tables/homes.rs
@@ -6,9 +6,9 @@
 use parking_lot::RwLock;
 
 use crate::model::ServiceName;
-use crate::platform::Revision;
 use crate::policy::member::Change;
 use crate::policy::once::HomeRow;
+use crate::store::Revision;
 
 /// A home row at one revision.
 #[derive(Clone, Debug)]
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -12,8 +12,8 @@
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::model::{Instance, MintTime};
-use crate::platform::Platform;
 use crate::policy::member::View;
+use crate::store::Platform;
 
 /// The tables that entry, guard, peers and operators' interface share.
 pub struct Shared {
--- a/src/task/homes.rs
+++ b/src/task/homes.rs
@@ -7,9 +7,9 @@
 
 use crate::declare::Once;
 use crate::model::{Instance, ServiceName};
-use crate::platform::{Condition, Settled, settle};
 use crate::policy::member::Budget;
 use crate::policy::once::{HomeRow, Horizon, plan};
+use crate::store::{Condition, Settled, settle};
 use crate::tables::{Home, Shared, mint_now};
 
 /// How often the row is looked at.
--- a/src/task/poll.rs
+++ b/src/task/poll.rs
@@ -72,7 +72,7 @@
 }
 
 async fn read(shared: &Shared) -> Result<(), Error> {
-    let failed = |e: crate::platform::ReadError| Error::remote(e.to_string());
+    let failed = |e: crate::store::ReadError| Error::remote(e.to_string());
     let row = shared.platform.read(CURRENT_ROW).await.map_err(failed)?;
     let Some(row) = row else {
         return Ok(());
--- a/src/task/row.rs
+++ b/src/task/row.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::platform::{Condition, Settled, settle};
 use crate::policy::member::{Budget, Member, MemberState};
+use crate::store::{Condition, Settled, settle};
 use crate::tables::Shared;
 
 /// How often the row is compared with what the daemon says.
@@ -80,7 +80,7 @@
     }
 }
 
-fn take_rows(shared: &Shared, rows: &[crate::platform::Row]) {
+fn take_rows(shared: &Shared, rows: &[crate::store::Row]) {
     let now = Instant::now();
     let mut changed = false;
     {
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -12,9 +12,9 @@
 use crate::guard::Guard;
 use crate::model::Instance;
 use crate::peer::{Pool, exchange, hand_over};
-use crate::platform::{Condition, Settled, settle};
 use crate::policy::member::{MemberState, Told, neighbours};
 use crate::policy::once::{Successor, hand_over as next_row};
+use crate::store::{Condition, Settled, settle};
 use crate::tables::Shared;
 
 /// How long callers have to learn that this daemon leaves before its entry
--- a/tests/fault_matrix/platform.rs
+++ b/tests/fault_matrix/platform.rs
@@ -4,7 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use bramleymount::platform::{Condition, ReadError, Revision, Row, TableStore, WriteError};
+use bramleymount::store::{Condition, ReadError, Revision, Row, TableStore, WriteError};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
--- a/tests/fault_matrix/world.rs
+++ b/tests/fault_matrix/world.rs
@@ -8,13 +8,13 @@
 use bramleymount::model::{
     AttemptId, Instance, MintTime, OnceKey, ServiceName, StartStamp, Verdict, Version,
 };
-use bramleymount::platform::{Condition, Revision, Settled, TableStore, settle};
 use bramleymount::policy::admission::Shed;
 use bramleymount::policy::member::{Beat, Member, MemberState, Offer, Rollout, View};
 use bramleymount::policy::once::{
     Begin, Claim, ClaimCheck, HomeRow, Horizon, Kept, Ledger, LedgerLimits, Nonce, Place, Refuse,
     State, Successor, authority, claim_key, hand_over, judge_claim, place, plan,
 };
+use bramleymount::store::{Condition, Revision, Settled, TableStore, settle};
 use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bramleymount::emulator::free_address;
-use bramleymount::platform::{Memory, serve_standin};
+use bramleymount::store::{Memory, serve_standin};
 use bramleymount::web::{Answer, Client, Running};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request};
