--- a/src/call/attempt.rs
+++ b/src/call/attempt.rs
@@ -73,9 +73,10 @@
         Refusal::new(verdict, reason, detail)
     }
 
-    /// Takes back the sending, since no connection was ever made.
+    /// Takes back the sending, since no connection was ever made, or since the
+    /// backend server itself said that it has not run the call.
     ///
-    /// Only for errors of connecting, where no byte of the call can have left.
+    /// Only where that is certain.
     pub fn unsent(self) -> Attempt<Planned> {
         Attempt::with_id(self.id)
     }
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -3,12 +3,16 @@
 
 mod attempt;
 mod head;
+mod own;
+mod protocol;
 mod reason;
 mod refusal;
 mod reply;
 
 pub use attempt::{Attempt, Planned, Sent};
 pub use head::{Call, CallHead, OnceCall};
+pub use own::{ATTEMPT, CALL, OwnProtocol, TIMEOUT, end_to_end};
+pub use protocol::{Facts, Meaning, Protocol};
 pub use reason::Reason;
 pub use refusal::{Refusal, Scope};
 pub use reply::{Reply, ReplyHead};
--- /dev/null
+++ b/src/call/protocol.rs
@@ -0,0 +1,78 @@
+//! The headers spoken with callers and with the backend server.
+
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use tokio::time::Instant;
+
+use super::{CallHead, Refusal};
+use crate::model::{CallId, RootId, ServerId, ServiceName};
+
+/// What the headers of a request say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// The id of the call, the same for all who know its headers.
+    pub call: CallId,
+    /// The request that the call belongs to, if the headers tell.
+    pub root: Option<RootId>,
+    /// The call that this one is made for, if the headers tell.
+    pub parent: Option<CallId>,
+    /// How long the caller waits.
+    pub timeout: Option<Duration>,
+    /// The caller's count of its attempts, from 1.
+    pub attempt: Option<u32>,
+}
+
+/// What an answer of the backend server means.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Meaning {
+    /// It is the answer to the call.
+    Answer,
+    /// The backend server has not run the call and will not.
+    NotRun,
+    /// Another run of a backend server stands at the address, whose id it may
+    /// tell; it has not run the call.
+    OtherServer(Option<ServerId>),
+    /// It is no answer to this call.
+    Garbage,
+}
+
+/// The headers spoken with callers and with the backend server.
+///
+/// A protocol only reads and writes headers; what follows from them is
+/// decided by entry and guard.
+pub trait Protocol: Send + Sync {
+    /// Reads the headers of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns what to write instead.
+    fn read(&self, parts: &Parts) -> Result<Facts, Box<str>>;
+
+    /// Makes the headers that go on to the backend server of those that a
+    /// caller on the VM of a server of `origin` sent.
+    fn forward(&self, headers: &HeaderMap, origin: &ServiceName) -> HeaderMap;
+
+    /// Adds what holds for one attempt: its id, what is left of its time, and
+    /// the run of the backend server that it is meant for.
+    fn address(
+        &self,
+        headers: &mut HeaderMap,
+        head: &CallHead,
+        now: Instant,
+        server: Option<&ServerId>,
+    );
+
+    /// Tells what an answer of the backend server means.
+    fn meaning(&self, head: &CallHead, status: StatusCode, headers: &HeaderMap) -> Meaning;
+
+    /// Returns the status by which a refusal is told to the caller.
+    fn status(&self, refusal: &Refusal) -> StatusCode;
+
+    /// Writes how long a refused caller should stay away.
+    fn retry_after(&self, time: Duration) -> String;
+
+    /// Adds what identifies the call to an answer.
+    fn sign(&self, headers: &mut HeaderMap, call: CallId, request: &HeaderMap);
+}
--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -32,6 +32,8 @@
     NoConfig,
     /// No backend server of the service can be reached.
     Unreachable,
+    /// The backend server itself refused it without running it.
+    Rejected,
     /// The instance that was meant has been replaced by another.
     Replaced,
     /// The connection was lost before the answer was whole.
@@ -42,7 +44,7 @@
     Timeout,
 }
 
-const PLAIN: [Reason; 12] = [
+const PLAIN: [Reason; 13] = [
     Reason::BadRequest,
     Reason::TooLarge,
     Reason::RequestCut,
@@ -51,6 +53,7 @@
     Reason::TooDeep,
     Reason::NoConfig,
     Reason::Unreachable,
+    Reason::Rejected,
     Reason::Replaced,
     Reason::Cut,
     Reason::Garbage,
@@ -93,6 +96,7 @@
             Self::TooDeep => "chain-too-deep",
             Self::NoConfig => "no-configuration",
             Self::Unreachable => "unreachable",
+            Self::Rejected => "server-refused",
             Self::Replaced => "instance-replaced",
             Self::Cut => "answer-cut",
             Self::Garbage => "answer-garbled",
@@ -104,9 +108,11 @@
     pub const fn status(self) -> StatusCode {
         match self {
             Self::Shed(Shed::Deadline) | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Shed(_) | Self::NoConfig | Self::Unreachable | Self::Replaced => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Shed(_)
+            | Self::NoConfig
+            | Self::Unreachable
+            | Self::Rejected
+            | Self::Replaced => StatusCode::SERVICE_UNAVAILABLE,
             Self::Once(Refuse::BodyDiffers) => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Once(
                 Refuse::Forgotten | Refuse::OwnerLost | Refuse::OutcomeLost | Refuse::AnswerNotKept,
@@ -132,6 +138,7 @@
             self,
             Self::Shed(Shed::Leaving)
                 | Self::Unreachable
+                | Self::Rejected
                 | Self::Replaced
                 | Self::Cut
                 | Self::Garbage
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -56,6 +56,11 @@
         self.reason
     }
 
+    /// Tells whether a backend server may have seen the call.
+    pub fn arrived(&self) -> bool {
+        self.verdict != Verdict::NotRun || self.reason == Reason::Rejected
+    }
+
     /// Returns what a verdict of `not-run` speaks of.
     pub fn scope(&self) -> Scope {
         self.scope
--- a/src/config/log.rs
+++ b/src/config/log.rs
@@ -1,12 +1,14 @@
 //! Setting up of structured logs.
 
+use std::num::NonZeroUsize;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use serde::Deserialize;
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
 use crate::error::Error;
 
@@ -62,7 +64,19 @@
     }
 }
 
-/// Sends logs to standard error in the given form.
+/// Lines that wait to be written; more are dropped and counted.
+const QUEUE: usize = 4096;
+
+/// Lines dropped since the start because the reader of the log was too slow.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of log lines that were dropped since the start.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sends logs to standard output in the given form, without ever waiting for
+/// its reader.
 ///
 /// # Errors
 ///
@@ -78,17 +92,33 @@
         .name("bramleymount")
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level.level()))
-        .flush_level_filter(LevelFilter::All)
+        .flush_level_filter(LevelFilter::Off)
+        .error_handler(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
         .build()
         .map_err(wrong)?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
 
+fn capacity() -> NonZeroUsize {
+    NonZeroUsize::new(QUEUE).unwrap_or(NonZeroUsize::MIN)
+}
+
 fn sink<F: Formatter + 'static>(formatter: F) -> spdlog::Result<Arc<dyn Sink>> {
     let sink = StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
+        .std_stream(StdStream::Stdout)
         .formatter(formatter)
         .build()?;
+    let pool = ThreadPool::builder().capacity(capacity()).build()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(sink))
+        .thread_pool(Arc::new(pool))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
+        .build()?;
     Ok(Arc::new(sink))
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,5 +3,5 @@
 mod log;
 mod settings;
 
-pub use log::{LogFormat, LogLevel, init_log};
-pub use settings::{Config, Listen};
+pub use log::{LogFormat, LogLevel, dropped_lines, init_log};
+pub use settings::{Config, Hosting, Listen};
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -29,6 +29,17 @@
     pub operators: SocketAddr,
 }
 
+/// Where a hosting platform meets the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hosting {
+    /// For announcements of the own backend server.
+    pub announcements: SocketAddr,
+    /// For questions whether the daemon takes calls.
+    pub readiness: SocketAddr,
+    /// For scrapers of metrics, if any.
+    pub metrics: Option<SocketAddr>,
+}
+
 /// The settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -46,6 +57,8 @@
     pub platform: SocketAddr,
     /// Daemons to ask first for the others.
     pub neighbours: Vec<SocketAddr>,
+    /// Set if the daemon runs on VMs whose platform speaks its own interfaces.
+    pub hosting: Option<Hosting>,
     /// Where metrics go by UDP, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// Threads that take calls from callers.
@@ -72,6 +85,8 @@
     #[serde(default)]
     neighbours: Vec<Spanned<SocketAddr>>,
     #[serde(default)]
+    hosting: Option<HostingEntry>,
+    #[serde(default)]
     metrics: Option<SocketAddr>,
     #[serde(default)]
     workers: Option<Spanned<usize>>,
@@ -93,6 +108,15 @@
     operators_beyond_loopback: bool,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HostingEntry {
+    announcements: SocketAddr,
+    readiness: SocketAddr,
+    #[serde(default)]
+    metrics: Option<SocketAddr>,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LogEntry {
@@ -126,8 +150,10 @@
     fn check(path: &Path, file: File) -> Result<Self, Errors> {
         let mut errors = Errors::default();
         check_listen(path, &file.listen, &mut errors);
-        if !file.backend.value.ip().is_loopback() {
-            let message = "backend must be on loopback, such as 127.0.0.1:9000";
+        let own = file.listen.callers.value.ip();
+        if !file.backend.value.ip().is_loopback() && file.backend.value.ip() != own {
+            let message = "backend must be on loopback, such as 127.0.0.1:9000, or on the VM's \
+                           own IP number that callers use";
             errors.at(path, &file.backend, message);
         }
         if file.platform.value.port() == 0 {
@@ -165,6 +191,11 @@
             backend: file.backend.value,
             platform: file.platform.value,
             neighbours: file.neighbours.iter().map(|n| n.value).collect(),
+            hosting: file.hosting.map(|entry| Hosting {
+                announcements: entry.announcements,
+                readiness: entry.readiness,
+                metrics: entry.metrics,
+            }),
             metrics: file.metrics,
             workers,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::call::{OwnProtocol, Protocol};
 use crate::config::Config;
 use crate::entry::{Entry, serve_callers};
 use crate::error::Error;
@@ -18,11 +19,14 @@
 use crate::model::{Instance, StartStamp, Version};
 use crate::operator::{Operator, serve_operators};
 use crate::peer::{Peers, Pool, serve_peers};
+use crate::platform::{
+    PlatformProtocol, RowStore, serve_announcements, serve_readiness, watch_configuration,
+};
 use crate::policy::member::{Beat, Member, MemberState, View};
-use crate::store::{HttpPlatform, Platform};
-use crate::tables::{Calls, Current, Homes, Journal, Routes, Shared, unix_ms};
-use crate::task::{Stopping, find_members, gossip, keep_homes, keep_row, poll, stop, watch_lease};
-use crate::web::Running;
+use crate::store::{Feed, HttpPlatform, Platform};
+use crate::tables::{Calls, Current, Homes, Journal, Readiness, Routes, Shared, Splits, unix_ms};
+use crate::task::{Stopping, find_members, gossip, keep_homes, poll, stop, watch_lease};
+use crate::web::{Listening, Running};
 
 /// How long the platform may take for one request.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -31,8 +35,9 @@
 pub struct Daemon {
     stopping: Stopping,
     tasks: JoinSet<()>,
-    callers: Running,
+    callers: Listening,
     operators: Running,
+    hosted: Vec<Listening>,
     peers: oneshot::Sender<()>,
 }
 
@@ -43,38 +48,65 @@
     ///
     /// Fails if an address of the settings cannot be bound.
     pub async fn start(config: Config) -> Result<Self, Error> {
-        let platform = HttpPlatform::new(config.platform, PLATFORM_TIMEOUT);
-        Self::start_on(config, Arc::new(platform)).await
+        if config.hosting.is_none() {
+            let store = HttpPlatform::new(config.platform, PLATFORM_TIMEOUT);
+            return Self::start_on(config, Arc::new(store)).await;
+        }
+        let store = Arc::new(RowStore::new(config.platform, PLATFORM_TIMEOUT));
+        let feed: Arc<dyn Feed> = Arc::clone(&store) as _;
+        Self::start_with(config, store, Arc::new(PlatformProtocol), Some(feed)).await
     }
 
-    /// Starts a daemon on a given platform.
+    /// Starts a daemon on a given store.
     ///
     /// # Errors
     ///
     /// Fails if an address of the settings cannot be bound.
     pub async fn start_on(config: Config, platform: Arc<dyn Platform>) -> Result<Self, Error> {
+        Self::start_with(config, platform, Arc::new(OwnProtocol), None).await
+    }
+
+    async fn start_with(
+        config: Config,
+        platform: Arc<dyn Platform>,
+        protocol: Arc<dyn Protocol>,
+        feed: Option<Arc<dyn Feed>>,
+    ) -> Result<Self, Error> {
         let handle = tokio::runtime::Handle::current();
-        let shared = Arc::new(shared(config, platform)?);
+        let shared = Arc::new(shared(config, platform, protocol)?);
         let guard = Guard::new(Arc::clone(&shared), handle.clone());
         let pool = Arc::new(Pool::new(handle, shared.config.listen.peers.ip()));
         let entry = Entry::new(Arc::clone(&shared), Arc::clone(&guard), Arc::clone(&pool));
         let (peers, stopped) = oneshot::channel();
         let service = Peers::new(Arc::clone(&shared), Arc::clone(&guard));
         serve_peers(shared.config.listen.peers, service, stopped).await?;
-        let callers = serve_callers(Arc::clone(&entry))?;
+        let callers = serve_callers(Arc::clone(&entry)).await?;
         let operators = serve_operators(Operator {
             shared: Arc::clone(&shared),
             guard: Arc::clone(&guard),
             entry: Arc::clone(&entry),
             pool: Arc::clone(&pool),
         })?;
+        let mut hosted = Vec::new();
+        if let Some(hosting) = shared.config.hosting {
+            let announcements = hosting.announcements;
+            hosted.push(serve_announcements(announcements, Arc::clone(&guard)).await?);
+            hosted.push(serve_readiness(hosting.readiness, Arc::clone(&shared)).await?);
+        }
         let mut tasks = JoinSet::new();
         tasks.spawn(gossip(Arc::clone(&shared), Arc::clone(&pool)));
-        tasks.spawn(poll(Arc::clone(&shared), Arc::clone(&guard)));
         tasks.spawn(watch_lease(Arc::clone(&shared), Arc::clone(&guard)));
-        tasks.spawn(keep_homes(Arc::clone(&shared)));
-        tasks.spawn(keep_row(Arc::clone(&shared)));
         tasks.spawn(find_members(Arc::clone(&shared)));
+        match feed {
+            Some(feed) => {
+                let (shared, guard) = (Arc::clone(&shared), Arc::clone(&guard));
+                tasks.spawn(watch_configuration(shared, guard, feed));
+            }
+            None => {
+                tasks.spawn(poll(Arc::clone(&shared), Arc::clone(&guard)));
+                tasks.spawn(keep_homes(Arc::clone(&shared)));
+            }
+        }
         let instance = shared.instance.to_string();
         let service = shared.config.service.as_str();
         spdlog::info!("daemon runs", kv: { instance = instance.as_str(), service });
@@ -88,6 +120,7 @@
             tasks,
             callers,
             operators,
+            hosted,
             peers,
         })
     }
@@ -106,14 +139,13 @@
     ///
     /// Calls that have not ended when `hurry` is told are cut.
     pub async fn stop(mut self, hurry: impl Future<Output = ()>) -> bool {
+        self.callers.close_kept();
         let drained = stop(&self.stopping, hurry).await;
+        self.hosted.clear();
         self.tasks.abort_all();
         let _ = self.peers.send(());
-        let (mut callers, mut operators) = (self.callers, self.operators);
-        let stopped = tokio::task::spawn_blocking(move || {
-            callers.stop();
-            operators.stop();
-        });
+        let mut operators = self.operators;
+        let stopped = tokio::task::spawn_blocking(move || operators.stop());
         let _ = stopped.await;
         drained
     }
@@ -124,7 +156,11 @@
     }
 }
 
-fn shared(config: Config, platform: Arc<dyn Platform>) -> Result<Shared, Error> {
+fn shared(
+    config: Config,
+    platform: Arc<dyn Platform>,
+    protocol: Arc<dyn Protocol>,
+) -> Result<Shared, Error> {
     let start = StartStamp::new(unix_ms(), rand::random());
     let instance = Instance::new(config.listen.advertised, start);
     let own = Member {
@@ -134,6 +170,7 @@
         beat: Beat(1),
         state: MemberState::Waiting,
         version: Version::NONE,
+        slots: None,
     };
     Ok(Shared {
         instance,
@@ -141,11 +178,14 @@
         view: Mutex::new(View::new(Instant::now(), own)),
         homes: Homes::default(),
         routes: Routes::new(config.centre.clone()),
+        splits: Splits::default(),
+        protocol,
         calls: Arc::new(Calls::default()),
         journal: Journal::default(),
         metrics: Metrics::new(config.metrics)?,
         platform,
         news: Notify::new(),
+        readiness: Readiness::default(),
         asks: Mutex::new(BTreeSet::new()),
         config,
     })
--- a/src/declare/check.rs
+++ b/src/declare/check.rs
@@ -6,9 +6,9 @@
 use serde_saphyr::Spanned;
 
 use super::inventory::{CentreEntry, Inventory, ServerEntry, ServiceEntry};
-use super::rules::{CallerEntry, ClassEntry, Rules, WorkEntry};
+use super::rules::{CallerEntry, ClassEntry, RouteEntry, Rules, WorkEntry};
 use super::source::Errors;
-use super::{Caller, Centre, Class, Estate, Once, Placement, Service, Work};
+use super::{Caller, Centre, Class, Estate, Once, Placement, Route, Service, Share, Work};
 use crate::model::{CentreName, ClassName, ClassRank, Retries, ServiceName};
 
 /// Most services of an estate.
@@ -34,6 +34,7 @@
         self.cycles(&inventory.services);
         let classes = self.classes(&rules.classes);
         self.work(&rules.work, &mut services, &classes);
+        let routes = self.routes(&rules.routes, &services, &classes);
         let callers = self.callers(&rules.callers, &classes);
         let once = Once {
             horizon: rules.once.horizon,
@@ -44,6 +45,7 @@
             centres,
             services,
             classes,
+            routes,
             callers,
             once,
         })
@@ -302,6 +304,50 @@
         self.rules(name, message);
     }
 
+    fn routes(
+        &mut self,
+        entries: &[RouteEntry],
+        services: &BTreeMap<ServiceName, Service>,
+        classes: &[Class],
+    ) -> Vec<Route> {
+        let mut names = BTreeSet::new();
+        let mut places = BTreeSet::new();
+        for entry in entries {
+            let name = &entry.name.value;
+            if !names.insert(name) {
+                self.rules(&entry.name, format!("route {name} stands twice"));
+            }
+            if !places.insert((&*entry.host.value, &*entry.path.value)) {
+                let message = format!("route {name} has host and path of an earlier one");
+                self.rules(&entry.path, message);
+            }
+            self.known_class(&entry.class, classes);
+            self.route(entry, services);
+        }
+        entries.iter().map(|entry| route(entry, classes)).collect()
+    }
+
+    fn route(&mut self, entry: &RouteEntry, services: &BTreeMap<ServiceName, Service>) {
+        let path = &entry.path.value;
+        if !path.starts_with('/') || !path.ends_with('/') {
+            let message = format!("path \"{path}\" must begin and end with /");
+            self.rules(&entry.path, message);
+        }
+        if entry.attempts.value == 0 {
+            self.rules(&entry.attempts, "attempts must be at least 1".into());
+        }
+        for share in &entry.shares.value {
+            if !services.contains_key(&share.service.value) {
+                let message = format!("{} is no service of the inventory", share.service.value);
+                self.rules(&share.service, message);
+            }
+        }
+        if entry.shares.value.iter().all(|s| s.weight.get() == 0) {
+            let message = "write at least one share with a weight above 0".into();
+            self.rules(&entry.shares, message);
+        }
+    }
+
     fn callers(&mut self, entries: &[CallerEntry], classes: &[Class]) -> Vec<Caller> {
         let mut seen = BTreeSet::new();
         for entry in entries {
@@ -324,6 +370,25 @@
     }
 }
 
+fn route(entry: &RouteEntry, classes: &[Class]) -> Route {
+    let class = &entry.class.value;
+    let share = |share: &super::rules::ShareEntry| Share {
+        service: share.service.value.clone(),
+        weight: share.weight,
+    };
+    Route {
+        name: entry.name.value.clone(),
+        host: entry.host.value.clone(),
+        path: entry.path.value.clone(),
+        shares: entry.shares.value.iter().map(share).collect(),
+        class: class.clone(),
+        idempotent: classes.iter().any(|c| c.name == *class && c.idempotent),
+        timeout: entry.timeout,
+        objective: entry.objective,
+        attempts: entry.attempts.value,
+    }
+}
+
 fn class(entry: &ClassEntry) -> Class {
     Class {
         name: entry.name.value.clone(),
--- a/src/declare/document.rs
+++ b/src/declare/document.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// The name of a document: `centres`, `classes` or `service/NAME`.
+/// The name of a document: `centres`, `classes`, `routes` or `service/NAME`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct DocumentName(Box<str>);
@@ -48,6 +48,7 @@
 impl DocumentName {
     const CENTRES: &'static str = "centres";
     const CLASSES: &'static str = "classes";
+    const ROUTES: &'static str = "routes";
     const SERVICE: &'static str = "service/";
 
     /// Takes a name as it stands in a message.
@@ -117,6 +118,10 @@
         Document::encode(centres, &estate.centres),
         Document::encode(classes, &rules),
     ];
+    if !estate.routes.is_empty() {
+        let name = DocumentName::from_text(DocumentName::ROUTES);
+        documents.push(Document::encode(name, &estate.routes));
+    }
     for service in estate.services.values() {
         let name = DocumentName::of_service(&service.name);
         documents.push(Document::encode(name, service));
@@ -132,11 +137,13 @@
 pub fn join<'a>(documents: impl IntoIterator<Item = &'a Document>) -> Result<Estate, Error> {
     let mut centres: Option<Vec<Centre>> = None;
     let mut rules: Option<Classes> = None;
+    let mut routes = Vec::new();
     let mut services = BTreeMap::new();
     for document in documents {
         match document.name.as_str() {
             DocumentName::CENTRES => centres = Some(document.decode()?),
             DocumentName::CLASSES => rules = Some(document.decode()?),
+            DocumentName::ROUTES => routes = document.decode()?,
             name if name.starts_with(DocumentName::SERVICE) => {
                 let service: Service = document.decode()?;
                 services.insert(service.name.clone(), service);
@@ -158,6 +165,7 @@
         centres,
         services,
         classes: rules.classes,
+        routes,
         callers: rules.callers,
         once: rules.once,
     })
--- a/src/declare/estate.rs
+++ b/src/declare/estate.rs
@@ -6,6 +6,7 @@
 use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 
+use super::route::{self, Route};
 use crate::model::{
     Bytes, CallerName, CentreName, ClassName, ClassRank, Connections, HallName, Retries,
     ServiceName, Slots, Span,
@@ -124,6 +125,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// The classes, most important first.
     pub classes: Vec<Class>,
+    /// The routes; if there are none, the host of a request names its service.
+    pub routes: Vec<Route>,
     /// The callers.
     pub callers: Vec<Caller>,
     /// How once calls are kept.
@@ -144,6 +147,11 @@
         (ClassRank::new(place), &self.classes[place])
     }
 
+    /// Returns the route of a request, if one matches.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        route::find(&self.routes, host, path)
+    }
+
     /// Returns a class by name, with its rank.
     pub fn class(&self, name: &str) -> Option<(ClassRank, &Class)> {
         let place = self.classes.iter().position(|c| c.name.as_str() == name)?;
--- a/src/declare/mod.rs
+++ b/src/declare/mod.rs
@@ -7,6 +7,7 @@
 mod inventory;
 mod load;
 mod manifest;
+mod route;
 mod rules;
 mod source;
 
@@ -15,4 +16,5 @@
 pub use estate::{Caller, Centre, Class, Estate, Once, Placement, Service, Work};
 pub use load::load;
 pub use manifest::Manifest;
+pub use route::{Route, Share};
 pub use source::{Errors, parse, read};
--- a/src/declare/rules.rs
+++ b/src/declare/rules.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
-use crate::model::{Bytes, CallerName, ClassName, Retries, ServiceName, Span};
+use crate::model::{Bytes, CallerName, ClassName, Retries, RouteName, ServiceName, Span, Weight};
 
 /// The file `rules.yaml`.
 #[derive(Debug, Deserialize)]
@@ -13,6 +13,8 @@
     pub(super) classes: Vec<ClassEntry>,
     pub(super) work: Vec<WorkEntry>,
     #[serde(default)]
+    pub(super) routes: Vec<RouteEntry>,
+    #[serde(default)]
     pub(super) callers: Vec<CallerEntry>,
     #[serde(default)]
     pub(super) once: OnceEntry,
@@ -51,6 +53,31 @@
     pub(super) class: Spanned<ClassName>,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RouteEntry {
+    pub(super) name: Spanned<RouteName>,
+    pub(super) host: Spanned<Box<str>>,
+    pub(super) path: Spanned<Box<str>>,
+    pub(super) shares: Spanned<Vec<ShareEntry>>,
+    pub(super) class: Spanned<ClassName>,
+    pub(super) timeout: Span,
+    pub(super) objective: Span,
+    pub(super) attempts: Spanned<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ShareEntry {
+    pub(super) service: Spanned<ServiceName>,
+    #[serde(default = "default_weight")]
+    pub(super) weight: Weight,
+}
+
+fn default_weight() -> Weight {
+    Weight::new(1)
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct CallerEntry {
--- a/src/emulator/backend.rs
+++ b/src/emulator/backend.rs
@@ -13,8 +13,8 @@
 use tokio::sync::Semaphore;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
 
+use crate::call::CALL;
 use crate::error::Error;
-use crate::guard::CALL;
 use crate::model::ServiceName;
 use crate::web::{Client, HttpRequest, HttpResponse, Running, answer_text, serve};
 
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -210,6 +210,7 @@
             neighbours: first
                 .map(|server| server.daemon.shared().instance.address)
                 .collect(),
+            hosting: None,
             metrics: None,
             workers: 1,
             grace: Span::from_millis(10_000),
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -3,19 +3,16 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use http::header::{EXPECT, HOST};
+use http::header::HOST;
 use http::request::Parts;
 use tokio::time::Instant;
 
-use super::header;
-use crate::call::{CallHead, OnceCall, Reason};
+use super::place::{Place, find};
+use crate::call::{CallHead, Facts, OnceCall, Reason};
 use crate::declare::{Class, Estate, Service};
-use crate::guard::{CALL, forwarded};
-use crate::model::{
-    AttemptId, CallId, CallerName, ClassRank, Depth, OnceKey, Priority, Retries, RootId,
-};
+use crate::model::{AttemptId, CallerName, ClassRank, Depth, OnceKey, Priority, Retries, RootId};
 use crate::policy::retry::Safety;
-use crate::tables::{Calls, Held};
+use crate::tables::{Held, Shared};
 
 /// A request that was understood.
 pub(super) struct Accepted {
@@ -27,10 +24,12 @@
     pub(super) safety: Safety,
     /// Retries of the request, if it has no parent.
     pub(super) retries: Retries,
+    /// Most backend servers that the call is sent to.
+    pub(super) attempts: u32,
     /// Whether the class is protected.
     pub(super) protected: bool,
-    /// Whether the caller says that this is its first attempt.
-    pub(super) first: bool,
+    /// The caller's count of its attempts, from 1, if it tells.
+    pub(super) count: Option<u32>,
     /// Name of the caller, for metrics.
     pub(super) caller: Option<CallerName>,
 }
@@ -41,30 +40,36 @@
     pub(super) detail: Box<str>,
 }
 
-fn rejected(reason: Reason, detail: impl Into<Box<str>>) -> Rejected {
+pub(super) fn rejected(reason: Reason, detail: impl Into<Box<str>>) -> Rejected {
     Rejected {
         reason,
         detail: detail.into(),
     }
 }
 
+/// Returns the host that a request names, without its port.
+pub(super) fn host(parts: &Parts) -> &str {
+    let named = || parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = parts.uri.host().or_else(named).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
 /// Reads what a request is, by the rules in force.
 pub(super) fn accept(
     parts: &Parts,
     from: IpAddr,
     estate: &Estate,
-    calls: &Calls,
+    shared: &Shared,
 ) -> Result<Accepted, Rejected> {
-    let service = service(parts, estate)?;
-    let parent = parent(parts, calls);
-    let path = parts.uri.path();
+    let wrong = |e| rejected(Reason::BadRequest, e);
+    let facts = shared.protocol.read(parts).map_err(wrong)?;
+    let place = find(parts, estate, &shared.splits)?;
+    let parent = facts.parent.and_then(|id| shared.calls.get(id));
     let declared = estate.caller(from);
-    let (rank, class) = match &parent {
-        Some(held) => estate
-            .class(held.class.as_str())
-            .ok_or_else(|| rejected(Reason::BadRequest, "the class is no longer declared"))?,
-        None => estate.classify(service, parts.method.as_str(), path),
-    };
+    let (rank, class) = parent
+        .as_ref()
+        .and_then(|held| estate.class(held.class.as_str()))
+        .unwrap_or((place.rank, place.class));
     if parent.is_none()
         && let Some(caller) = declared
         && !caller.classes.is_empty()
@@ -73,43 +78,59 @@
         let detail = format!("{} may not use class {}", caller.name, class.name);
         return Err(rejected(Reason::Forbidden, detail));
     }
-    let once = once(parts, service, class, estate, parent.as_deref())?;
+    let once = once(parts, place.service, class, estate, parent.as_deref())?;
     let caller = match &parent {
         Some(held) => held.caller.clone(),
         None => declared.map(|caller| caller.name.clone()),
     };
-    let safety = if once.is_some() || !(class.idempotent || parts.method.is_safe()) {
+    let idempotent = match place.route {
+        Some(route) => route.idempotent,
+        None => class.idempotent || parts.method.is_safe(),
+    };
+    let safety = if once.is_some() || !idempotent {
         Safety::Once
     } else {
         Safety::Idempotent
     };
-    let head = head(parts, service, (rank, class), once, parent.as_deref())?;
-    let retries = class.retries;
-    let protected = estate.protected().is_some_and(|last| rank <= last);
+    let head = head(parts, &facts, &place, (rank, class), parent.as_deref())?;
     Ok(Accepted {
         head: CallHead {
             caller: caller.clone(),
+            headers: shared
+                .protocol
+                .forward(&parts.headers, &shared.config.service),
+            once,
             ..head
         },
         parent,
         safety,
-        retries,
-        protected,
-        first: header::attempt(&parts.headers) == Some(1),
+        retries: place.retries(class),
+        attempts: place.attempts(class),
+        protected: estate.protected().is_some_and(|last| rank <= last),
+        count: facts.attempt,
         caller,
     })
 }
 
 fn head(
     parts: &Parts,
-    service: &Service,
+    facts: &Facts,
+    place: &Place<'_>,
     (rank, class): (ClassRank, &Class),
-    once: Option<OnceCall>,
     parent: Option<&Held>,
 ) -> Result<CallHead, Rejected> {
-    let timeout = header::timeout(&parts.headers).map_err(|e| rejected(Reason::BadRequest, e))?;
-    let own = Instant::now() + timeout.unwrap_or(class.deadline.get());
-    let root = parent.map_or_else(RootId::random, |held| held.root);
+    let now = Instant::now();
+    let longest = place.route.map_or(class.deadline, |route| route.timeout);
+    let timeout = match (facts.timeout, place.route) {
+        (Some(timeout), Some(_)) => timeout.min(longest.get()),
+        (Some(timeout), None) => timeout,
+        (None, _) => longest.get(),
+    };
+    let own = now + timeout;
+    let root = match parent {
+        Some(held) => held.root,
+        None => facts.root.unwrap_or_else(RootId::random),
+    };
     let depth = parent.map_or(Depth::default(), |held| held.depth.next());
     if depth > Depth::MAX {
         return Err(rejected(Reason::TooDeep, "calls go round in a circle"));
@@ -118,54 +139,25 @@
         .uri
         .path_and_query()
         .map_or("/", |target| target.as_str());
-    let mut headers = forwarded(&parts.headers);
-    for name in [&CALL, &header::TIMEOUT, &header::ATTEMPT, &EXPECT] {
-        headers.remove(name);
-    }
     Ok(CallHead {
         attempt: AttemptId::new(0),
-        call: CallId::random(),
+        call: facts.call,
         root,
-        service: service.name.clone(),
+        service: place.service.name.clone(),
         caller: None,
         class: class.name.clone(),
         priority: Priority::new(rank, depth, root),
         depth,
         deadline: parent.map_or(own, |held| own.min(held.deadline)),
         account: Retries::new(0),
-        once,
+        once: None,
         repeat: false,
         method: parts.method.clone(),
         target: target.into(),
-        headers,
+        headers: http::HeaderMap::new(),
     })
 }
 
-/// Finds the service by the first label of the host.
-fn service<'e>(parts: &Parts, estate: &'e Estate) -> Result<&'e Service, Rejected> {
-    let host = parts
-        .uri
-        .host()
-        .or_else(|| parts.headers.get(HOST).and_then(|host| host.to_str().ok()))
-        .unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    let label = host.split('.').next().unwrap_or_default();
-    estate
-        .services
-        .iter()
-        .find(|(name, _)| name.as_str() == label)
-        .map(|(_, service)| service)
-        .ok_or_else(|| {
-            let detail = format!("Host \"{host}\" names no service; write SERVICE or SERVICE.any");
-            rejected(Reason::NoSuchService, detail)
-        })
-}
-
-fn parent(parts: &Parts, calls: &Calls) -> Option<Arc<Held>> {
-    let id: CallId = parts.headers.get(&CALL)?.to_str().ok()?.parse().ok()?;
-    calls.get(id)
-}
-
 /// Reads the idempotency key of a call that must run at most once.
 ///
 /// A call made onwards for a once call has the class of its parent, but is
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,79 +1,80 @@
 //! What a caller receives.
 
-use std::time::Duration;
-
 use http::header::{CONTENT_LENGTH, RETRY_AFTER};
-use http::{HeaderName, HeaderValue};
-use xitca_web::body::ResponseBody;
-use xitca_web::http::Response;
+use http::{HeaderMap, HeaderName, HeaderValue, Response};
 
-use super::body;
 use super::header::{REASON, TICKET, VERDICT};
-use crate::call::{Refusal, Reply};
-use crate::guard::{CALL, forwarded};
+use crate::call::{Protocol, Refusal, Reply, end_to_end};
 use crate::model::{CallId, OnceKey, Verdict};
-use crate::web::{HttpResponse, Payload};
+use crate::web::{CallerAnswer, Payload, caller_body, caller_text};
 
 /// Marks an answer that was kept from an earlier run of the same key.
 const KEPT: HeaderName = HeaderName::from_static("bramleymount-kept");
 
-/// Gives the backend server's own answer.
-pub(super) fn of_reply(call: CallId, reply: Reply) -> HttpResponse {
-    let Reply { head, body } = reply;
-    let streamed = matches!(body, Payload::Stream { .. });
-    let mut answer = Response::new(body::send(body));
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = forwarded(&head.headers);
-    if !streamed {
-        answer.headers_mut().remove(CONTENT_LENGTH);
-    }
-    if head.kept {
-        put(&mut answer, KEPT, "true");
-    }
-    put(&mut answer, CALL, &call.to_string());
-    answer
+/// Makes the answers to one request.
+pub(super) struct Answering<'r> {
+    protocol: &'r dyn Protocol,
+    request: &'r HeaderMap,
 }
 
-/// Says why there is no answer, and what that means.
-pub(super) fn of_refusal(
-    call: Option<CallId>,
-    refusal: &Refusal,
-    ticket: Option<&OnceKey>,
-) -> HttpResponse {
-    let reason = refusal.reason();
-    let verdict = refusal.verdict();
-    let mut text = format!("{reason} ({verdict})");
-    if !refusal.detail.is_empty() {
-        text.push_str(": ");
-        text.push_str(&refusal.detail);
-    }
-    text.push('\n');
-    let mut answer = Response::new(ResponseBody::bytes(text));
-    *answer.status_mut() = reason.status();
-    put(&mut answer, VERDICT, verdict.as_str());
-    put(&mut answer, REASON, reason.as_str());
-    if let Some(call) = call {
-        put(&mut answer, CALL, &call.to_string());
+impl<'r> Answering<'r> {
+    /// Prepares to answer a request with these headers.
+    pub(super) fn new(protocol: &'r dyn Protocol, request: &'r HeaderMap) -> Self {
+        Self { protocol, request }
     }
-    if let Some(after) = refusal.retry_after {
-        put(&mut answer, RETRY_AFTER, &whole_seconds(after).to_string());
-    }
-    if let Some(ticket) = ticket
-        && verdict == Verdict::NotRun
-    {
-        put(&mut answer, TICKET, &ticket.to_string());
+
+    /// Gives the backend server's own answer.
+    pub(super) fn reply(&self, call: CallId, reply: Reply) -> CallerAnswer {
+        let Reply { head, body } = reply;
+        let streamed = matches!(body, Payload::Stream { .. });
+        let mut answer = Response::new(caller_body(body));
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = end_to_end(&head.headers);
+        if !streamed {
+            answer.headers_mut().remove(CONTENT_LENGTH);
+        }
+        if head.kept {
+            put(&mut answer, KEPT, "true");
+        }
+        self.protocol.sign(answer.headers_mut(), call, self.request);
+        answer
     }
-    answer
-}
 
-fn whole_seconds(time: Duration) -> u64 {
-    time.as_millis()
-        .div_ceil(1000)
-        .try_into()
-        .unwrap_or(u64::MAX)
+    /// Says why there is no answer, and what that means.
+    pub(super) fn refusal(
+        &self,
+        call: Option<CallId>,
+        refusal: &Refusal,
+        ticket: Option<&OnceKey>,
+    ) -> CallerAnswer {
+        let reason = refusal.reason();
+        let verdict = refusal.verdict();
+        let mut text = format!("{reason} ({verdict})");
+        if !refusal.detail.is_empty() {
+            text.push_str(": ");
+            text.push_str(&refusal.detail);
+        }
+        text.push('\n');
+        let status = self.protocol.status(refusal);
+        let mut answer = caller_text(status, "text/plain; charset=utf-8", text);
+        put(&mut answer, VERDICT, verdict.as_str());
+        put(&mut answer, REASON, reason.as_str());
+        if let Some(call) = call {
+            self.protocol.sign(answer.headers_mut(), call, self.request);
+        }
+        if let Some(after) = refusal.retry_after {
+            put(&mut answer, RETRY_AFTER, &self.protocol.retry_after(after));
+        }
+        if let Some(ticket) = ticket
+            && verdict == Verdict::NotRun
+        {
+            put(&mut answer, TICKET, &ticket.to_string());
+        }
+        answer
+    }
 }
 
-fn put(answer: &mut HttpResponse, name: HeaderName, value: &str) {
+fn put(answer: &mut CallerAnswer, name: HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         answer.headers_mut().insert(name, value);
     }
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -1,10 +1,11 @@
-//! Bodies from and to callers.
+//! Bodies of callers.
 
 use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::sync::mpsc;
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody, StreamDataBody};
 
 use crate::web::{Chunks, Cut, Payload, SMALL_BODY};
 
@@ -24,7 +25,7 @@
 /// Reads a body: whole if it is small or must be held, else as a stream.
 pub(super) async fn receive(
     headers: &HeaderMap,
-    mut body: RequestBody,
+    mut body: Incoming,
     hold: bool,
 ) -> Result<Payload, BodyError> {
     let length = content_length(headers);
@@ -38,7 +39,7 @@
     }
     let mut first = BytesMut::new();
     while !large && first.len() <= limit {
-        match body.data().await {
+        match next(&mut body).await {
             None => return whole(first.freeze(), length),
             Some(Err(_)) => return Err(BodyError::Cut),
             Some(Ok(chunk)) => first.extend_from_slice(&chunk),
@@ -48,10 +49,24 @@
         return Err(BodyError::TooLarge);
     }
     let (sender, chunks) = Chunks::channel();
-    tokio::task::spawn_local(pump(first.freeze(), body, length, sender));
+    tokio::spawn(pump(first.freeze(), body, length, sender));
     Ok(Payload::Stream { length, chunks })
 }
 
+/// Returns the next chunk of a body; trailers are passed over.
+async fn next(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+    loop {
+        match body.frame().await? {
+            Err(e) => return Some(Err(e)),
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    return Some(Ok(data));
+                }
+            }
+        }
+    }
+}
+
 fn whole(bytes: Bytes, length: Option<u64>) -> Result<Payload, BodyError> {
     match length {
         Some(length) if length != bytes.len() as u64 => Err(BodyError::Cut),
@@ -66,7 +81,7 @@
 /// Passes a streamed body on as fast as it is taken.
 async fn pump(
     first: Bytes,
-    mut body: RequestBody,
+    mut body: Incoming,
     length: Option<u64>,
     to: mpsc::Sender<Result<Bytes, Cut>>,
 ) {
@@ -74,7 +89,7 @@
     if !first.is_empty() && to.send(Ok(first)).await.is_err() {
         return;
     }
-    while let Some(chunk) = body.data().await {
+    while let Some(chunk) = next(&mut body).await {
         let Ok(chunk) = chunk else {
             let _ = to.send(Err(Cut)).await;
             return;
@@ -94,11 +109,3 @@
     };
     let _ = to.send(end).await;
 }
-
-/// Makes the body of an answer to a caller.
-pub(super) fn send(body: Payload) -> ResponseBody {
-    match body {
-        Payload::Whole(bytes) => ResponseBody::bytes(bytes),
-        Payload::Stream { chunks, .. } => ResponseBody::boxed(StreamDataBody::new(chunks)),
-    }
-}
--- /dev/null
+++ b/src/entry/context.rs
@@ -0,0 +1,50 @@
+//! What the calls of one entry share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::guard::Guard;
+use crate::peer::Pool;
+use crate::policy::member::Budget;
+use crate::tables::Shared;
+
+/// Home rows a second and at once that one entry may read for callers.
+const HOME_RATE: f64 = 1.0;
+const HOME_BURST: f64 = 4.0;
+
+/// Mean time after which a refused caller may come back, where nothing is
+/// known of the excess.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the calls of one entry share.
+pub(super) struct Context {
+    pub(super) shared: Arc<Shared>,
+    pub(super) guard: Arc<Guard>,
+    pub(super) pool: Arc<Pool>,
+    home_reads: Mutex<Budget>,
+}
+
+impl Context {
+    pub(super) fn new(shared: Arc<Shared>, guard: Arc<Guard>, pool: Arc<Pool>) -> Self {
+        Self {
+            shared,
+            guard,
+            pool,
+            home_reads: Mutex::new(Budget::new(Instant::now(), HOME_RATE, HOME_BURST)),
+        }
+    }
+
+    /// Takes leave to read a home row from the platform.
+    pub(super) fn may_read_home(&self) -> bool {
+        self.home_reads.lock().take(Instant::now())
+    }
+
+    /// Returns when a refused caller may come back, spread at random.
+    pub(super) fn retry_after(&self) -> Duration {
+        RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5))
+    }
+}
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::accept::Accepted;
-use super::handler::Entry;
+use super::context::Context;
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply, Scope};
 use crate::model::{Instance, OnceKey, Verdict};
 use crate::peer;
@@ -18,6 +18,10 @@
 use crate::task::read_home;
 use crate::web::Payload;
 
+/// Most guards that one call is refused by before it is given up; more would
+/// make refusals late.
+const MAX_DETOURS: u32 = 3;
+
 /// How a call ended, and how many retries it took here.
 pub(super) struct Ended {
     pub(super) result: Result<Reply, Refusal>,
@@ -41,28 +45,34 @@
 
 /// One call under way at the entry.
 pub(super) struct Forward<'e> {
-    entry: &'e Entry,
+    context: &'e Context,
     purse: Purse,
     accepted: &'e Accepted,
     retries: u32,
     /// The weakest verdict of the attempts so far.
     earlier: Verdict,
-    avoid: Option<Instance>,
+    tried: Vec<Instance>,
+    /// Backend servers that the call was sent to.
+    sent: u32,
+    /// Guards that refused it before its backend server saw it.
+    detours: u32,
 }
 
 impl<'e> Forward<'e> {
-    pub(super) fn new(entry: &'e Entry, accepted: &'e Accepted) -> Self {
+    pub(super) fn new(context: &'e Context, accepted: &'e Accepted) -> Self {
         let purse = match &accepted.parent {
             Some(held) => Purse::Parent(Arc::clone(held)),
             None => Purse::Own(parking_lot::Mutex::new(Account::open(accepted.retries))),
         };
         Self {
-            entry,
+            context,
             purse,
             accepted,
             retries: 0,
             earlier: Verdict::NotRun,
-            avoid: None,
+            tried: Vec::new(),
+            sent: 0,
+            detours: 0,
         }
     }
 
@@ -94,8 +104,13 @@
 
     async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
         self.refresh_home().await?;
+        let mut last = None;
         loop {
-            let (attempt, target) = self.target(Attempt::plan())?;
+            let (attempt, target) = match (self.target(Attempt::plan()), last) {
+                (Ok(found), _) => found,
+                (Err(_), Some(failed)) => return Err(failed),
+                (Err(refusal), None) => return Err(refusal),
+            };
             let failed = match self
                 .attempt(attempt, target, Payload::Whole(body.clone()))
                 .await
@@ -110,10 +125,13 @@
             if !self.again(&failed) {
                 return Err(failed);
             }
-            self.avoid = Some(target);
+            if self.head().once.is_none() {
+                self.tried.push(target);
+            }
             self.retries += 1;
-            let journal = &self.entry.shared.journal;
+            let journal = &self.context.shared.journal;
             journal.note(self.head().call, Step::Retried, failed.reason().as_str());
+            last = Some(failed);
         }
     }
 
@@ -122,8 +140,9 @@
     /// Of a key that the caller may have sent before, elsewhere, only the
     /// instance that may start it can say that it was not run.
     fn weigh(&self, refusal: Refusal) -> Refusal {
-        let unsure =
-            self.head().once.is_some() && !self.accepted.first && refusal.scope() == Scope::Attempt;
+        let unsure = self.head().once.is_some()
+            && self.accepted.count != Some(1)
+            && refusal.scope() == Scope::Attempt;
         let earlier = if unsure {
             Verdict::MayHaveRun
         } else {
@@ -142,11 +161,11 @@
             return Ok(());
         };
         let not_owned = Place::Refused(Refuse::NotOwned);
-        if self.place(&once.key) != not_owned || !self.entry.may_read_home() {
+        if self.place(&once.key) != not_owned || !self.context.may_read_home() {
             return Ok(());
         }
         let service = &self.head().service;
-        if !read_home(&self.entry.shared, service).await || self.place(&once.key) != not_owned {
+        if !read_home(&self.context.shared, service).await || self.place(&once.key) != not_owned {
             return Ok(());
         }
         Err(Attempt::plan().refuse_once(Refuse::NotOwned).of_key())
@@ -171,12 +190,13 @@
         }
         let want = self.want();
         let now = Instant::now();
-        let picked = self.table(|table| table.choose(now, want, &mut rand::rng()));
+        let picked =
+            self.table(|table| table.choose_except(now, want, &self.tried, &mut rand::rng()));
         match picked {
             Pick::Target(instance) => Ok((attempt, instance)),
             Pick::Refused(_) => {
                 let mut refusal = attempt.refuse(Reason::Shed(Shed::Overload), "");
-                refusal.retry_after = Some(self.entry.retry_after());
+                refusal.retry_after = Some(self.context.retry_after());
                 Err(refusal)
             }
             Pick::Nothing => Err(attempt.refuse(Reason::Unreachable, "no server takes calls")),
@@ -187,12 +207,12 @@
         Want {
             level: self.head().priority.level(),
             protected: self.accepted.protected,
-            avoid: self.avoid,
+            avoid: None,
         }
     }
 
     fn place(&self, key: &OnceKey) -> Place {
-        let shared = &self.entry.shared;
+        let shared = &self.context.shared;
         let service = &self.head().service;
         let view = shared.view.lock();
         let home = shared.homes.get(service);
@@ -213,7 +233,7 @@
     }
 
     fn table<T>(&self, use_it: impl FnOnce(&mut crate::policy::route::Table) -> T) -> T {
-        let table = self.entry.shared.routes.table(&self.head().service);
+        let table = self.context.shared.routes.table(&self.head().service);
         let mut table = table.lock();
         use_it(&mut table)
     }
@@ -229,7 +249,7 @@
         let mut head = self.head().clone();
         head.attempt = attempt.id();
         head.account = loan.retries;
-        let journal = &self.entry.shared.journal;
+        let journal = &self.context.shared.journal;
         journal.note(head.call, Step::Sent, target.to_string());
         let sent = Sending {
             forward: self,
@@ -237,10 +257,10 @@
             reported: false,
         };
         let call = Call { head, body };
-        let result = if target == self.entry.shared.instance {
-            self.entry.guard.serve(call).await
+        let result = if target == self.context.shared.instance {
+            self.context.guard.serve(call).await
         } else {
-            peer::send(&self.entry.pool, target, attempt, call).await
+            peer::send(&self.context.pool, target, attempt, call).await
         };
         sent.report(&result);
         self.settle(loan, &result);
@@ -283,7 +303,7 @@
 
     async fn inquire(&self, target: Instance, key: &OnceKey) -> Result<Reply, Refusal> {
         let head = self.head();
-        let pool = &self.entry.pool;
+        let pool = &self.context.pool;
         peer::inquire(pool, target, &head.service, key, head.deadline).await
     }
 
@@ -304,6 +324,11 @@
         if failed.verdict() == Verdict::MayHaveRun {
             self.earlier = Verdict::MayHaveRun;
         }
+        if failed.arrived() {
+            self.sent += 1;
+        } else if head.once.is_none() {
+            return self.detour(failed);
+        }
         // A lost once call is repeated at the same instance, whose ledger
         // keeps it from running twice.
         let once_again =
@@ -311,6 +336,9 @@
         if !once_again && !failed.reason().may_differ_elsewhere() {
             return false;
         }
+        if self.sent >= self.accepted.attempts {
+            return false;
+        }
         let verdict = if once_again {
             Verdict::NotRun
         } else {
@@ -329,6 +357,17 @@
     }
 }
 
+impl Forward<'_> {
+    /// Decides whether a call that no backend server has seen is tried at
+    /// another guard; that is no retry, since nothing was asked of a server.
+    fn detour(&mut self, failed: &Refusal) -> bool {
+        let reason = failed.reason();
+        let elsewhere = reason.may_differ_elsewhere() || reason.is_overload();
+        self.detours += 1;
+        elsewhere && self.detours <= MAX_DETOURS
+    }
+}
+
 /// Reports to the table of targets how an attempt ended, also if the caller
 /// went away first.
 struct Sending<'f> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,9 +3,12 @@
 mod accept;
 mod answer;
 mod body;
+mod context;
 mod forward;
 mod handler;
 mod header;
+mod place;
 
+pub use crate::call::{ATTEMPT, TIMEOUT};
 pub use handler::{Entry, serve_callers};
-pub use header::{ATTEMPT, REASON, TICKET, TIMEOUT, VERDICT};
+pub use header::{REASON, TICKET, VERDICT};
--- /dev/null
+++ b/src/entry/place.rs
@@ -0,0 +1,92 @@
+//! The service and class of a request, by routes or by its host.
+
+use http::request::Parts;
+
+use super::accept::{Rejected, host, rejected};
+use crate::call::Reason;
+use crate::declare::{Class, Estate, Route, Service};
+use crate::model::{ClassRank, Retries};
+use crate::tables::Splits;
+
+/// Where a request belongs.
+pub(super) struct Place<'e> {
+    pub(super) service: &'e Service,
+    pub(super) rank: ClassRank,
+    pub(super) class: &'e Class,
+    /// The route that matched, where there are routes.
+    pub(super) route: Option<&'e Route>,
+}
+
+impl Place<'_> {
+    /// Returns the retries that a request of its own may use.
+    pub(super) fn retries(&self, class: &Class) -> Retries {
+        match self.route {
+            Some(route) => Retries::new(route.attempts.saturating_sub(1)),
+            None => class.retries,
+        }
+    }
+
+    /// Returns the most backend servers that a call may be sent to.
+    pub(super) fn attempts(&self, class: &Class) -> u32 {
+        match self.route {
+            Some(route) => route.attempts.max(1),
+            None => class.retries.get() + 1,
+        }
+    }
+}
+
+/// Finds where a request belongs.
+pub(super) fn find<'e>(
+    parts: &Parts,
+    estate: &'e Estate,
+    splits: &Splits,
+) -> Result<Place<'e>, Rejected> {
+    if estate.routes.is_empty() {
+        by_host(parts, estate)
+    } else {
+        by_route(parts, estate, splits)
+    }
+}
+
+/// Finds the service by the first label of the host.
+fn by_host<'e>(parts: &Parts, estate: &'e Estate) -> Result<Place<'e>, Rejected> {
+    let host = host(parts);
+    let label = host.split('.').next().unwrap_or_default();
+    let service = estate
+        .services
+        .iter()
+        .find(|(name, _)| name.as_str() == label)
+        .map(|(_, service)| service)
+        .ok_or_else(|| {
+            let detail = format!("Host \"{host}\" names no service; write SERVICE or SERVICE.any");
+            rejected(Reason::NoSuchService, detail)
+        })?;
+    let (rank, class) = estate.classify(service, parts.method.as_str(), parts.uri.path());
+    Ok(Place {
+        service,
+        rank,
+        class,
+        route: None,
+    })
+}
+
+fn by_route<'e>(parts: &Parts, estate: &'e Estate, splits: &Splits) -> Result<Place<'e>, Rejected> {
+    let (host, path) = (host(parts), parts.uri.path());
+    let unknown = |what: String| rejected(Reason::NoSuchService, what);
+    let route = estate
+        .route(host, path)
+        .ok_or_else(|| unknown(format!("no route of host \"{host}\" begins the path")))?;
+    let share = splits.choose(route);
+    let service = share
+        .and_then(|share| estate.services.get(&share.service))
+        .ok_or_else(|| rejected(Reason::Unreachable, "the route leads to no service"))?;
+    let (rank, class) = estate
+        .class(route.class.as_str())
+        .ok_or_else(|| rejected(Reason::Unreachable, "the route's class is not declared"))?;
+    Ok(Place {
+        service,
+        rank,
+        class,
+        route: Some(route),
+    })
+}
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST, TE, TRANSFER_ENCODING, UPGRADE};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
@@ -15,10 +14,8 @@
 use tokio_stream::StreamExt;
 
 use crate::call::CallHead;
-use crate::web::{Chunks, Cut, Payload, SMALL_BODY};
-
-/// The header by which onward calls name the call they belong to.
-pub const CALL: HeaderName = HeaderName::from_static("bramleymount-call");
+use crate::model::ServerId;
+use crate::web::{Chunks, Cut, Payload, SMALL_BODY, alive_or_closed};
 
 type RequestBody = UnsyncBoxBody<Bytes, Cut>;
 
@@ -32,15 +29,6 @@
 /// Longest time in which a streamed body may make no progress.
 const PROGRESS: Duration = Duration::from_secs(10);
 
-/// Headers that concern one connection only.
-const HOP: [HeaderName; 5] = [
-    CONNECTION,
-    TE,
-    TRANSFER_ENCODING,
-    UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// How the backend server failed to answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum BackendError {
@@ -48,8 +36,12 @@
     Connect(Box<str>),
     /// It closed early, or answered too little.
     Cut(Box<str>),
-    /// Its answer was no HTTP.
+    /// Its answer was no HTTP, or none to this call.
     Garbage(Box<str>),
+    /// It said itself that it has not run the call.
+    NotRun,
+    /// Another run stands at its address and has not run the call.
+    OtherServer(Option<ServerId>),
 }
 
 /// A client of the backend server.
@@ -65,6 +57,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT));
+        alive_or_closed(&mut connector);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE)
@@ -77,6 +70,7 @@
     pub(super) async fn send(
         &self,
         head: &CallHead,
+        headers: HeaderMap,
         body: Payload,
     ) -> Result<Response<Incoming>, BackendError> {
         let uri = format!("http://{}{}", self.address, head.target);
@@ -85,10 +79,7 @@
         *request.uri_mut() = uri
             .parse()
             .map_err(|_| BackendError::Connect("the target is no valid path".into()))?;
-        *request.headers_mut() = forwarded(&head.headers);
-        if let Ok(call) = HeaderValue::from_str(&head.call.to_string()) {
-            request.headers_mut().insert(CALL, call);
-        }
+        *request.headers_mut() = headers;
         self.client.request(request).await.map_err(|e| {
             if e.is_connect() {
                 return BackendError::Connect(e.to_string().into());
@@ -118,16 +109,6 @@
     }
 }
 
-/// Returns the headers without those that concern one connection only.
-pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = headers.clone();
-    for name in &HOP {
-        kept.remove(name);
-    }
-    kept.remove(HOST);
-    kept
-}
-
 /// What was read of an answer's body.
 pub(super) enum AnswerBody {
     /// All of it.
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -6,7 +6,7 @@
 mod once;
 mod serve;
 
-pub use backend::{Backend, CALL, forwarded};
+pub use backend::Backend;
 pub use gate::{Gate, Pass};
 pub use lease::{Lease, LeaseState};
 pub use once::{OnceCalls, body_hash};
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -1,6 +1,7 @@
 //! The way of a call from the gate to the backend server and back.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,16 +11,18 @@
 use tokio::runtime::Handle;
 use tokio::time::Instant;
 
-use super::backend::{
-    AnswerBody, Backend, BackendError, forwarded, pump, read_small, read_whole, stream,
-};
+use super::backend::{AnswerBody, Backend, BackendError, pump, read_small, read_whole, stream};
 use super::once::{Change, Done, Entered};
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass, body_hash};
 use crate::call::{
-    Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
+    Attempt, Call, CallHead, Meaning, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
+    end_to_end,
+};
+use crate::model::{
+    ClassRank, Depth, GuardNews, Instance, OnceKey, Retries, ServerId, ServiceName, Slots,
 };
-use crate::model::{Depth, GuardNews, Instance, OnceKey, Retries, ServiceName, Slots};
 use crate::policy::admission::{Outcome, Settings, Shed};
+use crate::policy::member::{Announcement, Presence, Presented};
 use crate::policy::once::{
     Claim, ClaimCheck, Kept, LedgerLimits, Nonce, Refuse, authority, claim_key, judge_claim,
 };
@@ -41,6 +44,9 @@
     backend: Backend,
     once: OnceCalls,
     lease: Mutex<Lease>,
+    presence: Mutex<Presence>,
+    announced: Mutex<Option<Slots>>,
+    stopping: AtomicBool,
     handle: Handle,
 }
 
@@ -62,6 +68,9 @@
             backend,
             once: OnceCalls::new(limits),
             lease: Mutex::default(),
+            presence: Mutex::default(),
+            announced: Mutex::default(),
+            stopping: AtomicBool::new(false),
             shared,
             handle,
         })
@@ -99,6 +108,54 @@
         first
     }
 
+    /// Takes an announcement of one run of the backend server, which may come
+    /// late or out of order.
+    pub fn hear(&self, news: &Announcement) -> Presented {
+        let change = self.presence.lock().announce(news);
+        match change {
+            Presented::Old => {}
+            Presented::Leaving => self.drain(),
+            Presented::Arrived | Presented::Renewed => {
+                self.announced.lock().replace(news.slots);
+                self.gate.reload(self.slots(), self.protected());
+                if !self.stopping.load(Ordering::Relaxed) {
+                    self.announce(news.cold);
+                }
+            }
+        }
+        change
+    }
+
+    /// Takes note that a run of the backend server has ended or is about to.
+    pub fn depart(&self, server: &ServerId) {
+        if self.presence.lock().depart(server) {
+            self.drain();
+        }
+    }
+
+    /// Returns the run of the backend server that is present, if it said so.
+    pub fn server(&self) -> Option<ServerId> {
+        self.presence.lock().server().cloned()
+    }
+
+    /// Returns the slots that the backend server announced.
+    pub fn announced(&self) -> Option<Slots> {
+        *self.announced.lock()
+    }
+
+    fn displaced(&self, meant: Option<&ServerId>, found: Option<&ServerId>) {
+        if let Some(meant) = meant {
+            self.presence.lock().displaced(meant, found);
+            *self.lease.lock() = Lease::absent();
+        }
+    }
+
+    /// Refuses new calls for good, since the daemon stops.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.drain();
+    }
+
     /// Renews the announcement of a backend server that has not been told to
     /// leave.
     pub fn renew(&self) {
@@ -127,7 +184,15 @@
         });
     }
 
+    fn protected(&self) -> Option<ClassRank> {
+        let in_force = self.shared.current.get()?;
+        in_force.estate.protected()
+    }
+
     fn slots(&self) -> Slots {
+        if let Some(slots) = self.announced() {
+            return slots;
+        }
         self.shared
             .current
             .get()
@@ -252,12 +317,28 @@
     }
 
     async fn ask(&self, head: &CallHead, body: Payload) -> Result<Answered, BackendError> {
-        let answer = self.backend.send(head, body).await?;
+        let protocol = &self.shared.protocol;
+        let server = self.server();
+        let mut headers = head.headers.clone();
+        protocol.address(&mut headers, head, Instant::now(), server.as_ref());
+        let answer = self.backend.send(head, headers, body).await?;
         let (parts, body) = answer.into_parts();
+        match protocol.meaning(head, parts.status, &parts.headers) {
+            Meaning::Answer => {}
+            Meaning::NotRun => return Err(BackendError::NotRun),
+            Meaning::OtherServer(found) => {
+                self.displaced(server.as_ref(), found.as_ref());
+                return Err(BackendError::OtherServer(found));
+            }
+            Meaning::Garbage => {
+                let cause = "the answer is to another call, or no server's";
+                return Err(BackendError::Garbage(cause.into()));
+            }
+        }
         let length = body.size_hint().exact();
         Ok(Answered {
             status: parts.status,
-            headers: forwarded(&parts.headers),
+            headers: end_to_end(&parts.headers),
             length,
             body: read_small(body).await?,
         })
@@ -274,6 +355,11 @@
                 .unsent()
                 .refuse(Reason::Unreachable, cause.clone())
                 .of_key(),
+            BackendError::NotRun => attempt.unsent().refuse(Reason::Rejected, ""),
+            BackendError::OtherServer(found) => {
+                let found = found.as_ref().map_or("", |server| server.as_str());
+                attempt.unsent().refuse(Reason::Replaced, found)
+            }
             BackendError::Cut(cause) => attempt.lose(Reason::Cut, cause.clone()),
             BackendError::Garbage(cause) => attempt.lose(Reason::Garbage, cause.clone()),
         };
@@ -469,7 +555,9 @@
             Err(_) => (Change::Lose, Err(attempt.lose(Reason::Timeout, ""))),
             Ok(Err(error)) => {
                 let change = match error {
-                    BackendError::Connect(_) => Change::Release,
+                    BackendError::Connect(_)
+                    | BackendError::NotRun
+                    | BackendError::OtherServer(_) => Change::Release,
                     BackendError::Cut(_) | BackendError::Garbage(_) => Change::Lose,
                 };
                 (change, Err(self.failed(attempt, &error, &held)))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod model;
 pub mod operator;
 pub mod peer;
+pub mod platform;
 pub mod policy;
 pub mod store;
 pub mod tables;
--- a/src/model/name.rs
+++ b/src/model/name.rs
@@ -90,6 +90,11 @@
     HallName,
     "hall name"
 );
+name!(
+    /// The name of a route.
+    RouteName,
+    "route name"
+);
 name!(
     /// The name of a caller, as the rules know it.
     CallerName,
--- a/src/model/size.rs
+++ b/src/model/size.rs
@@ -88,6 +88,13 @@
     0,
     100
 );
+size!(
+    /// The part of a service in a route, in proportion to the others.
+    Weight,
+    "weight",
+    0,
+    1_000_000
+);
 size!(
     /// A size in bytes.
     Bytes,
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -12,8 +12,8 @@
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
-    AttemptId, CallId, Demand, Depth, GuardNews, Instance, Level, Priority, RankSet, Retries,
-    RootId, Verdict,
+    AttemptId, CallId, ClassRank, Demand, Depth, GuardNews, Instance, Level, Priority, RankSet,
+    Retries, RootId, Verdict,
 };
 
 /// Most headers of a message.
@@ -97,18 +97,21 @@
         streamed: body.is_none(),
         body: body.unwrap_or_default(),
         repeat: head.repeat,
+        rank: u32::from(head.priority.rank().get()),
     }
 }
 
-/// Reads the head of a call; the class must be declared here too.
+/// Reads the head of a call; a class that is not declared here has the rank
+/// that the sender gave it.
 pub(super) fn call_in(
     head: wire::CallHead,
-    estate: &Estate,
+    estate: Option<&Estate>,
     now: Instant,
 ) -> Result<CallHead, Error> {
-    let (rank, class) = estate
-        .class(&head.class)
-        .ok_or_else(|| Error::value("class", format!("\"{}\" is not declared here", head.class)))?;
+    let (rank, class) = match estate.and_then(|estate| estate.class(&head.class)) {
+        Some((rank, class)) => (rank, class.name.clone()),
+        None => (ClassRank::new(head.rank as usize), head.class.parse()?),
+    };
     let root = RootId::new(id_of(&head.root)?);
     let depth = Depth::new(u8::try_from(head.depth).unwrap_or(u8::MAX));
     let once = match head.once_key.as_str() {
@@ -127,11 +130,11 @@
         root,
         service: head.service.parse()?,
         caller,
-        class: class.name.clone(),
+        class,
         priority: Priority::new(rank, depth, root),
         depth,
         deadline: now + Duration::from_millis(u64::from(head.deadline_ms)),
-        account: Retries::new(head.account.min(class.retries.get())),
+        account: Retries::new(head.account),
         once,
         repeat: head.repeat,
         method,
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -47,6 +47,9 @@
     /// Whether a caller's own repeat or a retry of the entry.
     #[prost(bool, tag = "17")]
     pub repeat: bool,
+    /// The place of the class in the order of the sender.
+    #[prost(uint32, tag = "18")]
+    pub rank: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CallFrame {
@@ -189,6 +192,9 @@
     pub state: ::prost::alloc::string::String,
     #[prost(uint64, tag = "6")]
     pub version: u64,
+    /// Calls that the backend server runs at one time; 0 if it does not say.
+    #[prost(uint32, tag = "7")]
+    pub slots: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Document {
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -13,7 +13,7 @@
 use super::pool::Pool;
 use crate::declare::{Document, DocumentName, Manifest};
 use crate::error::Error;
-use crate::model::{Instance, MintTime, OnceKey, ServiceName, Version};
+use crate::model::{Instance, MintTime, OnceKey, ServiceName, Slots, Version};
 use crate::policy::member::{Beat, Change, Member, Offer, Told};
 use crate::policy::once::{HomeRow, Kept, State};
 use crate::store::Revision;
@@ -297,6 +297,7 @@
         beat: member.beat.0,
         state: member.state.to_string(),
         version: member.version.get(),
+        slots: member.slots.map_or(0, |slots| slots.get()),
     }
 }
 
@@ -308,6 +309,7 @@
         beat: Beat(member.beat),
         state: member.state.parse()?,
         version: Version::new(member.version),
+        slots: (member.slots > 0).then(|| Slots::new(member.slots)),
     })
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -60,8 +60,9 @@
         if !self.meant(&head.instance) {
             return Err(Reason::Replaced);
         }
-        let in_force = self.shared.current.get().ok_or(Reason::NoConfig)?;
-        call_in(head, &in_force.estate, Instant::now()).map_err(|_| Reason::BadRequest)
+        let in_force = self.shared.current.get();
+        let estate = in_force.as_ref().map(|in_force| &in_force.estate);
+        call_in(head, estate, Instant::now()).map_err(|_| Reason::BadRequest)
     }
 }
 
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,122 @@
+//! The platform's headers on requests and answers.
+
+use std::time::Duration;
+
+use http::header::EXPECT;
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::call::{CallHead, Facts, Meaning, Protocol, Reason, Refusal, end_to_end};
+use crate::model::{CallId, RootId, ServerId, ServiceName, Verdict};
+
+/// Identifies one attempt of a caller; servers repeat it in their answers.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// How long the sender waits, in whole milliseconds.
+const TIME_LEFT: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// The run of a server that a request is meant for.
+const MEANT_FOR: HeaderName = HeaderName::from_static("x-expect-instance");
+/// The run of a server that answered.
+const ANSWERED_BY: HeaderName = HeaderName::from_static("x-instance-id");
+/// Set by a server that has not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
+/// Set by a server on all answers that are its own.
+const SIGNATURE: HeaderName = HeaderName::from_static("x-server-signature");
+/// The service on whose VM the request began.
+const ORIGIN: HeaderName = HeaderName::from_static("x-caller-service");
+
+/// Separates the id of a request from that of a call made for it. This was
+/// seen on requests and is promised nowhere, so it is only a hint.
+const ID_SEPARATOR: char = '.';
+
+/// The platform's headers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlatformProtocol;
+
+fn call_of(id: &str) -> CallId {
+    CallId::new(xxh3_128(id.as_bytes()))
+}
+
+impl Protocol for PlatformProtocol {
+    fn read(&self, parts: &Parts) -> Result<Facts, Box<str>> {
+        let text = |name: &HeaderName| parts.headers.get(name)?.to_str().ok();
+        let left = text(&TIME_LEFT).and_then(|left| left.trim().parse().ok());
+        let id = text(&REQUEST_ID);
+        let family = id.and_then(|id| id.rsplit_once(ID_SEPARATOR));
+        let root = id.and_then(|id| id.split(ID_SEPARATOR).next());
+        Ok(Facts {
+            call: id.map_or_else(CallId::random, call_of),
+            root: root.map(|root| RootId::new(xxh3_128(root.as_bytes()))),
+            parent: family.map(|(parent, _)| call_of(parent)),
+            timeout: left.map(Duration::from_millis),
+            attempt: None,
+        })
+    }
+
+    fn forward(&self, headers: &HeaderMap, origin: &ServiceName) -> HeaderMap {
+        let mut kept = end_to_end(headers);
+        for name in [&TIME_LEFT, &MEANT_FOR, &EXPECT] {
+            kept.remove(name);
+        }
+        if let Ok(origin) = HeaderValue::from_str(origin.as_str()) {
+            kept.insert(ORIGIN, origin);
+        }
+        kept
+    }
+
+    fn address(
+        &self,
+        headers: &mut HeaderMap,
+        head: &CallHead,
+        now: Instant,
+        server: Option<&ServerId>,
+    ) {
+        let left = head.deadline.saturating_duration_since(now).as_millis();
+        let left = u64::try_from(left).unwrap_or(u64::MAX).max(1);
+        headers.insert(TIME_LEFT, HeaderValue::from(left));
+        if let Some(Ok(id)) = server.map(|server| HeaderValue::from_str(server.as_str())) {
+            headers.insert(MEANT_FOR, id);
+        }
+    }
+
+    fn meaning(&self, head: &CallHead, status: StatusCode, headers: &HeaderMap) -> Meaning {
+        if headers.get(&REQUEST_ID) != head.headers.get(&REQUEST_ID) {
+            return Meaning::Garbage;
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            let found = headers.get(&ANSWERED_BY).and_then(|id| id.to_str().ok());
+            return Meaning::OtherServer(found.and_then(|id| id.parse().ok()));
+        }
+        if headers.contains_key(&NOT_RUN) {
+            return Meaning::NotRun;
+        }
+        if !headers.contains_key(&SIGNATURE) {
+            return Meaning::Garbage;
+        }
+        Meaning::Answer
+    }
+
+    /// 503 promises that the request has not run and never will, so it is
+    /// said of nothing else.
+    fn status(&self, refusal: &Refusal) -> StatusCode {
+        match (refusal.verdict(), refusal.reason()) {
+            (Verdict::MayHaveRun | Verdict::Ran, Reason::Timeout) => StatusCode::GATEWAY_TIMEOUT,
+            (Verdict::MayHaveRun | Verdict::Ran, _) => StatusCode::BAD_GATEWAY,
+            (Verdict::NotRun, Reason::NoSuchService) => StatusCode::NOT_FOUND,
+            (Verdict::NotRun, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+            (Verdict::NotRun, Reason::BadRequest | Reason::RequestCut) => StatusCode::BAD_REQUEST,
+            (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    fn retry_after(&self, time: Duration) -> String {
+        format!("{:.3}", time.as_secs_f64())
+    }
+
+    fn sign(&self, headers: &mut HeaderMap, _: CallId, request: &HeaderMap) {
+        if let Some(id) = request.get(&REQUEST_ID) {
+            headers.insert(REQUEST_ID, id.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/rows.rs
@@ -0,0 +1,268 @@
+//! The platform's store behind the product's traits.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::header::{CONTENT_TYPE, IF_NONE_MATCH};
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+
+use super::row::{Name, Page, Transaction};
+use crate::store::{
+    Changes, Condition, Feed, FeedError, ObjectStore, ReadError, Revision, Row, TableStore,
+    WriteError,
+};
+use crate::web::{Answer, Client, ClientError};
+
+/// Largest answer, in bytes: a page of rows with its framing.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+/// Rows asked for in one page; the store gives at most 500.
+const PAGE: usize = 500;
+/// How much longer than it was told to wait a feed may take.
+const FEED_SLACK: Duration = Duration::from_secs(2);
+/// Longest wait of a feed, by the store's own bound.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// The platform's store, met by HTTP.
+#[derive(Clone, Debug)]
+pub struct RowStore {
+    client: Client,
+    feeds: Client,
+    address: SocketAddr,
+}
+
+impl RowStore {
+    /// Makes a client of the store at `address`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client: Client::new(timeout, MAX_ANSWER),
+            feeds: Client::new(MAX_WAIT + FEED_SLACK, MAX_ANSWER),
+            address,
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, ClientError> {
+        let uri = format!("http://{}{path}", self.address);
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri
+            .parse()
+            .map_err(|e| ClientError::Connect(format!("bad address {uri}: {e}").into()))?;
+        Ok(request)
+    }
+
+    async fn get(&self, path: &str) -> Result<Answer, ReadError> {
+        let lost = |e: ClientError| ReadError(e.to_string().into());
+        let request = self
+            .request(Method::GET, path, Bytes::new())
+            .map_err(lost)?;
+        self.client.send(request).await.map_err(lost)
+    }
+
+    async fn page(&self, path: &str) -> Result<Page, ReadError> {
+        let answer = self.get(path).await?;
+        match answer.status {
+            StatusCode::OK => decode(&answer).map_err(ReadError),
+            status => Err(ReadError(format!("status {status}").into())),
+        }
+    }
+
+    /// Sends a change; the store says by 429 and 503 that it did nothing.
+    async fn change(&self, request: Request<Full<Bytes>>) -> Result<Answer, WriteError> {
+        let answer = self.client.send(request).await.map_err(|e| match e {
+            ClientError::Connect(cause) => WriteError::NotSent(cause),
+            ClientError::Lost(cause) => WriteError::Unknown(cause),
+        })?;
+        let cause = || format!("status {}", answer.status).into();
+        match answer.status {
+            StatusCode::OK | StatusCode::PRECONDITION_FAILED => Ok(answer),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(WriteError::NotSent(cause()))
+            }
+            _ => Err(WriteError::Unknown(cause())),
+        }
+    }
+
+    async fn transact(&self, key: &str, change: &Transaction) -> Result<Revision, WriteError> {
+        let body = serde_json::to_vec(change).map_err(|e| WriteError::NotSent(text(&e)))?;
+        let mut request = self
+            .request(Method::POST, "/rows-tx", body.into())
+            .map_err(|e| WriteError::NotSent(text(&e)))?;
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+        let answer = self.change(request).await?;
+        let page: Page = decode(&answer).map_err(WriteError::Unknown)?;
+        if answer.status == StatusCode::OK {
+            return Ok(Revision(page.ver));
+        }
+        let rows = rows(&page).map_err(WriteError::Unknown)?;
+        Err(WriteError::Conflict(
+            rows.into_iter().find(|row| *row.key == *key),
+        ))
+    }
+}
+
+fn text(error: &dyn std::fmt::Display) -> Box<str> {
+    error.to_string().into()
+}
+
+fn decode<T: DeserializeOwned>(answer: &Answer) -> Result<T, Box<str>> {
+    serde_json::from_slice(&answer.body).map_err(|e| text(&e))
+}
+
+fn rows(page: &Page) -> Result<Vec<Row>, Box<str>> {
+    page.rows
+        .iter()
+        .filter_map(|found| found.row().transpose())
+        .collect()
+}
+
+/// Writes a text as it stands in a query.
+fn quoted(text: &str) -> String {
+    text.bytes()
+        .map(|byte| match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                char::from(byte).to_string()
+            }
+            _ => format!("%{byte:02X}"),
+        })
+        .collect()
+}
+
+impl TableStore for RowStore {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Row>, ReadError>> {
+        Box::pin(async move {
+            let name = Name::of(key);
+            // The range ends before its second key, so that it holds one row.
+            let path = format!(
+                "/rows-get?tableName={}&part=&from={}&to={}&limit=1",
+                quoted(&name.table),
+                quoted(&name.key),
+                quoted(&format!("{}\0", name.key)),
+            );
+            let page = self.page(&path).await?;
+            let rows = rows(&page).map_err(ReadError)?;
+            Ok(rows.into_iter().find(|row| *row.key == *key))
+        })
+    }
+
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        condition: Condition,
+        content: Bytes,
+    ) -> BoxFuture<'a, Result<Revision, WriteError>> {
+        Box::pin(async move {
+            let change = Transaction::write(Name::of(key), condition, &content);
+            self.transact(key, &change).await
+        })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a str,
+        revision: Revision,
+    ) -> BoxFuture<'a, Result<(), WriteError>> {
+        Box::pin(async move {
+            let change = Transaction::remove(Name::of(key), revision);
+            self.transact(key, &change).await.map(drop)
+        })
+    }
+
+    fn scan<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Row>, ReadError>> {
+        Box::pin(async move {
+            let name = Name::of(prefix);
+            let mut all: Vec<Row> = Vec::new();
+            let mut from = name.key.to_string();
+            loop {
+                let path = format!(
+                    "/rows-get?tableName={}&part=&from={}&limit={PAGE}",
+                    quoted(&name.table),
+                    quoted(&from),
+                );
+                let page = self.page(&path).await?;
+                let found = rows(&page).map_err(ReadError)?;
+                let more = page.more && !found.is_empty();
+                let beyond = found.iter().any(|row| !row.key.starts_with(prefix));
+                all.extend(found.into_iter().filter(|row| row.key.starts_with(prefix)));
+                if !more || beyond {
+                    return Ok(all);
+                }
+                let last = all.last().map_or(prefix, |row| &row.key);
+                from = format!("{}\0", Name::of(last).key);
+            }
+        })
+    }
+}
+
+impl Feed for RowStore {
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Changes, FeedError>> {
+        Box::pin(async move {
+            let wait = wait.min(MAX_WAIT);
+            let path = format!(
+                "/rows-feed?tableName={}&after={after}&waitMs={}",
+                quoted(table),
+                wait.as_millis()
+            );
+            let failed = |e: ClientError| FeedError::Failed(text(&e));
+            let request = self
+                .request(Method::GET, &path, Bytes::new())
+                .map_err(failed)?;
+            let answer = self.feeds.send_within(request, wait + FEED_SLACK).await;
+            let answer = answer.map_err(failed)?;
+            match answer.status {
+                StatusCode::OK => {}
+                StatusCode::GONE => return Err(FeedError::Forgotten),
+                status => return Err(FeedError::Failed(format!("status {status}").into())),
+            }
+            let page: Page = decode(&answer).map_err(FeedError::Failed)?;
+            let changes = page.rows.iter().map(super::row::Found::change);
+            Ok(Changes {
+                changes: changes
+                    .collect::<Result<_, _>>()
+                    .map_err(FeedError::Failed)?,
+                at: Revision(page.ver),
+            })
+        })
+    }
+}
+
+impl ObjectStore for RowStore {
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, ReadError>> {
+        Box::pin(async move {
+            let answer = RowStore::get(self, &format!("/blob-get/{}", quoted(name))).await?;
+            match answer.status {
+                StatusCode::OK => Ok(Some(answer.body)),
+                StatusCode::NOT_FOUND => Ok(None),
+                status => Err(ReadError(format!("status {status}").into())),
+            }
+        })
+    }
+
+    fn put<'a>(&'a self, name: &'a str, content: Bytes) -> BoxFuture<'a, Result<(), WriteError>> {
+        Box::pin(async move {
+            let path = format!("/blob-put/{}", quoted(name));
+            let mut request = self
+                .request(Method::PUT, &path, content)
+                .map_err(|e| WriteError::NotSent(text(&e)))?;
+            let any = HeaderValue::from_static("*");
+            request.headers_mut().insert(IF_NONE_MATCH, any);
+            // An object that is there already has the same content, since it
+            // is named by it.
+            self.change(request).await.map(drop)
+        })
+    }
+}
--- /dev/null
+++ b/src/platform/watch.rs
@@ -0,0 +1,62 @@
+//! The operator's document, followed by the store's feed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::document::read_document;
+use crate::declare::{Manifest, split};
+use crate::error::Error;
+use crate::guard::Guard;
+use crate::peer::put_in_force;
+use crate::policy::member::Offer;
+use crate::store::{Feed, Row};
+use crate::tables::Shared;
+use crate::task::{Followed, follow};
+
+/// The row that holds the operator's document.
+const ROW: &str = "op/config";
+/// Its table, whose changes are followed.
+const TABLE: &str = "op";
+
+/// Who is named as the author of versions that come from the row.
+const AUTHOR: &str = "operator";
+
+/// How long one question for changes may stay open. Each daemon asks once in
+/// this time, so that 5,300 of them make 530 calls a second.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Puts each version of the operator's document in force, for ever.
+pub async fn watch_configuration(shared: Arc<Shared>, guard: Arc<Guard>, feed: Arc<dyn Feed>) {
+    let followed = Followed {
+        row: ROW,
+        table: TABLE,
+        wait: WAIT,
+    };
+    follow(&*feed, &followed, |row| {
+        if let Err(e) = take(&shared, &guard, row) {
+            spdlog::error!("configuration not understood", kv: {
+                cause = e.to_string().as_str(), revision = row.revision.0
+            });
+        }
+    })
+    .await;
+}
+
+fn take(shared: &Shared, guard: &Guard, row: &Row) -> Result<(), Error> {
+    let operated = read_document(&row.content)?;
+    if shared.current.offer(operated.version) != Offer::Take {
+        return Ok(());
+    }
+    let documents = split(&operated.estate);
+    let manifest = Manifest {
+        version: operated.version,
+        change: Box::default(),
+        author: AUTHOR.into(),
+        unix_ms: 0,
+        previous: None,
+        documents: Manifest::index(&documents),
+    };
+    put_in_force(shared, manifest, documents)?;
+    guard.reload();
+    Ok(())
+}
--- a/src/policy/member/budget.rs
+++ b/src/policy/member/budget.rs
@@ -21,6 +21,7 @@
     tokens: f64,
     filled: Instant,
     failures: u32,
+    longest: Duration,
     blocked: Option<Instant>,
 }
 
@@ -33,10 +34,19 @@
             tokens: burst,
             filled: now,
             failures: 0,
+            longest: MAX,
             blocked: None,
         }
     }
 
+    /// Makes a budget that waits at most `longest` after failures.
+    pub fn capped(now: Instant, rate: f64, burst: f64, longest: Duration) -> Self {
+        Self {
+            longest,
+            ..Self::new(now, rate, burst)
+        }
+    }
+
     /// Takes leave for one request, if there is any now.
     pub fn take(&mut self, now: Instant) -> bool {
         if self.blocked.is_some_and(|until| now < until) {
@@ -61,7 +71,7 @@
     /// Takes note that the platform did not answer; the next request waits
     /// longer each time, spread at random.
     pub fn failed<R: Rng>(&mut self, now: Instant, rng: &mut R) {
-        let wait = (BASE * 2u32.saturating_pow(self.failures.min(16))).min(MAX);
+        let wait = (BASE * 2u32.saturating_pow(self.failures.min(16))).min(self.longest);
         self.failures += 1;
         self.blocked = Some(now + wait.mul_f64(rng.random_range(0.5..1.5)));
     }
--- a/src/policy/member/mod.rs
+++ b/src/policy/member/mod.rs
@@ -4,6 +4,7 @@
 mod link;
 mod neighbours;
 mod news;
+mod presence;
 mod rollout;
 mod view;
 
@@ -11,5 +12,6 @@
 pub use link::{Link, LinkEvent, Told};
 pub use neighbours::{Neighbours, is_poller, neighbours};
 pub use news::{Beat, Member, MemberState};
+pub use presence::{Announcement, Intent, Presence, Presented};
 pub use rollout::{Offer, Rollout};
 pub use view::{Change, View};
--- a/src/policy/member/news.rs
+++ b/src/policy/member/news.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
-use crate::model::{CentreName, Instance, ServiceName, Version};
+use crate::model::{CentreName, Instance, ServiceName, Slots, Version};
 
 /// Orders what is said of one instance; only the instance itself raises it.
 #[derive(
@@ -83,6 +83,10 @@
     pub state: MemberState,
     /// The configuration that it runs.
     pub version: Version,
+    /// Calls that its backend server runs at one time, as that announces; by
+    /// the inventory if it does not.
+    #[serde(default)]
+    pub slots: Option<Slots>,
 }
 
 impl Member {
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -31,6 +31,8 @@
     pub(super) near: &'a [Target],
     /// The targets in other data centres.
     pub(super) far: &'a [Target],
+    /// Targets that are not to be chosen again.
+    pub(super) tried: &'a [Instance],
     /// Which targets are out.
     pub(super) ejector: &'a Ejector,
     /// The call that a target is wanted for.
@@ -38,8 +40,12 @@
 }
 
 impl Choice<'_> {
+    fn is_open(&self, target: &Target) -> bool {
+        target.state == TargetState::Serving && !self.tried.contains(&target.instance)
+    }
+
     fn is_sound(&self, now: Instant, target: &Target) -> bool {
-        target.state == TargetState::Serving
+        self.is_open(target)
             && self.want.avoid != Some(target.instance)
             && self.ejector.admits(now, target.instance)
     }
@@ -160,5 +166,5 @@
     around
         .clone()
         .find(|target| choice.is_sound(now, target))
-        .or_else(|| around.find(|target| target.state == TargetState::Serving))
+        .or_else(|| around.find(|target| choice.is_open(target)))
 }
--- /dev/null
+++ b/src/policy/route/split.rs
@@ -0,0 +1,46 @@
+//! The division of a route's requests among services.
+
+/// Deals requests out in proportion to weights, as evenly as can be.
+///
+/// Each choice adds every weight to the credit of its place, takes the place
+/// with most credit and charges it the sum; so any run of choices lies within
+/// one request of the exact shares.
+#[derive(Clone, Debug, Default)]
+pub struct Split {
+    credits: Vec<i64>,
+}
+
+impl Split {
+    /// Makes a division among `places`, which starts at a random point so that
+    /// entries which start together do not choose alike.
+    pub fn new(weights: &[u32], offset: f64) -> Self {
+        let sum: i64 = weights.iter().copied().map(i64::from).sum();
+        let credits = weights
+            .iter()
+            .enumerate()
+            .map(|(place, weight)| {
+                let turn = (offset + place as f64 / weights.len() as f64).fract();
+                (turn * sum.min(i64::from(*weight)) as f64) as i64
+            })
+            .collect();
+        Self { credits }
+    }
+
+    /// Returns the place that takes the next request; `None` if all weights
+    /// are 0.
+    pub fn next(&mut self, weights: &[u32]) -> Option<usize> {
+        self.credits.resize(weights.len(), 0);
+        let sum: i64 = weights.iter().copied().map(i64::from).sum();
+        for (credit, weight) in self.credits.iter_mut().zip(weights) {
+            *credit += i64::from(*weight);
+        }
+        let best = weights
+            .iter()
+            .enumerate()
+            .filter(|(_, weight)| **weight > 0)
+            .max_by_key(|(place, _)| self.credits[*place])
+            .map(|(place, _)| place)?;
+        self.credits[best] -= sum;
+        Some(best)
+    }
+}
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -90,7 +90,19 @@
 
     /// Chooses a target for a call and counts the call as sent.
     pub fn choose<R: Rng>(&mut self, now: Instant, want: Want, rng: &mut R) -> Pick {
+        self.choose_except(now, want, &[], rng)
+    }
+
+    /// Chooses a target that is not among those tried before.
+    pub fn choose_except<R: Rng>(
+        &mut self,
+        now: Instant,
+        want: Want,
+        tried: &[Instance],
+        rng: &mut R,
+    ) -> Pick {
         let choice = Choice {
+            tried,
             near: &self.near,
             far: &self.far,
             ejector: &self.ejector,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -11,5 +11,6 @@
 pub use settle::{Settled, settle};
 pub use standin::serve_standin;
 pub use store::{
-    Condition, ObjectStore, Platform, ReadError, Revision, Row, TableStore, WriteError,
+    Changes, Condition, Feed, FeedError, ObjectStore, Platform, ReadError, Revision, Row,
+    RowChange, TableStore, WriteError,
 };
--- a/src/store/store.rs
+++ b/src/store/store.rs
@@ -1,6 +1,7 @@
 //! The two traits that stand for the platform.
 
 use std::fmt;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -96,6 +97,45 @@
     fn scan<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Row>, ReadError>>;
 }
 
+/// What one row has become.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowChange {
+    /// The name of the row.
+    pub key: Box<str>,
+    /// The row, unless it is gone.
+    pub row: Option<Row>,
+}
+
+/// The changes of a table since some revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// The changes in order.
+    pub changes: Vec<RowChange>,
+    /// The revision up to which they are told.
+    pub at: Revision,
+}
+
+/// Why a feed gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedError {
+    /// The changes since then are no longer known; the rows must be read.
+    Forgotten,
+    /// The platform did not answer.
+    Failed(Box<str>),
+}
+
+/// A table service that tells of changes.
+pub trait Feed: TableStore {
+    /// Returns the changes of a table after a revision, as soon as there are
+    /// any, or none after `wait`.
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Changes, FeedError>>;
+}
+
 /// The object store; objects are named by their content and never change.
 pub trait ObjectStore: Send + Sync {
     /// Reads an object.
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -7,21 +7,26 @@
 //! 2. `Members` (view of the estate)
 //! 3. `Homes` (home rows)
 //! 4. `Routes` (tables of targets), then one table
-//! 5. `Calls` (held calls), then one account
-//! 6. `Gate` (admission)
-//! 7. `Ledger` (once calls)
-//! 8. `Journal` and histograms
+//! 5. `Splits` (divisions of routes)
+//! 6. `Calls` (held calls), then one account
+//! 7. `Gate` (admission)
+//! 8. `Ledger` (once calls)
+//! 9. `Journal` and histograms
 
 mod calls;
 mod current;
 mod homes;
 mod journal;
+mod readiness;
 mod routes;
 mod shared;
+mod splits;
 
 pub use calls::{Calls, Held, HeldCall};
 pub use current::{Current, InForce};
 pub use homes::{Home, Homes};
 pub use journal::{Journal, Note, Step};
+pub use readiness::Readiness;
 pub use routes::Routes;
 pub use shared::{Shared, mint_now, unix_ms};
+pub use splits::Splits;
--- a/src/tables/routes.rs
+++ b/src/tables/routes.rs
@@ -63,7 +63,10 @@
             let targets = chosen
                 .into_iter()
                 .filter_map(|instance| view.at(instance.address))
-                .map(|m| Target::new(m.instance, m.centre.clone(), service.slots))
+                .map(|m| {
+                    let slots = m.slots.unwrap_or(service.slots);
+                    Target::new(m.instance, m.centre.clone(), slots)
+                })
                 .collect();
             self.table(&service.name).lock().update(targets);
         }
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -8,10 +8,11 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Calls, Current, Homes, Journal, Routes};
+use super::{Calls, Current, Homes, Journal, Readiness, Routes, Splits};
+use crate::call::Protocol;
 use crate::config::Config;
 use crate::metrics::Metrics;
-use crate::model::{Instance, MintTime};
+use crate::model::{Instance, MintTime, Version};
 use crate::policy::member::View;
 use crate::store::Platform;
 
@@ -29,6 +30,10 @@
     pub homes: Homes,
     /// Targets by service.
     pub routes: Routes,
+    /// Divisions of routes among services.
+    pub splits: Splits,
+    /// The headers spoken with callers and with the backend server.
+    pub protocol: Arc<dyn Protocol>,
     /// Calls that the backend server works on.
     pub calls: Arc<Calls>,
     /// Recent decisions.
@@ -39,6 +44,8 @@
     pub platform: Arc<dyn Platform>,
     /// Wakes the task that passes news on to neighbours.
     pub news: Notify,
+    /// Whether the daemon takes callers.
+    pub readiness: Readiness,
     /// Daemons that know something worth asking for.
     pub asks: Mutex<BTreeSet<SocketAddr>>,
 }
@@ -53,6 +60,12 @@
         }
     }
 
+    /// Tells whether callers should be sent here: a configuration is in force,
+    /// the other daemons are known, and no stop is planned.
+    pub fn is_ready(&self) -> bool {
+        self.readiness.is_open() && self.current.version() > Version::NONE
+    }
+
     /// Tells the task that news is there to pass on.
     pub fn wake(&self) {
         self.news.notify_one();
--- /dev/null
+++ b/src/task/follow.rs
@@ -0,0 +1,114 @@
+//! Following of one row of the store.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::policy::member::Budget;
+use crate::store::{Feed, FeedError, Revision, Row};
+
+/// Questions a second and at once that one daemon may ask for a row.
+const RATE: f64 = 4.0;
+const BURST: f64 = 8.0;
+/// Pause before leave for another question is looked for.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Most that failures in a row make the next question wait.
+const MAX_BACK_OFF: Duration = Duration::from_millis(800);
+
+/// A row that is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Followed {
+    /// The row.
+    pub row: &'static str,
+    /// Its table.
+    pub table: &'static str,
+    /// How long one question for changes may stay open.
+    pub wait: Duration,
+}
+
+/// Gives each state of a row to `take`, as soon as the store tells of it, for
+/// ever. States that follow each other quickly may be passed over.
+pub async fn follow(feed: &dyn Feed, followed: &Followed, mut take: impl FnMut(&Row)) {
+    let mut budget = Budget::capped(Instant::now(), RATE, BURST, MAX_BACK_OFF);
+    let mut known: Option<Revision> = None;
+    let mut lost = false;
+    loop {
+        if !budget.take(Instant::now()) {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        let failed = match known {
+            None => first(feed, followed, &mut known, &mut take).await,
+            Some(after) => next(feed, followed, after, &mut known, &mut take).await,
+        };
+        match failed {
+            None => {
+                if lost {
+                    spdlog::info!("feed regained", kv: { row = followed.row });
+                }
+                lost = false;
+                budget.answered();
+            }
+            Some(cause) => {
+                if !lost {
+                    spdlog::warn!("feed lost", kv: { row = followed.row, cause = &*cause });
+                }
+                lost = true;
+                budget.failed(Instant::now(), &mut rand::rng());
+            }
+        }
+    }
+}
+
+/// Reads the row; returns why that failed, if it did.
+async fn first(
+    feed: &dyn Feed,
+    followed: &Followed,
+    known: &mut Option<Revision>,
+    take: &mut impl FnMut(&Row),
+) -> Option<Box<str>> {
+    match feed.read(followed.row).await {
+        Ok(Some(row)) => {
+            *known = Some(row.revision);
+            take(&row);
+            None
+        }
+        Ok(None) => {
+            *known = Some(Revision::default());
+            None
+        }
+        Err(e) => Some(e.0),
+    }
+}
+
+/// Asks for changes; returns why that failed, if it did.
+async fn next(
+    feed: &dyn Feed,
+    followed: &Followed,
+    after: Revision,
+    known: &mut Option<Revision>,
+    take: &mut impl FnMut(&Row),
+) -> Option<Box<str>> {
+    match feed.changes(followed.table, after, followed.wait).await {
+        Ok(changes) => {
+            for change in &changes.changes {
+                if *change.key == *followed.row
+                    && let Some(row) = &change.row
+                {
+                    take(row);
+                }
+            }
+            *known = Some(changes.at.max(after));
+            None
+        }
+        Err(FeedError::Forgotten) => {
+            *known = None;
+            None
+        }
+        Err(FeedError::Failed(cause)) => {
+            // What came meanwhile is read as a whole.
+            *known = None;
+            Some(cause)
+        }
+    }
+}
--- a/src/task/lease.rs
+++ b/src/task/lease.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::guard::{Guard, LeaseState};
+use crate::model::Slots;
 use crate::policy::member::MemberState;
 use crate::tables::Shared;
 
@@ -21,10 +22,19 @@
             LeaseState::Serving => MemberState::Serving,
             LeaseState::Leaving => MemberState::Leaving,
         };
+        say_slots(&shared, guard.announced());
         say_state(&shared, state);
     }
 }
 
+/// Says how many slots the backend server announced, if that has changed.
+fn say_slots(shared: &Shared, slots: Option<Slots>) {
+    let mut view = shared.view.lock();
+    if slots.is_some() && view.own().slots != slots {
+        view.say(Instant::now(), |own| own.slots = slots);
+    }
+}
+
 /// Says the state, if it has changed.
 pub(super) fn say_state(shared: &Shared, state: MemberState) {
     let changed = {
--- a/src/task/mod.rs
+++ b/src/task/mod.rs
@@ -1,5 +1,6 @@
 //! What a daemon does besides calls: news, configuration, home rows, stopping.
 
+mod follow;
 mod gossip;
 mod homes;
 mod lease;
@@ -7,9 +8,10 @@
 mod row;
 mod stop;
 
+pub use follow::{Followed, follow};
 pub use gossip::gossip;
 pub use homes::{keep_homes, read_home};
 pub use lease::watch_lease;
 pub use poll::{CURRENT_ROW, CurrentRow, fetch_version, poll};
-pub use row::{find_members, keep_row};
+pub use row::find_members;
 pub use stop::{Stopping, stop};
--- a/src/task/row.rs
+++ b/src/task/row.rs
@@ -6,42 +6,87 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::policy::member::{Budget, Member, MemberState};
+use crate::policy::member::{Budget, Member};
 use crate::store::{Condition, Settled, settle};
 use crate::tables::Shared;
 
-/// How often the row is compared with what the daemon says.
-const LOOK: Duration = Duration::from_secs(1);
-/// Writes a second and at once that one daemon may make for its row.
-const RATE: f64 = 0.1;
+/// Pause between two looks whether the platform may be asked again.
+const LOOK: Duration = Duration::from_millis(200);
+/// Rounds of requests a second and at once that one daemon may make.
+const RATE: f64 = 2.0;
 const BURST: f64 = 2.0;
+/// Most that failures in a row make the next round wait, so that daemons that
+/// started while the platform was away are found soon after its return.
+const MAX_BACK_OFF: Duration = Duration::from_secs(1);
 /// Time over which daemons that start together spread their first requests.
-const SPREAD: Duration = Duration::from_secs(2);
+const SPREAD: Duration = Duration::from_millis(500);
 
 fn row_key(shared: &Shared) -> String {
     format!("member/{}", shared.instance.address)
 }
 
-/// Keeps the row equal to what the daemon says of itself, for ever.
-pub async fn keep_row(shared: Arc<Shared>) {
-    let mut budget = Budget::new(Instant::now(), RATE, BURST);
-    let mut written: Option<MemberState> = None;
+/// Writes the row, then learns of other daemons from theirs until any is
+/// known.
+///
+/// Of two daemons that start at the same time, the one that writes later
+/// reads the row of the other; what members say of themselves later travels
+/// by neighbours.
+pub async fn find_members(shared: Arc<Shared>) {
+    let mut budget = Budget::capped(Instant::now(), RATE, BURST, MAX_BACK_OFF);
     let first = SPREAD.mul_f64(rand::rng().random());
     tokio::time::sleep(first).await;
-    loop {
-        let own = shared.view.lock().own().clone();
-        if written != Some(own.state) && budget.take(Instant::now()) {
-            if write_row(&shared, &own).await {
-                written = Some(own.state);
+    let mut written = false;
+    let mut read = false;
+    while !(written && read) {
+        if budget.take(Instant::now()) {
+            if !written {
+                let own = shared.view.lock().own().clone();
+                written = write_row(&shared, &own).await;
+            }
+            // Reading also goes on while the row cannot be written.
+            read = read_rows(&shared).await && written;
+            if written && read {
                 budget.answered();
             } else {
                 budget.failed(Instant::now(), &mut rand::rng());
             }
         }
+        if shared.view.lock().members().count() > 1 {
+            shared.readiness.found();
+        }
         tokio::time::sleep(LOOK).await;
     }
 }
 
+/// Removes the row, since the daemon stops.
+pub(super) async fn remove_row(shared: &Shared) {
+    let key = row_key(shared);
+    let failed = match shared.platform.read(&key).await {
+        Ok(Some(row)) => match shared.platform.delete(&key, row.revision).await {
+            Ok(()) => return,
+            Err(e) => e.to_string(),
+        },
+        Ok(None) => return,
+        Err(e) => e.to_string(),
+    };
+    spdlog::warn!("own row not removed", kv: { cause = failed.as_str() });
+}
+
+/// Reads the rows of other daemons; returns whether the platform answered.
+async fn read_rows(shared: &Shared) -> bool {
+    match shared.platform.scan("member/").await {
+        Ok(rows) => {
+            take_rows(shared, &rows);
+            shared.readiness.found();
+            true
+        }
+        Err(e) => {
+            spdlog::warn!("members not read", kv: { cause = e.to_string().as_str() });
+            false
+        }
+    }
+}
+
 /// Writes the row over whatever stands there; returns whether it stands.
 pub(super) async fn write_row(shared: &Shared, own: &Member) -> bool {
     let key = row_key(shared);
@@ -59,27 +104,6 @@
     )
 }
 
-/// Learns of other daemons from their rows, until any is known.
-pub async fn find_members(shared: Arc<Shared>) {
-    let mut budget = Budget::new(Instant::now(), RATE, BURST);
-    loop {
-        let alone = shared.view.lock().members().count() <= 1;
-        if !alone {
-            return;
-        }
-        if budget.take(Instant::now()) {
-            match shared.platform.scan("member/").await {
-                Ok(rows) => {
-                    budget.answered();
-                    take_rows(&shared, &rows);
-                }
-                Err(_) => budget.failed(Instant::now(), &mut rand::rng()),
-            }
-        }
-        tokio::time::sleep(LOOK).await;
-    }
-}
-
 fn take_rows(shared: &Shared, rows: &[crate::store::Row]) {
     let now = Instant::now();
     let mut changed = false;
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -7,7 +7,7 @@
 
 use super::homes::row_key;
 use super::lease::say_state;
-use super::row::write_row;
+use super::row::remove_row;
 use crate::entry::Entry;
 use crate::guard::Guard;
 use crate::model::Instance;
@@ -20,6 +20,9 @@
 /// How long callers have to learn that this daemon leaves before its entry
 /// refuses new calls.
 const TOLD: Duration = Duration::from_millis(1500);
+/// How long callers whose platform asks for readiness each second need until
+/// they have all gone: two questions in a row, and the answers under way.
+const CALLERS_LEAVE: Duration = Duration::from_millis(2300);
 /// How often calls in flight are counted.
 const LOOK: Duration = Duration::from_millis(20);
 /// How long the platform may take for the last writes.
@@ -48,13 +51,19 @@
         guard,
         pool,
     } = parts;
-    spdlog::info!("stopping: no new calls");
-    guard.drain();
+    spdlog::info!("stopping");
+    let limit = Instant::now() + shared.config.grace.get();
+    shared.readiness.stop();
+    if shared.config.hosting.is_some() {
+        tokio::time::sleep(CALLERS_LEAVE).await;
+    }
+    guard.stop();
     say_state(shared, MemberState::Leaving);
     tell_neighbours(shared, pool).await;
-    tokio::time::sleep(TOLD).await;
+    if shared.config.hosting.is_none() {
+        tokio::time::sleep(TOLD).await;
+    }
     entry.close();
-    let limit = Instant::now() + shared.config.grace.get();
     let drained = tokio::select! {
         drained = drain(entry, guard, shared, limit) => drained,
         () = hurry => false,
@@ -64,8 +73,12 @@
     spdlog::info!("ledger", kv: { handed_over = last.unwrap_or(false) });
     say_state(shared, MemberState::Left);
     tell_neighbours(shared, pool).await;
-    let own = shared.view.lock().own().clone();
-    let _ = tokio::time::timeout(LAST_WRITES, write_row(shared, &own)).await;
+    if tokio::time::timeout(LAST_WRITES, remove_row(shared))
+        .await
+        .is_err()
+    {
+        spdlog::warn!("own row not removed: no answer in time");
+    }
     spdlog::info!("stopped", kv: { drained = drained });
     drained
 }
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -62,6 +62,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT.min(timeout)));
         connector.set_nodelay(true);
+        alive_or_closed(&mut connector);
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE)
@@ -80,6 +81,19 @@
     ///
     /// Says whether the request may have arrived.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Answer, ClientError> {
+        self.send_within(request, self.timeout).await
+    }
+
+    /// Sends a request and waits for the whole answer, for `timeout` at most.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request may have arrived.
+    pub async fn send_within(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer, ClientError> {
         let whole = async {
             let answer = self.pool.request(request).await.map_err(|e| {
                 let cause = chain(&e);
@@ -101,13 +115,26 @@
                 body,
             })
         };
-        match tokio::time::timeout(self.timeout, whole).await {
+        match tokio::time::timeout(timeout, whole).await {
             Ok(result) => result,
             Err(_) => Err(ClientError::Lost("timeout".into())),
         }
     }
 }
 
+/// How long a connection may carry nothing before the other end is asked
+/// whether it still knows it, and how often.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Questions without an answer after which a connection is closed.
+const KEEPALIVE_TRIES: u32 = 2;
+
+/// Makes connections that go silent for good end within a few seconds.
+pub fn alive_or_closed(connector: &mut HttpConnector) {
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_TRIES));
+}
+
 fn chain(error: &dyn std::error::Error) -> Box<str> {
     let mut text = error.to_string();
     let mut source = error.source();
--- a/tests/fault_matrix/world.rs
+++ b/tests/fault_matrix/world.rs
@@ -238,6 +238,7 @@
             beat: Beat(1),
             state: MemberState::Serving,
             version: Version::NONE,
+            slots: None,
         };
         let limits = LedgerLimits {
             bytes: 1 << 20,
