Let guards say that a call arrived, and start unsafe calls on word of the entry

A call into a zone that was cut off waited for its whole deadline. Ruled out: shorter deadlines for all calls (they cut slow answers). Change: the head of the answer leaves as soon as a call has arrived and is waited for 250 ms; a call that must not run twice is started only on word of the entry once a slot is free, so that all before is provably not run; a target that cannot be reached is ejected at once; bodies up to 512 KiB are held whole.

--- a/src/call/head.rs
+++ b/src/call/head.rs
@@ -3,6 +3,7 @@
 use http::{HeaderMap, Method};
 use tokio::time::Instant;
 
+use super::Confirm;
 use crate::model::{
     AttemptId, CallId, CallerName, ClassName, Depth, OnceKey, Priority, Retries, RootId,
     ServiceName,
@@ -58,4 +59,6 @@
     pub head: CallHead,
     /// The body.
     pub body: Payload,
+    /// Set if the entry wants to be asked before the call starts.
+    pub confirm: Option<Confirm>,
 }
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -2,6 +2,7 @@
 //! no answer.
 
 mod attempt;
+mod confirm;
 mod head;
 mod own;
 mod protocol;
@@ -10,6 +11,7 @@
 mod reply;
 
 pub use attempt::{Attempt, Planned, Sent};
+pub use confirm::Confirm;
 pub use head::{Call, CallHead, OnceCall};
 pub use own::{ATTEMPT, CALL, OwnProtocol, TIMEOUT, end_to_end};
 pub use protocol::{Facts, Meaning, Protocol};
--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -132,6 +132,11 @@
         matches!(self, Self::Shed(shed) if shed.is_overload())
     }
 
+    /// Tells whether nothing was heard of the other side.
+    pub const fn is_silence(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Cut)
+    }
+
     /// Tells whether another attempt elsewhere may fare better.
     pub const fn may_differ_elsewhere(self) -> bool {
         matches!(
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -12,7 +12,7 @@
 use crate::peer;
 use crate::policy::admission::{Met, Shed};
 use crate::policy::once::{Place, Refuse, place};
-use crate::policy::retry::{Account, Failure, Loan, Retry, decide};
+use crate::policy::retry::{Account, Failure, Loan, Retry, Safety, decide};
 use crate::policy::route::{Pick, Report, Want};
 use crate::tables::{Held, Step};
 use crate::task::read_home;
@@ -269,11 +269,16 @@
             target,
             reported: false,
         };
-        let call = Call { head, body };
+        let call = Call {
+            head,
+            body,
+            confirm: None,
+        };
         let result = if target == self.context.shared.instance {
             self.context.guard.serve(call).await
         } else {
-            peer::send(&self.context.pool, target, attempt, call).await
+            let held = self.accepted.safety == Safety::Once && self.head().once.is_none();
+            peer::send(&self.context.pool, target, attempt, call, held).await
         };
         sent.report(&result);
         self.settle(loan, &result);
@@ -397,6 +402,9 @@
         };
         let report = match news {
             Some(news) => Report::Heard(news),
+            None if matches!(result, Err(refusal) if refusal.reason().is_silence()) => {
+                Report::Silent
+            }
             None => Report::Failed,
         };
         let now = Instant::now();
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -228,6 +228,7 @@
                     let call = Call {
                         head: call.head,
                         body,
+                        confirm: call.confirm,
                     };
                     self.serve_plain(attempt, call).await
                 }
@@ -283,13 +284,24 @@
         attempt: Attempt<Planned>,
         call: Call,
     ) -> Result<Reply, Refusal> {
-        let Call { head, body } = call;
+        let Call {
+            head,
+            body,
+            confirm,
+        } = call;
         let mut pass = match self.enter(&head).await {
             Ok(pass) => pass,
             Err(shed) => {
                 return Err(self.home(attempt.refuse(Reason::Shed(shed), ""), head.account));
             }
         };
+        if let Some(confirm) = confirm {
+            let told = tokio::time::timeout_at(head.deadline, confirm.ask()).await;
+            if told != Ok(true) {
+                let refusal = attempt.refuse(Reason::Shed(Shed::Cancelled), "");
+                return Err(self.home(refusal, head.account));
+            }
+        }
         let held = self.shared.calls.hold(head.call, Held::new(&head));
         let attempt = attempt.send();
         let asked = tokio::time::timeout_at(head.deadline, self.ask(&head, body)).await;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -12,20 +12,28 @@
 use super::convert::{call_out, id_bytes, refusal_in, reply_in};
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
-use super::generated::{AnswerFrame, CallFrame, InquireRequest, Tail};
+use super::generated::{AnswerFrame, CallFrame, InquireRequest, Start, Tail};
 use super::pool::Pool;
 use crate::call::{Attempt, Call, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::{Instance, OnceKey, ServiceName};
+use crate::policy::admission::Shed;
 use crate::web::{Chunks, Cut, Payload};
 
 /// How much longer than the deadline an answer is waited for, so that the
 /// guard's own word on it can arrive.
 const SLACK: Duration = Duration::from_millis(20);
+/// How long the other daemon may take to say that a call has arrived. It does
+/// so at once; a daemon whose share of its core is used up pauses for a tenth
+/// of a second.
+const REACH: Duration = Duration::from_millis(250);
 /// Frames that wait to be sent.
 const WINDOW: usize = 8;
 
 /// Sends a call to the guard of `instance` and waits for the answer.
 ///
+/// A `held` call is started only after the guard has said that it can, and
+/// this side has said that it shall; until then it counts as not sent.
+///
 /// # Errors
 ///
 /// Returns what to tell the caller in place of an answer.
@@ -34,18 +42,77 @@
     instance: Instance,
     attempt: Attempt<Planned>,
     call: Call,
+    held: bool,
 ) -> Result<Reply, Refusal> {
     let Some(mut client) = pool.get(instance.address) else {
         return Err(attempt.refuse(Reason::Unreachable, "no valid address"));
     };
     let deadline = call.head.deadline;
-    let frames = call_frames(instance, call);
-    let attempt = attempt.send();
-    let asked = async {
-        let answer = client.call(frames).await?;
-        first_frame(answer.into_inner()).await
+    let (frames, rest) = call_frames(instance, call, held);
+    let reached = (Instant::now() + REACH).min(deadline + SLACK);
+    let answer = tokio::time::timeout_at(reached, client.call(frames)).await;
+    let answer = match answer {
+        Ok(Ok(answer)) => answer.into_inner(),
+        Ok(Err(status)) if held => return Err(unstarted(pool, instance, attempt, &status)),
+        Ok(Err(status)) => return Err(failed(pool, instance, attempt.send(), &status)),
+        Err(_) => {
+            pool.replace(instance.address);
+            return Err(unheard(attempt, held));
+        }
     };
-    match tokio::time::timeout_at(deadline + SLACK, asked).await {
+    if held {
+        return start(pool, instance, attempt, answer, rest, deadline).await;
+    }
+    rest.go_on();
+    finish(pool, instance, attempt.send(), answer, deadline).await
+}
+
+/// Gives up a call of which the guard has not even said that it arrived.
+fn unheard(attempt: Attempt<Planned>, held: bool) -> Refusal {
+    if held {
+        return attempt.refuse(Reason::Unreachable, "the guard did not answer in time");
+    }
+    attempt
+        .send()
+        .lose(Reason::Cut, "the guard did not answer in time")
+}
+
+/// Waits until the guard can start a held call, and lets it start.
+async fn start(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Planned>,
+    mut answer: Streaming<AnswerFrame>,
+    rest: Rest,
+    deadline: Instant,
+) -> Result<Reply, Refusal> {
+    let first = tokio::time::timeout_at(deadline + SLACK, answer.message()).await;
+    let first = match first {
+        Ok(Ok(frame)) => frame.and_then(|frame| frame.frame),
+        Ok(Err(status)) => return Err(unstarted(pool, instance, attempt, &status)),
+        Err(_) => return Err(attempt.refuse(Reason::Shed(Shed::Deadline), "no slot in time")),
+    };
+    match first {
+        Some(AnswerPart::Start(_)) => {}
+        Some(AnswerPart::Refusal(refusal)) => return Err(refusal_in(attempt.send(), &refusal)),
+        _ => return Err(attempt.refuse(Reason::Unreachable, "the guard did not ask to start")),
+    }
+    if Instant::now() >= deadline {
+        return Err(attempt.refuse(Reason::Shed(Shed::Deadline), "no slot in time"));
+    }
+    let attempt = attempt.send();
+    rest.start();
+    finish(pool, instance, attempt, answer, deadline).await
+}
+
+async fn finish(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Sent>,
+    answer: Streaming<AnswerFrame>,
+    deadline: Instant,
+) -> Result<Reply, Refusal> {
+    match tokio::time::timeout_at(deadline + SLACK, first_frame(answer)).await {
         Err(_) => Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
         Ok(Err(status)) => Err(failed(pool, instance, attempt, &status)),
         Ok(Ok((frame, rest))) => answered(attempt, frame, rest),
@@ -89,21 +156,40 @@
 
 type Frames = ReceiverStream<CallFrame>;
 
-fn call_frames(instance: Instance, call: Call) -> Frames {
-    let (sender, receiver) = mpsc::channel(WINDOW);
-    let now = Instant::now();
-    match call.body {
-        Payload::Whole(bytes) => {
-            let head = call_out(instance, &call.head, Some(bytes), now);
-            let _ = sender.try_send(frame(CallPart::Head(head)));
-        }
-        Payload::Stream { chunks, .. } => {
-            let head = call_out(instance, &call.head, None, now);
-            let _ = sender.try_send(frame(CallPart::Head(head)));
-            tokio::spawn(pump_out(chunks, sender));
+/// What follows the first frame of a call.
+struct Rest {
+    chunks: Option<Chunks>,
+    sender: mpsc::Sender<CallFrame>,
+}
+
+impl Rest {
+    /// Lets a held call start, and sends its body if that is streamed.
+    fn start(self) {
+        // The channel is empty but for the first frame, so there is room.
+        let _ = self.sender.try_send(frame(CallPart::Start(Start {})));
+        self.go_on();
+    }
+
+    /// Sends the body, if it is streamed.
+    fn go_on(self) {
+        if let Some(chunks) = self.chunks {
+            tokio::spawn(pump_out(chunks, self.sender));
         }
     }
-    ReceiverStream::new(receiver)
+}
+
+fn call_frames(instance: Instance, call: Call, held: bool) -> (Frames, Rest) {
+    let (sender, receiver) = mpsc::channel(WINDOW);
+    let now = Instant::now();
+    let (whole, chunks) = match call.body {
+        Payload::Whole(bytes) => (Some(bytes), None),
+        Payload::Stream { chunks, .. } => (None, Some(chunks)),
+    };
+    let mut head = call_out(instance, &call.head, whole, now);
+    head.held = held;
+    let _ = sender.try_send(frame(CallPart::Head(head)));
+    let rest = Rest { chunks, sender };
+    (ReceiverStream::new(receiver), rest)
 }
 
 fn frame(part: CallPart) -> CallFrame {
@@ -165,6 +251,17 @@
     Ok((first, frames))
 }
 
+/// Gives up a held call that was not told to start.
+fn unstarted(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Planned>,
+    status: &tonic::Status,
+) -> Refusal {
+    pool.replace(instance.address);
+    attempt.refuse(Reason::Unreachable, status.message())
+}
+
 fn failed(
     pool: &Pool,
     instance: Instance,
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -98,6 +98,7 @@
         body: body.unwrap_or_default(),
         repeat: head.repeat,
         rank: u32::from(head.priority.rank().get()),
+        held: false,
     }
 }
 
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -50,10 +50,16 @@
     /// The place of the class in the order of the sender.
     #[prost(uint32, tag = "18")]
     pub rank: u32,
+    /// Whether the guard asks before it starts the call.
+    #[prost(bool, tag = "19")]
+    pub held: bool,
 }
+/// Says that a held call may start now, or lets it start.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Start {}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CallFrame {
-    #[prost(oneof = "call_frame::Frame", tags = "1, 2, 3")]
+    #[prost(oneof = "call_frame::Frame", tags = "1, 2, 3, 4")]
     pub frame: ::core::option::Option<call_frame::Frame>,
 }
 /// Nested message and enum types in `CallFrame`.
@@ -66,6 +72,8 @@
         Chunk(::prost::bytes::Bytes),
         #[prost(message, tag = "3")]
         Tail(super::Tail),
+        #[prost(message, tag = "4")]
+        Start(super::Start),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -146,7 +154,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct AnswerFrame {
-    #[prost(oneof = "answer_frame::Frame", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "answer_frame::Frame", tags = "1, 2, 3, 4, 5")]
     pub frame: ::core::option::Option<answer_frame::Frame>,
 }
 /// Nested message and enum types in `AnswerFrame`.
@@ -161,6 +169,8 @@
         Tail(super::Tail),
         #[prost(message, tag = "4")]
         Refusal(super::Refusal),
+        #[prost(message, tag = "5")]
+        Start(super::Start),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -23,7 +23,7 @@
 use super::generated::peer_server::{Peer, PeerServer};
 use super::news;
 use super::pool::MAX_MESSAGE;
-use crate::call::{Attempt, Call, Reason, Refusal, Reply};
+use crate::call::{Attempt, Call, Confirm, Reason, Refusal, Reply};
 use crate::error::Error;
 use crate::guard::Guard;
 use crate::model::{AttemptId, Instance, MintTime, OnceKey};
@@ -136,6 +136,44 @@
     }
 }
 
+/// Takes the frames of a streamed body; gives back those of a call that came
+/// whole, whose end is yet to arrive.
+fn take_rest(
+    frames: Streaming<wire::CallFrame>,
+    body: Option<mpsc::Sender<Result<Bytes, Cut>>>,
+) -> Option<Streaming<wire::CallFrame>> {
+    let Some(sender) = body else {
+        return Some(frames);
+    };
+    tokio::spawn(pump_in(frames, sender));
+    None
+}
+
+/// Makes the question by which the entry is asked to let a held call start.
+fn confirm(
+    questions: mpsc::Sender<Result<wire::AnswerFrame, Status>>,
+    mut frames: Streaming<wire::CallFrame>,
+    body: Option<mpsc::Sender<Result<Bytes, Cut>>>,
+) -> Confirm {
+    Confirm::new(move || {
+        Box::pin(async move {
+            let question = part(AnswerPart::Start(wire::Start {}));
+            if questions.send(Ok(question)).await.is_err() {
+                return false;
+            }
+            let word = match frames.message().await {
+                Ok(frame) => frame.and_then(|frame| frame.frame),
+                Err(_) => None,
+            };
+            let start = matches!(word, Some(CallPart::Start(_)));
+            if start {
+                take_rest(frames, body);
+            }
+            start
+        })
+    })
+}
+
 #[tonic::async_trait]
 impl Peer for Peers {
     type CallStream = AnswerStream;
@@ -153,6 +191,7 @@
         let attempt =
             attempt_of(&message.attempt).map_err(|e| Status::invalid_argument(e.to_string()))?;
         let streamed = message.streamed;
+        let held = message.held;
         let account = message.account;
         let bytes = std::mem::take(&mut message.body);
         let head = match self.read_head(message) {
@@ -163,18 +202,37 @@
                 return Ok(answer(attempt, Err(refusal)));
             }
         };
-        let body = if streamed {
+        let (body, sender) = if streamed {
             let (sender, chunks) = Chunks::channel();
-            tokio::spawn(pump_in(frames, sender));
             let length = None;
-            Payload::Stream { length, chunks }
+            (Payload::Stream { length, chunks }, Some(sender))
         } else {
-            // Read to the end, as the client does with the answer.
-            let _ = frames.message().await;
-            Payload::Whole(bytes)
+            (Payload::Whole(bytes), None)
         };
-        let result = self.guard.serve(Call { head, body }).await;
-        Ok(answer(attempt, result))
+        let (questions, asked) = mpsc::channel(1);
+        let (confirm, frames) = if held {
+            (Some(confirm(questions, frames, sender)), None)
+        } else {
+            drop(questions);
+            (None, take_rest(frames, sender))
+        };
+        let guard = Arc::clone(&self.guard);
+        let call = Call {
+            head,
+            body,
+            confirm,
+        };
+        // The head of the answer leaves at once, which says that the call has
+        // arrived. If the entry gives up, the stream and the call are dropped.
+        let served = futures_util::stream::once(async move {
+            let result = guard.serve(call).await;
+            // Frames that were not read to the end count as reset.
+            drop(frames);
+            answer(attempt, result).into_inner()
+        });
+        let answered = futures_util::StreamExt::flatten(served);
+        let both = futures_util::stream::select(ReceiverStream::new(asked), answered);
+        Ok(Response::new(Box::pin(both)))
     }
 
     async fn inquire(
--- a/src/policy/route/eject.rs
+++ b/src/policy/route/eject.rs
@@ -58,6 +58,13 @@
         record.until = Some(now + time.min(MAX));
     }
 
+    /// Takes note that a target cannot be reached at all, which says more than
+    /// a call that failed there.
+    pub fn silent(&mut self, now: Instant, target: Instance, known: usize) {
+        self.records.entry(target).or_default().failures = FAILURES;
+        self.failed(now, target, known);
+    }
+
     /// Takes note of a call that ended without telling anything of `target`.
     pub fn abandoned(&mut self, now: Instant, target: Instance) {
         if let Some(record) = self.records.get_mut(&target)
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -17,6 +17,8 @@
     Heard(GuardNews),
     /// The connection failed, went silent or gave garbage.
     Failed,
+    /// The daemon cannot be reached at all.
+    Silent,
     /// The caller went away first, which says nothing of the target.
     Abandoned,
 }
@@ -134,6 +136,7 @@
         match report {
             Report::Heard(_) => self.ejector.succeeded(instance),
             Report::Failed => self.ejector.failed(now, instance, known),
+            Report::Silent => self.ejector.silent(now, instance, known),
             Report::Abandoned => self.ejector.abandoned(now, instance),
         }
         let Some(target) = self.find(instance) else {
--- a/src/web/payload.rs
+++ b/src/web/payload.rs
@@ -7,8 +7,10 @@
 use futures_util::Stream;
 use tokio::sync::mpsc;
 
-/// Largest body that is held whole, in bytes; larger ones are streamed.
-pub const SMALL_BODY: usize = 64 * 1024;
+/// Largest body that is held whole, in bytes; larger ones are streamed, and
+/// cannot be sent again to another server. Uploads of the users have up to
+/// 360 KB.
+pub const SMALL_BODY: usize = 512 * 1024;
 /// Chunks that wait between the two ends of a stream.
 const WINDOW: usize = 8;
 
