--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -13,7 +13,7 @@
 use crate::policy::admission::{Met, Shed};
 use crate::policy::once::{Place, Refuse, place};
 use crate::policy::retry::{Account, Failure, Loan, Retry, Safety, decide};
-use crate::policy::route::{Pick, Report, Want};
+use crate::policy::route::{Pick, Report, Table, Want};
 use crate::tables::{Held, Step};
 use crate::task::read_home;
 use crate::web::Payload;
@@ -22,6 +22,9 @@
 /// make refusals late.
 const MAX_DETOURS: u32 = 3;
 
+/// How often a call is asked again of backend servers that refused it.
+const MAX_ASKED_AGAIN: u32 = 2;
+
 /// How a call ended, and how many retries it took here.
 pub(super) struct Ended {
     pub(super) result: Result<Reply, Refusal>,
@@ -56,7 +59,9 @@
     tried: Vec<Instance>,
     /// All guards that were asked, in order.
     asked: Vec<std::net::SocketAddr>,
-    /// Backend servers that the call was sent to.
+    /// Backend servers that refused the call without running it.
+    rejected_by: Vec<Instance>,
+    /// How often the call was sent to a backend server.
     sent: u32,
     /// Guards that refused it before its backend server saw it.
     detours: u32,
@@ -76,6 +81,7 @@
             earlier: Verdict::NotRun,
             tried: Vec::new(),
             asked: Vec::new(),
+            rejected_by: Vec::new(),
             sent: 0,
             detours: 0,
         }
@@ -115,6 +121,7 @@
     }
 
     async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
+        self.table(|table| table.ratio().asked());
         self.refresh_home().await?;
         let mut last = None;
         loop {
@@ -135,6 +142,9 @@
                 Ok(reply) => return Ok(reply),
                 Err(refusal) => refusal,
             };
+            if failed.reason() == Reason::Rejected && !self.rejected_by.contains(&target) {
+                self.rejected_by.push(target);
+            }
             if !self.again(&failed) {
                 return Err(failed);
             }
@@ -203,8 +213,7 @@
         }
         let want = self.want();
         let now = Instant::now();
-        let picked =
-            self.table(|table| table.choose_except(now, want, &self.tried, &mut rand::rng()));
+        let picked = self.table(|table| self.choose(table, now, want));
         match picked {
             Pick::Target(instance) => Ok((attempt, instance)),
             Pick::Refused(_) => {
@@ -216,6 +225,20 @@
         }
     }
 
+    /// Chooses a target; once the call has been sent to as many backend servers
+    /// as it may, one of those that refused it without running it.
+    fn choose(&self, table: &mut Table, now: Instant, want: Want) -> Pick {
+        if self.rejected_by.len() >= self.accepted.attempts as usize {
+            return table.choose_among(now, &self.rejected_by);
+        }
+        match table.choose_except(now, want, &self.tried, &mut rand::rng()) {
+            Pick::Nothing if !self.rejected_by.is_empty() => {
+                table.choose_among(now, &self.rejected_by)
+            }
+            picked => picked,
+        }
+    }
+
     fn want(&self) -> Want {
         Want {
             level: self.head().priority.level(),
@@ -245,7 +268,7 @@
         })
     }
 
-    fn table<T>(&self, use_it: impl FnOnce(&mut crate::policy::route::Table) -> T) -> T {
+    fn table<T>(&self, use_it: impl FnOnce(&mut Table) -> T) -> T {
         let table = self.context.shared.routes.table(&self.head().service);
         let mut table = table.lock();
         use_it(&mut table)
@@ -354,7 +377,13 @@
         if !once_again && !failed.reason().may_differ_elsewhere() {
             return false;
         }
-        if self.sent >= self.accepted.attempts {
+        // A call that every server has refused may be asked of them again; one
+        // that may have run counts against the servers it may be sent to.
+        let most = match failed.reason() {
+            Reason::Rejected => self.accepted.attempts + MAX_ASKED_AGAIN,
+            _ => self.accepted.attempts,
+        };
+        if self.sent >= most {
             return false;
         }
         let verdict = if once_again {
@@ -401,6 +430,9 @@
             Err(refusal) => refusal.news,
         };
         let report = match news {
+            Some(news) if matches!(result, Err(r) if r.reason() == Reason::Rejected) => {
+                Report::Rejected(news)
+            }
             Some(news) => Report::Heard(news),
             None if matches!(result, Err(refusal) if refusal.reason().is_silence()) => {
                 Report::Silent
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -21,8 +21,8 @@
     /// Returns the retries that a request of its own may use.
     pub(super) fn retries(&self, class: &Class) -> Retries {
         match self.route {
-            Some(route) => Retries::new(route.attempts.saturating_sub(1)),
-            None => class.retries,
+            Some(route) if route.attempts <= 1 => Retries::new(0),
+            Some(_) | None => class.retries,
         }
     }
 
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -13,8 +13,10 @@
 
 /// Slots of a server until it has announced its own.
 const UNANNOUNCED_SLOTS: Slots = Slots::new(16);
-/// Retries of a request; routes say it by their attempts.
-const NO_RETRIES: Retries = Retries::new(0);
+/// Retries of a request and all calls made for it. A request of the users
+/// makes up to ten calls; if each is refused by itself one time in three, this
+/// lets nearly all be made again, and it is a fixed total all the same.
+const RETRIES: Retries = Retries::new(8);
 /// Deadline of a request that matches no route; it is refused anyway.
 const NO_ROUTE_DEADLINE: Span = Span::from_millis(1000);
 /// How keys would be kept; the platform's callers send none.
@@ -147,7 +149,7 @@
                     once_key: None,
                     idempotent: false,
                     deadline: NO_ROUTE_DEADLINE,
-                    retries: NO_RETRIES,
+                    retries: RETRIES,
                 })
             })
             .collect::<Result<Vec<Class>, Error>>()?;
--- a/src/policy/retry/mod.rs
+++ b/src/policy/retry/mod.rs
@@ -7,5 +7,5 @@
 
 pub use account::{Account, Loan, LoanId};
 pub use decide::{Failure, Retry, Safety, decide};
-pub use ratio::Ratio;
+pub use ratio::{Ratio, RatioSettings};
 pub use repeat::Repeats;
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -6,15 +6,17 @@
 use tokio::time::Instant;
 
 use super::pick::{Choice, Want, demand, pick};
-use super::{Ejector, Pick, Target};
+use super::{Ejector, Pick, Target, TargetState};
 use crate::model::{CentreName, Demand, GuardNews, Instance};
-use crate::policy::retry::Ratio;
+use crate::policy::retry::{Ratio, RatioSettings};
 
 /// What a call met at its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Report {
     /// The guard answered or refused, and told of itself.
     Heard(GuardNews),
+    /// The guard told of itself, and that its backend server refused the call.
+    Rejected(GuardNews),
     /// The connection failed, went silent or gave garbage.
     Failed,
     /// The daemon cannot be reached at all.
@@ -53,6 +55,14 @@
         }
     }
 
+    /// Makes an empty table whose retries are earned in another way.
+    pub fn with_ratio(own: CentreName, settings: RatioSettings) -> Self {
+        Self {
+            ratio: Ratio::new(settings),
+            ..Self::new(own)
+        }
+    }
+
     /// Takes a changed set of targets; what is known of those that stay is
     /// kept.
     pub fn update(&mut self, targets: Vec<Target>) {
@@ -117,6 +127,24 @@
         found
     }
 
+    /// Chooses again among targets that a call has been refused by, the one
+    /// with the least load.
+    pub fn choose_among(&mut self, now: Instant, among: &[Instance]) -> Pick {
+        let open = self
+            .targets()
+            .filter(|t| t.state == TargetState::Serving && among.contains(&t.instance));
+        let best = open
+            .min_by(|a, b| a.load(now).total_cmp(&b.load(now)))
+            .map(|target| target.instance);
+        match best {
+            Some(instance) => {
+                self.sent(instance);
+                Pick::Target(instance)
+            }
+            None => Pick::Nothing,
+        }
+    }
+
     /// Tells whether a call may go to `target` now, so far as failures tell.
     pub fn admits(&self, now: Instant, target: Instance) -> bool {
         self.ejector.admits(now, target)
@@ -134,7 +162,7 @@
     pub fn report(&mut self, now: Instant, instance: Instance, report: Report) {
         let known = self.places.len();
         match report {
-            Report::Heard(_) => self.ejector.succeeded(instance),
+            Report::Heard(_) | Report::Rejected(_) => self.ejector.succeeded(instance),
             Report::Failed => self.ejector.failed(now, instance, known),
             Report::Silent => self.ejector.silent(now, instance, known),
             Report::Abandoned => self.ejector.abandoned(now, instance),
@@ -143,8 +171,16 @@
             return;
         };
         target.ended();
-        if let Report::Heard(news) = report {
-            target.hear(now, news);
+        match report {
+            Report::Heard(news) => {
+                target.hear(now, news);
+                target.rejected(false);
+            }
+            Report::Rejected(news) => {
+                target.hear(now, news);
+                target.rejected(true);
+            }
+            Report::Failed | Report::Silent | Report::Abandoned => {}
         }
     }
 
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -7,6 +7,13 @@
 use crate::model::{CentreName, Demand, GuardNews, Instance, RankSet, Slots};
 use crate::policy::admission::Heard;
 
+/// Weight of one call in the share of calls that a backend server refuses by
+/// itself: some twenty calls make up the share.
+const REJECTS_WEIGHT: f64 = 0.05;
+/// Load that a backend server counts as more if it refuses all calls. Twice
+/// its slots keep nearly all calls away while another refuses none, and make
+/// no difference where all refuse alike.
+const REJECTS_LOAD: f64 = 2.0;
 /// Half-life of a load that was heard on an answer.
 const LOAD_AGE: Duration = Duration::from_millis(200);
 
@@ -37,6 +44,7 @@
     level: Heard,
     below: Heard,
     classes: RankSet,
+    rejects: f64,
 }
 
 impl Target {
@@ -52,6 +60,7 @@
             level: Heard::default(),
             below: Heard::default(),
             classes: RankSet::default(),
+            rejects: 0.0,
         }
     }
 
@@ -83,6 +92,12 @@
         }
     }
 
+    /// Takes note of whether its backend server refused a call by itself.
+    pub fn rejected(&mut self, rejected: bool) {
+        let sign = if rejected { 1.0 } else { 0.0 };
+        self.rejects += (sign - self.rejects) * REJECTS_WEIGHT;
+    }
+
     /// Returns the calls of this entry in flight there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -105,6 +120,6 @@
             let age = now.saturating_duration_since(at).as_secs_f64();
             f64::from(load) * (-age / LOAD_AGE.as_secs_f64()).exp2()
         });
-        own.max(heard) / f64::from(self.slots.get())
+        own.max(heard) / f64::from(self.slots.get()) + self.rejects * REJECTS_LOAD
     }
 }
--- a/src/tables/routes.rs
+++ b/src/tables/routes.rs
@@ -8,20 +8,24 @@
 use crate::declare::Estate;
 use crate::model::{CentreName, Instance, ServiceName};
 use crate::policy::member::View;
+use crate::policy::retry::RatioSettings;
 use crate::policy::route::{Table, Target, subset, subset_size};
 
 /// The tables of targets by service.
 #[derive(Debug)]
 pub struct Routes {
     own: CentreName,
+    ratio: RatioSettings,
     tables: Mutex<HashMap<ServiceName, Arc<Mutex<Table>>>>,
 }
 
 impl Routes {
-    /// Makes the tables of an entry in the data centre `own`.
-    pub fn new(own: CentreName) -> Self {
+    /// Makes the tables of an entry in the data centre `own`, whose retries
+    /// are earned as `ratio` says.
+    pub fn new(own: CentreName, ratio: RatioSettings) -> Self {
         Self {
             own,
+            ratio,
             tables: Mutex::default(),
         }
     }
@@ -32,7 +36,7 @@
         match tables.get(service) {
             Some(table) => Arc::clone(table),
             None => {
-                let table = Arc::new(Mutex::new(Table::new(self.own.clone())));
+                let table = Arc::new(Mutex::new(Table::with_ratio(self.own.clone(), self.ratio)));
                 tables.insert(service.clone(), Arc::clone(&table));
                 table
             }
