Start calls on word of the entry where the guard may be out of reach

Change: a call to a guard that was not heard from for 300 ms is held like an unsafe one, so that it goes elsewhere as provably not run.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -300,7 +300,7 @@
         let result = if target == self.context.shared.instance {
             self.context.guard.serve(call).await
         } else {
-            let held = self.accepted.safety == Safety::Once && self.head().once.is_none();
+            let held = self.holds(target);
             peer::send(&self.context.pool, target, attempt, call, held).await
         };
         sent.report(&result);
@@ -308,6 +308,17 @@
         result
     }
 
+    /// Tells whether the guard asks before it starts the call: one that must
+    /// not run twice, and any to a guard that may be out of reach, so that it
+    /// can be tried elsewhere at no cost.
+    fn holds(&self, target: Instance) -> bool {
+        if self.head().once.is_some() {
+            return false;
+        }
+        let now = Instant::now();
+        self.accepted.safety == Safety::Once || !self.table(|table| table.is_fresh(now, target))
+    }
+
     fn settle(&self, loan: Loan, result: &Result<Reply, Refusal>) {
         let rest = match result {
             Ok(reply) => Some(reply.head.account),
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -127,6 +127,12 @@
         found
     }
 
+    /// Tells whether a target was heard from just now.
+    pub fn is_fresh(&self, now: Instant, target: Instance) -> bool {
+        let mut all = self.targets();
+        all.any(|t| t.instance == target && t.is_fresh(now))
+    }
+
     /// Chooses again among targets that a call has been refused by, the one
     /// with the least load.
     pub fn choose_among(&mut self, now: Instant, among: &[Instance]) -> Pick {
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -7,6 +7,9 @@
 use crate::model::{CentreName, Demand, GuardNews, Instance, RankSet, Slots};
 use crate::policy::admission::Heard;
 
+/// How long a guard that was heard from is taken to be within reach. A guard
+/// that stands idle in an estate at work is heard from a few times in this.
+const REACHABLE: Duration = Duration::from_millis(300);
 /// Weight of one call in the share of calls that a backend server refuses by
 /// itself: some twenty calls make up the share.
 const REJECTS_WEIGHT: f64 = 0.05;
@@ -98,6 +101,13 @@
         self.rejects += (sign - self.rejects) * REJECTS_WEIGHT;
     }
 
+    /// Tells whether it was heard from just now, so that it can be taken to be
+    /// within reach.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.load
+            .is_some_and(|(_, at)| now.saturating_duration_since(at) < REACHABLE)
+    }
+
     /// Returns the calls of this entry in flight there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
