Keep calls off targets that are out of reach, however many they are

Ruled out: a shorter wait for the guard's word (a daemon whose share of its core is used up pauses for 100 ms). Change: silence ejects whatever number is out; targets out of order are tried only where none is in order, and not where one merely refuses the level.

--- a/src/policy/route/eject.rs
+++ b/src/policy/route/eject.rs
@@ -61,7 +61,9 @@
     /// Takes note that a target cannot be reached at all, which says more than
     /// a call that failed there.
     pub fn silent(&mut self, now: Instant, target: Instance, known: usize) {
-        self.records.entry(target).or_default().failures = FAILURES;
+        let record = self.records.entry(target).or_default();
+        record.probing = true;
+        // However many are out, a target that cannot be reached is no use.
         self.failed(now, target, known);
     }
 
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -113,7 +113,7 @@
         (Some(target), None) | (None, Some(target)) => Pick::Target(target.instance),
         (None, None) => match near_demands.into_iter().chain(far_demands).min() {
             Some(level) => Pick::Refused(level),
-            None => Pick::Nothing,
+            None => last_resort(choice, rng),
         },
     }
 }
@@ -144,7 +144,7 @@
     })
 }
 
-/// Draws a usable target at random; if none is in order, one that serves.
+/// Draws a usable target at random.
 fn draw<'a, R: Rng>(
     now: Instant,
     choice: Choice<'_>,
@@ -163,8 +163,18 @@
     }
     let (before, after) = targets.split_at(start);
     let mut around = after.iter().chain(before);
-    around
-        .clone()
-        .find(|target| choice.is_sound(now, target))
-        .or_else(|| around.find(|target| choice.is_open(target)))
+    around.find(|target| choice.is_sound(now, target))
+}
+
+/// Chooses any target that serves, where none is in order.
+fn last_resort<R: Rng>(choice: Choice<'_>, rng: &mut R) -> Pick {
+    let all = || choice.near.iter().chain(choice.far);
+    let open = || all().filter(|target| choice.is_open(target));
+    match open().count() {
+        0 => Pick::Nothing,
+        count => match open().nth(rng.random_range(0..count)) {
+            Some(target) => Pick::Target(target.instance),
+            None => Pick::Nothing,
+        },
+    }
 }
