Test the adapter over sockets; tell at once what a backend server announces

An announcement counted only at the next look at the lease (200 ms later), and refusals that met no server in order carried no Retry-After. Change: an announcement wakes the task that tells the estate, which looks by itself every 500 ms only; refusals that are provably not run and may pass carry Retry-After. Tests: platform words, document, presence of servers, store over HTTP with its faults, choice of targets behind a cut, daemons between callers and servers (leaving caller, leaving server, timeout, silent guard, stop).

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -132,6 +132,15 @@
         matches!(self, Self::Shed(shed) if shed.is_overload())
     }
 
+    /// Tells whether the cause lies with neither the request nor its caller, so
+    /// that the same request may fare better later.
+    pub const fn may_pass(self) -> bool {
+        matches!(
+            self,
+            Self::Shed(_) | Self::NoConfig | Self::Unreachable | Self::Rejected | Self::Replaced
+        )
+    }
+
     /// Tells whether nothing was heard of the other side.
     pub const fn is_silence(self) -> bool {
         matches!(self, Self::Unreachable | Self::Cut)
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -193,6 +193,7 @@
         decisions: Decisions::default(),
         metrics: Metrics::new(config.metrics)?,
         platform,
+        announced: Notify::new(),
         news: Notify::new(),
         readiness: Readiness::default(),
         asks: Mutex::new(BTreeSet::new()),
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,7 +7,9 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use crate::call::Refusal;
 use crate::guard::Guard;
+use crate::model::Verdict;
 use crate::peer::Pool;
 use crate::policy::member::Budget;
 use crate::tables::Shared;
@@ -20,6 +22,10 @@
 /// known of the excess.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Mean time after which a caller may come back that met no server in order:
+/// news of another one takes about this long.
+const SOON: Duration = Duration::from_millis(250);
+
 /// What the calls of one entry share.
 pub(super) struct Context {
     pub(super) shared: Arc<Shared>,
@@ -43,6 +49,16 @@
         self.home_reads.lock().take(Instant::now())
     }
 
+    /// Adds when the caller may come back to a refusal that does not say so,
+    /// where coming back may help.
+    pub(super) fn advise(&self, refusal: &mut Refusal) {
+        let helps = refusal.verdict() == Verdict::NotRun && refusal.reason().may_pass();
+        if helps && refusal.retry_after.is_none() {
+            let time = SOON.mul_f64(rand::rng().random_range(0.5..1.5));
+            refusal.retry_after = Some(time);
+        }
+    }
+
     /// Returns when a refused caller may come back, spread at random.
     pub(super) fn retry_after(&self) -> Duration {
         RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5))
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -73,8 +73,9 @@
         let answering = Answering::new(&*shared.protocol, &parts.headers);
         let accepted = match self.accept(&parts, from) {
             Ok(accepted) => accepted,
-            Err(refusal) => {
+            Err(mut refusal) => {
                 self.note_rejected(&refusal);
+                self.context.advise(&mut refusal);
                 return answering.refusal(None, &refusal, None);
             }
         };
@@ -93,7 +94,8 @@
                     .note(call, Step::Answered, reply.head.status.as_str());
                 answering.reply(call, reply)
             }
-            Err(refusal) => {
+            Err(mut refusal) => {
+                self.context.advise(&mut refusal);
                 shared
                     .journal
                     .note(call, Step::Refused, refusal.reason().as_str());
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -100,6 +100,9 @@
     /// it had been away.
     pub fn announce(&self, cold: bool) -> bool {
         let first = self.lease.lock().renew(Instant::now());
+        if first {
+            self.shared.announced.notify_one();
+        }
         if first && cold {
             self.gate.restart(self.slots());
         } else if first {
@@ -112,6 +115,9 @@
     /// late or out of order.
     pub fn hear(&self, news: &Announcement) -> Presented {
         let change = self.presence.lock().announce(news);
+        if change != Presented::Renewed {
+            self.shared.announced.notify_one();
+        }
         match change {
             Presented::Old => {}
             Presented::Leaving => self.drain(),
@@ -130,6 +136,7 @@
     pub fn depart(&self, server: &ServerId) {
         if self.presence.lock().depart(server) {
             self.drain();
+            self.shared.announced.notify_one();
         }
     }
 
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -44,6 +44,8 @@
     pub metrics: Metrics,
     /// The platform.
     pub platform: Arc<dyn Platform>,
+    /// Wakes the task that tells the estate of the backend server.
+    pub announced: Notify,
     /// Wakes the task that passes news on to neighbours.
     pub news: Notify,
     /// Whether the daemon takes callers.
--- a/src/task/lease.rs
+++ b/src/task/lease.rs
@@ -10,13 +10,14 @@
 use crate::policy::member::MemberState;
 use crate::tables::Shared;
 
-/// How often the lease is looked at.
-const LOOK: Duration = Duration::from_millis(200);
+/// How often the lease is looked at without news of the backend server.
+const LOOK: Duration = Duration::from_millis(500);
 
 /// Tells the estate when the backend server comes, leaves or lapses, for ever.
 pub async fn watch_lease(shared: Arc<Shared>, guard: Arc<Guard>) {
     loop {
-        tokio::time::sleep(LOOK).await;
+        // What is announced counts at once; that nothing is, after a while.
+        let _ = tokio::time::timeout(LOOK, shared.announced.notified()).await;
         let state = match guard.lease_state() {
             LeaseState::Absent => MemberState::Waiting,
             LeaseState::Serving => MemberState::Serving,
--- /dev/null
+++ b/tests/platform_daemon.rs
@@ -0,0 +1,211 @@
+//! Daemons on the platform: what callers, backend servers and the platform
+//! see of them.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::net::TcpListener;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bramleymount::emulator::free_address;
+use http::{Method, StatusCode};
+use rstest::rstest;
+use support::eventually;
+use support::hosted::{document, store, vm};
+use support::rows::Trouble;
+
+#[tokio::test]
+async fn answer_is_whole_and_its_origin_set() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    assert_eq!(vm.announce("ready", 1).await.status, StatusCode::OK);
+    let answer = vm.ask(Method::POST, "/write/x?a=%20b", "r1").await;
+    assert_eq!(
+        (answer.status, &*answer.body),
+        (StatusCode::OK, &b"whole answer"[..])
+    );
+    assert_eq!(answer.headers["x-request-id"], "r1");
+    assert_eq!(answer.headers["x-server-signature"], "signed");
+    let runs = vm.seen.runs.lock().clone();
+    assert_eq!(runs, [("r1".into(), "svc".into(), 4)]);
+}
+
+#[tokio::test]
+async fn daemon_without_configuration_promises_not_run() {
+    let (address, rows, _listening) = store().await;
+    let vm = vm("svc", address).await;
+    let answer = vm.ask(Method::POST, "/write/x", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!vm.is_ready().await);
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    vm.wait_ready().await;
+}
+
+#[rstest]
+#[case::no_route("/nothing/x", 404)]
+#[case::no_slash("/write", 404)]
+#[case::no_server_yet("/write/x", 503)]
+#[tokio::test]
+async fn refusals_say_what_is_true(#[case] path: &str, #[case] status: u16) {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    let answer = vm.ask(Method::POST, path, "r1").await;
+    assert_eq!(answer.status.as_u16(), status);
+    assert!(vm.seen.runs.lock().is_empty());
+}
+
+#[rstest]
+#[case::refused_by_the_server("/write/shed", 503, 0)]
+#[case::no_answer_of_a_server("/write/unsigned", 502, 1)]
+#[case::repeated("/read/unsigned", 502, 1)]
+#[tokio::test]
+async fn failures_keep_their_promise(#[case] path: &str, #[case] status: u16, #[case] runs: usize) {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    let answer = vm.ask(Method::POST, path, "r1").await;
+    assert_eq!(answer.status.as_u16(), status);
+    assert!(vm.seen.runs.lock().len() >= runs);
+    if path.starts_with("/write") {
+        assert_eq!(vm.seen.runs.lock().len(), runs);
+    }
+}
+
+#[tokio::test]
+async fn timeout_is_answered_at_once() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 0.4));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    let started = std::time::Instant::now();
+    let answer = vm.ask(Method::GET, "/read/slow", "r1").await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    let took = started.elapsed();
+    assert!(took >= Duration::from_millis(390), "{took:?}");
+    assert!(took < Duration::from_millis(900), "{took:?}");
+}
+
+#[tokio::test]
+async fn caller_that_leaves_ends_the_work() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 10.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    let working = || vm.seen.working.load(Ordering::SeqCst);
+    let asked = async {
+        let asked = vm.ask(Method::GET, "/read/slow", "r1");
+        let _ = tokio::time::timeout(Duration::from_millis(300), asked).await;
+    };
+    let started = eventually("the work", || async { (working() == 1).then_some(()) });
+    tokio::join!(asked, started);
+    let end = std::time::Instant::now() + Duration::from_millis(500);
+    while working() > 0 {
+        assert!(std::time::Instant::now() < end, "the server still works");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn leaving_server_gets_nothing() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 4).await;
+    // The store is away, which changes nothing for a server on the same VM.
+    rows.set(Trouble::Silent);
+    assert_eq!(vm.announce("draining", 6).await.status, StatusCode::OK);
+    let late = vm.announce("ready", 5).await;
+    assert_eq!(late.status, StatusCode::OK);
+    let answer = vm.ask(Method::GET, "/read/x", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(vm.seen.runs.lock().is_empty());
+}
+
+#[tokio::test]
+async fn configuration_grows_by_feed_and_never_falls_back() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    let version = || vm.daemon.shared().current.version().get();
+    rows.put("op", "config", &document(12, "svc", 3.0));
+    eventually("version 12", || async { (version() == 12).then_some(()) }).await;
+    rows.put("op", "config", &document(9, "svc", 1.0));
+    rows.put("op", "config", "no document");
+    rows.set(Trouble::Forgetful);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(version(), 12);
+    rows.put("op", "config", &document(13, "svc", 3.0));
+    eventually("version 13", || async { (version() == 13).then_some(()) }).await;
+}
+
+/// A daemon that takes connections and never answers, as behind a cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unsafe_calls_pass_by_a_silent_guard() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let silent = TcpListener::bind(free_address().expect("a port")).expect("a listener");
+    let silent_at = silent.local_addr().expect("an address");
+    let member = format!(
+        r#"{{"instance":"{silent_at}@1","centre":"hall-a","service":"svc","beat":1,
+        "state":"serving","version":0,"slots":20}}"#
+    );
+    rows.put("member", &silent_at.to_string(), &member);
+    let serving = vm("svc", address).await;
+    serving.announce("ready", 1).await;
+    let entry = vm("other", address).await;
+    entry.wait_ready().await;
+    eventually("both targets", || async {
+        let service = "svc".parse().expect("a name");
+        let table = entry.daemon.shared().routes.table(&service);
+        let known = table.lock().targets().count() == 2;
+        known.then_some(())
+    })
+    .await;
+    for n in 0..20 {
+        let id = format!("r{n}");
+        let answer = entry.ask(Method::POST, "/write/x", &id).await;
+        assert_eq!(answer.status, StatusCode::OK, "request {n}");
+        let runs = serving.seen.runs.lock();
+        assert_eq!(runs.iter().filter(|run| run.0 == id).count(), 1);
+    }
+}
+
+#[tokio::test]
+async fn stop_takes_callers_off_first() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    let (callers, readiness) = (vm.callers, vm.readiness);
+    let seen = std::sync::Arc::clone(&vm.seen);
+    let stopping = tokio::spawn(vm.daemon.stop(std::future::pending()));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let url = format!("http://{readiness}/readyz");
+    let asked = support::request(Method::GET, &url, http::HeaderMap::new(), "".into()).await;
+    let status = asked.map(|answer| answer.status);
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    let url = format!("http://{callers}/read/x");
+    let sent = support::headers(&[("host", "a.example"), ("x-request-id", "r1")]);
+    let answer = support::request(Method::GET, &url, sent, "".into()).await;
+    let answer = answer.expect("an answer while callers leave");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.headers["connection"], "close");
+    assert_eq!(seen.runs.lock().len(), 1);
+    assert!(stopping.await.expect("a stop"), "a call was cut");
+    let left = rows.calls();
+    assert!(left > 0);
+}
--- /dev/null
+++ b/tests/platform_store.rs
@@ -0,0 +1,146 @@
+//! The platform's store behind the product's traits, over HTTP.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramleymount::emulator::free_address;
+use bramleymount::platform::RowStore;
+use bramleymount::store::{
+    Condition, Feed, FeedError, ObjectStore, Revision, Settled, TableStore, WriteError, settle,
+};
+use bramleymount::web::Listening;
+use rstest::rstest;
+use support::rows::{RowsStandIn, Trouble};
+
+/// Short, so that answers which never come are noticed soon.
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+async fn store() -> (RowStore, Arc<RowsStandIn>, Listening) {
+    let address = free_address().expect("a port");
+    let (rows, listening) = RowsStandIn::start(address).await;
+    (RowStore::new(address, TIMEOUT), rows, listening)
+}
+
+#[tokio::test]
+async fn write_holds_to_its_condition() {
+    let (store, _rows, _listening) = store().await;
+    let key = "member/10.0.0.1:80";
+    assert_eq!(store.read(key).await.expect("a read"), None);
+    let first = store.write(key, Condition::Absent, "a".into()).await;
+    let first = first.expect("a write");
+    let row = store.read(key).await.expect("a read").expect("a row");
+    assert_eq!((row.revision, &*row.content), (first, &b"a"[..]));
+    match store.write(key, Condition::Absent, "b".into()).await {
+        Err(WriteError::Conflict(Some(found))) => assert_eq!(found, row),
+        other => panic!("{other:?}"),
+    }
+    let next = store
+        .write(key, Condition::Revision(first), "b".into())
+        .await;
+    assert!(next.expect("a write") > first);
+    let old = store.delete(key, first).await;
+    assert!(matches!(old, Err(WriteError::Conflict(Some(_)))), "{old:?}");
+}
+
+#[tokio::test]
+async fn scan_reads_all_pages() {
+    let (store, _rows, _listening) = store().await;
+    let names: Vec<String> = (0..7).map(|n| format!("member/{n}")).collect();
+    for name in &names {
+        let wrote = store.write(name, Condition::Absent, "x".into()).await;
+        wrote.expect("a write");
+    }
+    store
+        .write("other/1", Condition::Absent, "x".into())
+        .await
+        .expect("a write");
+    let rows = store.scan("member/").await.expect("a scan");
+    let found: Vec<&str> = rows.iter().map(|row| &*row.key).collect();
+    assert_eq!(found, names);
+}
+
+#[tokio::test]
+async fn changes_come_as_soon_as_there_are_any() {
+    let (store, rows, _listening) = store().await;
+    rows.put("op", "config", "one");
+    let first = store
+        .read("op/config")
+        .await
+        .expect("a read")
+        .expect("a row");
+    let wait = Duration::from_secs(5);
+    let asked = store.changes("op", first.revision, wait);
+    let written = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        rows.put("op", "config", "two");
+    };
+    let (changes, ()) = tokio::join!(asked, written);
+    let changes = changes.expect("changes");
+    let row = changes.changes[0].row.as_ref().expect("a row");
+    assert_eq!((&*row.key, &*row.content), ("op/config", &b"two"[..]));
+    let none = store
+        .changes("op", changes.at, Duration::from_millis(10))
+        .await;
+    assert!(none.expect("changes").changes.is_empty());
+}
+
+#[tokio::test]
+async fn changes_tell_rows_that_are_gone() {
+    let (store, _rows, _listening) = store().await;
+    let at = store.write("t/a", Condition::Absent, "x".into()).await;
+    let at = at.expect("a write");
+    store.delete("t/a", at).await.expect("a delete");
+    let changes = store.changes("t", at, Duration::from_millis(10)).await;
+    assert_eq!(changes.expect("changes").changes[0].row, None);
+}
+
+#[tokio::test]
+async fn changes_say_that_history_is_forgotten() {
+    let (store, rows, _listening) = store().await;
+    rows.set(Trouble::Forgetful);
+    let changes = store.changes("op", Revision(1), TIMEOUT).await;
+    assert_eq!(changes, Err(FeedError::Forgotten));
+}
+
+#[rstest]
+#[case::busy(Trouble::Busy, false)]
+#[case::silent(Trouble::Silent, true)]
+#[case::lost(Trouble::LoseAnswers, true)]
+#[tokio::test]
+async fn write_tells_what_may_have_happened(#[case] trouble: Trouble, #[case] unknown: bool) {
+    let (store, rows, _listening) = store().await;
+    rows.set(trouble);
+    match store.write("t/a", Condition::Absent, "x".into()).await {
+        Err(WriteError::Unknown(_)) => assert!(unknown),
+        Err(WriteError::NotSent(_)) => assert!(!unknown),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn settle_finds_a_write_whose_answer_was_lost() {
+    let (store, rows, _listening) = store().await;
+    rows.set(Trouble::LoseAnswers);
+    let healed = async {
+        tokio::time::sleep(TIMEOUT / 2).await;
+        rows.set(Trouble::None);
+    };
+    let settled = settle(&store, "t/a", Condition::Absent, "x".into());
+    let (settled, ()) = tokio::join!(settled, healed);
+    assert!(matches!(settled, Settled::Written(_)), "{settled:?}");
+}
+
+#[tokio::test]
+async fn objects_are_written_once() {
+    let (store, _rows, _listening) = store().await;
+    assert_eq!(store.get("a b").await.expect("a read"), None);
+    for content in ["one", "one"] {
+        store.put("a b", content.into()).await.expect("a write");
+    }
+    let found = store.get("a b").await.expect("a read").expect("an object");
+    assert_eq!(&*found, b"one");
+}
--- /dev/null
+++ b/tests/platform_words.rs
@@ -0,0 +1,247 @@
+//! The platform's headers and the operator's document.
+
+#![allow(missing_docs)]
+
+use std::time::Duration;
+
+use bramleymount::call::{Attempt, CallHead, Meaning, Protocol, Reason, Refusal};
+use bramleymount::model::{
+    AttemptId, CallId, ClassRank, Depth, Priority, Retries, RootId, ServerId, Version,
+};
+use bramleymount::platform::{PlatformProtocol, read_document};
+use bramleymount::policy::admission::Shed;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
+use proptest::prelude::*;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn map(pairs: &[(&'static str, &str)]) -> HeaderMap {
+    pairs
+        .iter()
+        .map(|(name, value)| {
+            let value = HeaderValue::from_str(value).expect("a value");
+            (http::HeaderName::from_static(name), value)
+        })
+        .collect()
+}
+
+fn head(headers: HeaderMap, left: Duration) -> CallHead {
+    CallHead {
+        attempt: AttemptId::new(1),
+        call: CallId::new(1),
+        root: RootId::new(1),
+        service: "huvo11a".parse().expect("a name"),
+        caller: None,
+        class: "rank-0".parse().expect("a name"),
+        priority: Priority::new(ClassRank::new(0), Depth::default(), RootId::new(1)),
+        depth: Depth::default(),
+        deadline: Instant::now() + left,
+        account: Retries::new(0),
+        once: None,
+        repeat: false,
+        method: Method::GET,
+        target: "/a".into(),
+        headers,
+    }
+}
+
+#[rstest]
+#[case::answer(200, &[("x-request-id", "r1"), ("x-server-signature", "s")], Meaning::Answer)]
+#[case::failure(500, &[("x-request-id", "r1"), ("x-server-signature", "s")], Meaning::Answer)]
+#[case::unsigned(200, &[("x-request-id", "r1")], Meaning::Garbage)]
+#[case::another(200, &[("x-request-id", "r0"), ("x-server-signature", "s")], Meaning::Garbage)]
+#[case::nameless(200, &[("x-server-signature", "s")], Meaning::Garbage)]
+#[case::full(503, &[("x-request-id", "r1"), ("x-not-executed", "1")], Meaning::NotRun)]
+#[case::not_said(503, &[("x-request-id", "r1")], Meaning::Garbage)]
+#[case::moved(421, &[("x-request-id", "r1")], Meaning::OtherServer(None))]
+fn meaning_of_answers(
+    #[case] status: u16,
+    #[case] headers: &[(&'static str, &str)],
+    #[case] expected: Meaning,
+) {
+    let head = head(map(&[("x-request-id", "r1")]), Duration::from_secs(1));
+    let status = StatusCode::from_u16(status).expect("a status");
+    let meaning = PlatformProtocol.meaning(&head, status, &map(headers));
+    assert_eq!(meaning, expected);
+}
+
+#[test]
+fn meaning_tells_the_other_server() {
+    let head = head(map(&[("x-request-id", "r1")]), Duration::from_secs(1));
+    let answer = map(&[("x-request-id", "r1"), ("x-instance-id", "i-2")]);
+    let meaning = PlatformProtocol.meaning(&head, StatusCode::MISDIRECTED_REQUEST, &answer);
+    let other: ServerId = "i-2".parse().expect("an id");
+    assert_eq!(meaning, Meaning::OtherServer(Some(other)));
+}
+
+#[test]
+fn forward_sets_the_origin_and_drops_what_concerns_one_connection() {
+    let sent = map(&[
+        ("host", "a.example"),
+        ("x-request-id", "r1"),
+        ("x-deadline-ms", "5000"),
+        ("x-caller-service", "forged"),
+        ("x-expect-instance", "forged"),
+        ("connection", "keep-alive, x-private"),
+        ("x-private", "1"),
+        ("transfer-encoding", "chunked"),
+        ("x-kept", "1"),
+    ]);
+    let origin = "own-service".parse().expect("a name");
+    let kept = PlatformProtocol.forward(&sent, &origin);
+    let expected = map(&[
+        ("host", "a.example"),
+        ("x-request-id", "r1"),
+        ("x-caller-service", "own-service"),
+        ("x-kept", "1"),
+    ]);
+    assert_eq!(kept, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn address_says_what_is_left() {
+    let head = head(map(&[("x-request-id", "r1")]), Duration::from_millis(700));
+    tokio::time::advance(Duration::from_millis(200)).await;
+    let mut headers = HeaderMap::new();
+    let server: ServerId = "i-1".parse().expect("an id");
+    PlatformProtocol.address(&mut headers, &head, Instant::now(), Some(&server));
+    assert_eq!(
+        headers,
+        map(&[("x-deadline-ms", "500"), ("x-expect-instance", "i-1")])
+    );
+}
+
+#[rstest]
+#[case::own("9c41", "9c41", None)]
+#[case::onward("9c41.2", "9c41", Some("9c41"))]
+#[case::deeper("9c41.2.7", "9c41", Some("9c41.2"))]
+fn read_takes_the_id_as_a_hint(#[case] id: &str, #[case] root: &str, #[case] parent: Option<&str>) {
+    let facts = |id: &str| {
+        let request = Request::builder()
+            .header("x-request-id", id)
+            .header("x-deadline-ms", "1200")
+            .body(())
+            .expect("a request");
+        PlatformProtocol
+            .read(&request.into_parts().0)
+            .expect("facts")
+    };
+    let read = facts(id);
+    assert_eq!(read.timeout, Some(Duration::from_millis(1200)));
+    assert_eq!(read.root, facts(root).root);
+    assert_eq!(read.parent, parent.map(|parent| facts(parent).call));
+}
+
+fn refusals() -> Vec<Refusal> {
+    let shed = [
+        Shed::Overload,
+        Shed::Downstream,
+        Shed::Deadline,
+        Shed::Cancelled,
+        Shed::Leaving,
+    ];
+    let plain = [
+        Reason::NoConfig,
+        Reason::Unreachable,
+        Reason::Rejected,
+        Reason::Replaced,
+        Reason::Cut,
+        Reason::Garbage,
+        Reason::Timeout,
+    ];
+    let reasons: Vec<Reason> = plain.into_iter().chain(shed.map(Reason::Shed)).collect();
+    let refused = reasons.iter().map(|r| Attempt::plan().refuse(*r, ""));
+    let lost = reasons.iter().map(|r| Attempt::plan().send().lose(*r, ""));
+    refused.chain(lost).collect()
+}
+
+/// 408, 421, 429 and 503 promise that a request has not run and never will;
+/// callers repeat unsafe requests after them.
+#[test]
+fn status_promises_only_what_is_true() {
+    let promises = [408, 421, 429, 503];
+    for refusal in refusals() {
+        let status = PlatformProtocol.status(&refusal).as_u16();
+        let promised = promises.contains(&status);
+        let not_run = refusal.verdict() == bramleymount::model::Verdict::NotRun;
+        assert_eq!(promised, not_run, "{refusal:?} gives {status}");
+    }
+}
+
+#[test]
+fn retry_after_keeps_fractions() {
+    let text = PlatformProtocol.retry_after(Duration::from_millis(250));
+    assert_eq!(text, "0.250");
+}
+
+const DOCUMENT: &str = r#"{"version":7,"news":true,"routes":{
+"r-a":{"authority":"hulo84.example","pathPrefix":"/leny950/","routeType":"idempotent","timeoutS":1.2,"goalS":1.5,"priority":2,"split":[{"upstream":"huvo11a","weight":90},{"upstream":"lovo22d","weight":0.5}],"attempts":2},
+"r-b":{"authority":"hulo84.example","pathPrefix":"/leny950/deep/","routeType":"non_idempotent","timeoutS":1.5,"goalS":2,"priority":0,"upstream":"wuno96b","attempts":1},
+"r-c":{"authority":"other.example","pathPrefix":"/","routeType":"upload","timeoutS":3,"goalS":2,"priority":9,"upstream":"wuno96b","attempts":1}},
+"services":{"huvo11a":{"healthPath":"/healthz","maxConns":532,"protocol":"h1","tls":false}},"limits":{}}"#;
+
+#[rstest]
+#[case::longest("hulo84.example", "/leny950/deep/x", Some("r-b"))]
+#[case::shorter("hulo84.example", "/leny950/dee", Some("r-a"))]
+#[case::slash_counts("hulo84.example", "/leny950", None)]
+#[case::other_host("other.example", "/leny950/", Some("r-c"))]
+#[case::unknown_host("nowhere.example", "/leny950/", None)]
+fn route_by_host_and_longest_prefix(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let operated = read_document(DOCUMENT.as_bytes()).expect("a document");
+    let route = operated.estate.route(host, path);
+    assert_eq!(route.map(|route| route.name.as_str()), expected);
+}
+
+#[test]
+fn read_document_makes_classes_of_priorities() {
+    let operated = read_document(DOCUMENT.as_bytes()).expect("a document");
+    assert_eq!(operated.version, Version::new(7));
+    let estate = operated.estate;
+    let class = |name: &str| {
+        let route = estate.routes.iter().find(|r| r.name.as_str() == name);
+        route.expect("a route").class.as_str().to_owned()
+    };
+    assert_eq!(
+        ["r-b", "r-a", "r-c"].map(class),
+        ["rank-0", "rank-1", "rank-2"]
+    );
+    assert_eq!(estate.services.len(), 3);
+    let split = bramleymount::declare::split(&estate);
+    assert_eq!(
+        bramleymount::declare::join(&split).expect("an estate"),
+        estate
+    );
+}
+
+#[rstest]
+#[case::repeatable("r-a", true)]
+#[case::unsafe_request("r-b", false)]
+#[case::upload("r-c", false)]
+fn read_document_repeats_only_idempotent_routes(#[case] name: &str, #[case] idempotent: bool) {
+    let operated = read_document(DOCUMENT.as_bytes()).expect("a document");
+    let route = operated
+        .estate
+        .routes
+        .iter()
+        .find(|r| r.name.as_str() == name);
+    assert_eq!(route.expect("a route").idempotent, idempotent);
+}
+
+#[rstest]
+#[case::cut_short(&DOCUMENT[..300])]
+#[case::no_version(r#"{"routes":{}}"#)]
+#[case::no_time(r#"{"version":1,"routes":{"a":{"authority":"a","pathPrefix":"/","routeType":"idempotent","timeoutS":0,"goalS":1,"priority":0,"upstream":"b","attempts":1}}}"#)]
+fn read_document_refuses_what_it_cannot_hold(#[case] text: &str) {
+    assert!(read_document(text.as_bytes()).is_err());
+}
+
+proptest! {
+    #[test]
+    fn read_document_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = read_document(&bytes);
+    }
+}
--- /dev/null
+++ b/tests/route_choice.rs
@@ -0,0 +1,174 @@
+//! Choice of a backend server while a data centre is out of reach.
+//!
+//! Load pattern: a data centre is cut off without a word, so that calls into
+//! it are never answered, while the servers that are left have more to do than
+//! they can. Figures: three targets of a service, one in the own data centre,
+//! as on the users' smaller site.
+
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bramleymount::model::{
+    CentreName, ClassRank, Demand, GuardNews, Instance, Level, Slots, StartStamp,
+};
+use bramleymount::policy::retry::RatioSettings;
+use bramleymount::policy::route::{Pick, Report, Split, Table, Target, Want};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn centre(name: &str) -> CentreName {
+    name.parse().expect("a name")
+}
+
+fn instance(n: u16) -> Instance {
+    let address = SocketAddr::from(([10, 0, 0, 1], n));
+    Instance::new(address, StartStamp::new(1, 0))
+}
+
+/// One near target and two far ones.
+fn table() -> Table {
+    let mut table = Table::new(centre("near"));
+    let target = |n, at: &str| Target::new(instance(n), centre(at), Slots::new(27));
+    table.update(vec![target(1, "near"), target(2, "far"), target(3, "far")]);
+    table
+}
+
+fn want(level: Level) -> Want {
+    Want {
+        level,
+        protected: false,
+        avoid: None,
+    }
+}
+
+#[test]
+fn choose_avoids_all_targets_out_of_reach() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    for n in [2, 3] {
+        table.sent(instance(n));
+        table.report(now, instance(n), Report::Silent);
+    }
+    for _ in 0..100 {
+        let picked = table.choose(now, want(Level::new(ClassRank::new(0), 0)), &mut rng);
+        assert_eq!(picked, Pick::Target(instance(1)));
+    }
+}
+
+#[test]
+fn choose_refuses_rather_than_go_out_of_reach() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    for n in [2, 3] {
+        table.sent(instance(n));
+        table.report(now, instance(n), Report::Silent);
+    }
+    let full = GuardNews {
+        demand: Demand {
+            level: Level::from_raw(u32::MAX),
+            ..Demand::default()
+        },
+        ..GuardNews::default()
+    };
+    table.sent(instance(1));
+    table.report(now, instance(1), Report::Heard(full));
+    let picked = table.choose(now, want(Level::OPEN), &mut rng);
+    assert!(matches!(picked, Pick::Refused(_)), "{picked:?}");
+}
+
+#[test]
+fn choose_tries_targets_out_of_reach_if_there_is_no_other() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    for n in [1, 2, 3] {
+        table.sent(instance(n));
+        table.report(now, instance(n), Report::Silent);
+    }
+    let picked = table.choose(now, want(Level::OPEN), &mut rng);
+    assert!(matches!(picked, Pick::Target(_)), "{picked:?}");
+    let picked = table.choose_except(now, want(Level::OPEN), &[1, 2, 3].map(instance), &mut rng);
+    assert_eq!(picked, Pick::Nothing);
+}
+
+#[test]
+fn is_fresh_ends_soon_after_the_last_word() {
+    let (mut table, now) = (table(), Instant::now());
+    assert!(!table.is_fresh(now, instance(2)));
+    table.report(now, instance(2), Report::Heard(GuardNews::default()));
+    assert!(table.is_fresh(now, instance(2)));
+    assert!(!table.is_fresh(now + Duration::from_secs(1), instance(2)));
+}
+
+/// One of three servers refuses nearly half of its calls by itself, as the
+/// users' servers do while their health check is good.
+#[test]
+fn choose_keeps_most_calls_from_a_refusing_server() {
+    let mut table = table();
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut to_bad = 0;
+    for turn in 0..600 {
+        let Pick::Target(target) = table.choose(now, want(Level::OPEN), &mut rng) else {
+            panic!("no target");
+        };
+        let bad = target == instance(2);
+        let news = GuardNews::default();
+        let report = if bad && turn % 2 == 0 {
+            Report::Rejected(news)
+        } else {
+            Report::Heard(news)
+        };
+        table.report(now, target, report);
+        to_bad += u32::from(bad && turn >= 300);
+    }
+    assert!(to_bad < 60, "{to_bad} of 300 calls");
+}
+
+/// The users allow a fifth of a service's calls to be repeats, and 47 more in
+/// ten seconds, summed over all daemons.
+#[rstest]
+#[case::small(13, 900.0)]
+#[case::small_and_idle(16, 40.0)]
+#[case::grown(75, 9000.0)]
+fn ratio_stays_within_the_estate_budget(#[case] daemons: u32, #[case] per_second: f64) {
+    let calls = (per_second * 10.0) as u32;
+    let mut repeats = 0;
+    for _ in 0..daemons {
+        let mut table = Table::with_ratio(centre("near"), RatioSettings::ASKED);
+        for _ in 0..calls / daemons {
+            table.ratio().asked();
+        }
+        // All that was saved up is used in the same window, with what follows.
+        for _ in 0..calls / daemons {
+            table.ratio().asked();
+            repeats += u32::from(table.ratio().take());
+        }
+    }
+    let slack = if daemons > 16 { 100.0 } else { 47.0 };
+    let most = f64::from(calls) * 0.2 + slack;
+    assert!(f64::from(repeats) <= most, "{repeats} of {most}");
+}
+
+#[rstest]
+#[case::even(&[1, 1])]
+#[case::uneven(&[9000, 1000])]
+#[case::three(&[50, 30, 20])]
+#[case::none_for_one(&[10, 0])]
+fn split_deals_by_weight(#[case] weights: &[u32], #[values(0.0, 0.4, 0.99)] offset: f64) {
+    let mut split = Split::new(weights, offset);
+    let mut dealt = vec![0_u32; weights.len()];
+    for _ in 0..200 {
+        dealt[split.next(weights).expect("a place")] += 1;
+    }
+    let sum: u32 = weights.iter().sum();
+    for (count, weight) in dealt.iter().zip(weights) {
+        let share = f64::from(*weight) / f64::from(sum);
+        let off = (f64::from(*count) / 200.0 - share).abs();
+        assert!(off < 0.02, "{dealt:?}");
+    }
+    assert_eq!(split.next(&vec![0; weights.len()]), None);
+}
--- /dev/null
+++ b/tests/support/hosted.rs
@@ -0,0 +1,174 @@
+//! Daemons and backend servers as the platform runs them, in one process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bramleymount::config::Config;
+use bramleymount::daemon::Daemon;
+use bramleymount::emulator::free_address;
+use bramleymount::web::{Answer, CallerAnswer, Listening, caller_text, listen};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+use super::rows::RowsStandIn;
+use super::{eventually, headers, request};
+
+/// What a backend server has seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Id, origin and body size of each run.
+    pub runs: Mutex<Vec<(String, String, usize)>>,
+    pub working: AtomicUsize,
+}
+
+struct Working<'s>(&'s AtomicUsize);
+
+impl Drop for Working<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn run(seen: Arc<Seen>, server: String, request: Request<Incoming>) -> CallerAnswer {
+    let (head, body) = request.into_parts();
+    let text = |name: &str| {
+        let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let path = head.uri.path().to_owned();
+    let body = body
+        .collect()
+        .await
+        .map(|b| b.to_bytes())
+        .unwrap_or_default();
+    let mut answer = caller_text(StatusCode::OK, "text/plain", "whole answer");
+    let id = HeaderValue::from_str(&text("x-request-id")).expect("an id");
+    answer.headers_mut().insert("x-request-id", id);
+    if path.ends_with("/shed") || text("x-expect-instance") != server {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let told = HeaderValue::from_static("1");
+        answer.headers_mut().insert("x-not-executed", told);
+        return answer;
+    }
+    let seen_of = (text("x-request-id"), text("x-caller-service"), body.len());
+    seen.runs.lock().push(seen_of);
+    seen.working.fetch_add(1, Ordering::SeqCst);
+    let _working = Working(&seen.working);
+    if path.ends_with("/slow") {
+        tokio::time::sleep(Duration::from_secs(20)).await;
+    }
+    if !path.ends_with("/unsigned") {
+        let signature = HeaderValue::from_static("signed");
+        answer.headers_mut().insert("x-server-signature", signature);
+    }
+    answer
+}
+
+/// One VM: daemon and backend server.
+pub struct Vm {
+    pub daemon: Daemon,
+    pub callers: SocketAddr,
+    pub announcements: SocketAddr,
+    pub readiness: SocketAddr,
+    pub seen: Arc<Seen>,
+    pub server: String,
+    pub service: String,
+    _backend: Listening,
+}
+
+pub async fn vm(service: &str, store: SocketAddr) -> Vm {
+    let port = || free_address().expect("a port");
+    let (callers, announcements, readiness, backend) = (port(), port(), port(), port());
+    let text = format!(
+        "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
+         peers: {}\n  operators: {}\nbackend: {backend}\nplatform: {store}\nhosting:\n  \
+         announcements: {announcements}\n  readiness: {readiness}\ngrace: 5s\n",
+        port(),
+        port(),
+    );
+    let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
+    let config = config.unwrap_or_else(|e| panic!("{e}"));
+    let seen = Arc::new(Seen::default());
+    let server = format!("i-{}", backend.port());
+    let (of, id) = (Arc::clone(&seen), server.clone());
+    let served = listen(backend, move |request, _| {
+        run(Arc::clone(&of), id.clone(), request)
+    });
+    Vm {
+        daemon: Daemon::start(config).await.expect("a daemon"),
+        callers,
+        announcements,
+        readiness,
+        seen,
+        server,
+        service: service.into(),
+        _backend: served.await.expect("a backend server"),
+    }
+}
+
+impl Vm {
+    pub async fn announce(&self, state: &str, sequence: u64) -> Answer {
+        let body = format!(
+            r#"{{"upstream":"{}","address":"127.0.0.1:1","zone":"hall-a","version":"v1",
+            "slots":20,"state":"{state}","coldLeftS":0,"sequence":{sequence}}}"#,
+            self.service
+        );
+        let url = format!("http://{}/instances/{}", self.announcements, self.server);
+        let answer = request(Method::PUT, &url, HeaderMap::new(), body.into()).await;
+        answer.expect("an acknowledgement")
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/readyz", self.readiness);
+        let answer = request(Method::GET, &url, HeaderMap::new(), Bytes::new()).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    pub async fn wait_ready(&self) {
+        eventually("readiness", || async {
+            self.is_ready().await.then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a request of `id` and waits for the answer.
+    pub async fn ask(&self, method: Method, path: &str, id: &str) -> Answer {
+        let url = format!("http://{}{path}", self.callers);
+        let sent = headers(&[
+            ("host", "a.example"),
+            ("x-request-id", id),
+            ("x-deadline-ms", "5000"),
+            ("x-caller-service", "forged"),
+        ]);
+        let answer = request(method, &url, sent, Bytes::from_static(b"body")).await;
+        answer.expect("an answer")
+    }
+}
+
+/// A document that sends `/read/` and `/write/` to `service`.
+pub fn document(version: u64, service: &str, timeout: f64) -> String {
+    let route = |path: &str, kind: &str| {
+        format!(
+            r#""authority":"a.example","pathPrefix":"/{path}/","routeType":"{kind}",
+            "timeoutS":{timeout},"goalS":1,"priority":0,"upstream":"{service}","attempts":2"#
+        )
+    };
+    format!(
+        r#"{{"version":{version},"routes":{{"r-read":{{{}}},"r-write":{{{}}}}},
+        "services":{{"{service}":{{"healthPath":"/h","maxConns":100}}}}}}"#,
+        route("read", "idempotent"),
+        route("write", "non_idempotent"),
+    )
+}
+
+pub async fn store() -> (SocketAddr, Arc<RowsStandIn>, Listening) {
+    let address = free_address().expect("a port");
+    let (rows, listening) = RowsStandIn::start(address).await;
+    (address, rows, listening)
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod hosted;
+pub mod rows;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
--- /dev/null
+++ b/tests/support/rows.rs
@@ -0,0 +1,266 @@
+//! A stand-in for the platform's store, in the platform's words.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramleymount::web::{CallerAnswer, Listening, caller_text, listen};
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+/// How the stand-in misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    #[default]
+    None,
+    /// Says 503 and does nothing.
+    Busy,
+    /// Does nothing and never answers.
+    Silent,
+    /// Does what is asked and never answers.
+    LoseAnswers,
+    /// Has forgotten its history.
+    Forgetful,
+}
+
+#[derive(Clone, Debug)]
+struct Cell {
+    value: Option<String>,
+    ver: u64,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    cells: BTreeMap<(String, String), Cell>,
+    objects: BTreeMap<String, Vec<u8>>,
+    ver: u64,
+    trouble: Trouble,
+    calls: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct RowsStandIn {
+    rows: Mutex<Rows>,
+    changed: Notify,
+}
+
+type Key = (String, String);
+
+fn key(row: &Value) -> Key {
+    let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    (text("tableName"), text("key"))
+}
+
+fn found(key: &Key, cell: &Cell) -> Value {
+    match &cell.value {
+        Some(value) => json!({"tableName": key.0, "part": "", "key": key.1,
+            "value": value, "ver": cell.ver}),
+        None => json!({"tableName": key.0, "part": "", "key": key.1,
+            "ver": cell.ver, "deleted": true}),
+    }
+}
+
+fn answer(status: u16, body: &Value) -> CallerAnswer {
+    let status = StatusCode::from_u16(status).expect("a status");
+    caller_text(status, "application/json", body.to_string())
+}
+
+impl RowsStandIn {
+    pub async fn start(address: SocketAddr) -> (Arc<Self>, Listening) {
+        let store = Arc::new(Self::default());
+        let served = Arc::clone(&store);
+        let listening = listen(address, move |request, _| {
+            let store = Arc::clone(&served);
+            async move { store.handle(request).await }
+        });
+        (store, listening.await.expect("the stand-in"))
+    }
+
+    pub fn set(&self, trouble: Trouble) {
+        self.rows.lock().trouble = trouble;
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.rows.lock().calls
+    }
+
+    /// Writes a row as the operator does.
+    pub fn put(&self, table: &str, name: &str, text: &str) {
+        use base64::Engine;
+        let value = base64::engine::general_purpose::STANDARD.encode(text);
+        let mut rows = self.rows.lock();
+        rows.ver += 1;
+        let ver = rows.ver;
+        let value = Some(value);
+        rows.cells
+            .insert((table.into(), name.into()), Cell { value, ver });
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> CallerAnswer {
+        let (head, body) = request.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map(|b| b.to_bytes())
+            .unwrap_or_default();
+        let trouble = {
+            let mut rows = self.rows.lock();
+            rows.calls += 1;
+            rows.trouble
+        };
+        match trouble {
+            Trouble::Busy => return answer(503, &json!({})),
+            Trouble::Silent => std::future::pending::<()>().await,
+            Trouble::None | Trouble::LoseAnswers | Trouble::Forgetful => {}
+        }
+        let path = head.uri.path().to_owned();
+        let query = query(head.uri.query().unwrap_or_default());
+        let result = match (&head.method, path.as_str()) {
+            (&Method::POST, "/rows-tx") => self.transact(&body),
+            (&Method::GET, "/rows-get") => self.get(&query),
+            (&Method::GET, "/rows-feed") => self.feed(&query, trouble).await,
+            (&Method::PUT, _) => self.put_object(&path, &body),
+            (&Method::GET, _) => self.get_object(&path),
+            _ => answer(404, &json!({})),
+        };
+        if trouble == Trouble::LoseAnswers {
+            std::future::pending::<()>().await;
+        }
+        result
+    }
+
+    fn transact(&self, body: &[u8]) -> CallerAnswer {
+        let call: Value = serde_json::from_slice(body).expect("a transaction");
+        let mut rows = self.rows.lock();
+        let list = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let ver_of = |rows: &Rows, key: &Key| {
+            let cell = rows.cells.get(key).filter(|cell| cell.value.is_some());
+            cell.map_or(0, |cell| cell.ver)
+        };
+        let holds = |row: &Value| ver_of(&rows, &key(row)) == row["ver"].as_u64().unwrap_or(0);
+        if !list("expectRev").iter().all(holds) {
+            let now: Vec<Value> = list("expectRev")
+                .iter()
+                .filter_map(|row| Some(found(&key(row), rows.cells.get(&key(row))?)))
+                .collect();
+            return answer(412, &json!({"rows": now, "ver": rows.ver, "nowS": 1.0}));
+        }
+        rows.ver += 1;
+        let ver = rows.ver;
+        for row in list("puts") {
+            let value = row["value"].as_str().map(str::to_owned);
+            rows.cells.insert(key(&row), Cell { value, ver });
+        }
+        for row in list("remove") {
+            rows.cells.insert(key(&row), Cell { value: None, ver });
+        }
+        drop(rows);
+        self.changed.notify_waiters();
+        answer(200, &json!({"ver": ver, "nowS": 1.0}))
+    }
+
+    fn get(&self, query: &BTreeMap<String, String>) -> CallerAnswer {
+        let rows = self.rows.lock();
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let limit: usize = text("limit").parse().unwrap_or(500).min(2);
+        let inside = |key: &Key| {
+            let before_end = query.get("to").is_none_or(|to| key.1 < *to);
+            key.0 == text("tableName") && key.1 >= text("from") && before_end
+        };
+        let all: Vec<Value> = rows
+            .cells
+            .iter()
+            .filter(|(key, cell)| inside(key) && cell.value.is_some())
+            .map(|(key, cell)| found(key, cell))
+            .collect();
+        let page: Vec<&Value> = all.iter().take(limit).collect();
+        let more = all.len() > page.len();
+        answer(
+            200,
+            &json!({"rows": page, "morePages": more, "ver": rows.ver, "nowS": 1.0}),
+        )
+    }
+
+    async fn feed(&self, query: &BTreeMap<String, String>, trouble: Trouble) -> CallerAnswer {
+        if trouble == Trouble::Forgetful {
+            return answer(410, &json!({}));
+        }
+        let number = |name: &str| query.get(name).and_then(|n| n.parse().ok()).unwrap_or(0);
+        let wait = Duration::from_millis(number("waitMs"));
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let woken = self.changed.notified();
+            let (changes, ver) = {
+                let rows = self.rows.lock();
+                let table = query.get("tableName").cloned().unwrap_or_default();
+                let newer =
+                    |(key, cell): &(&Key, &Cell)| key.0 == table && cell.ver > number("after");
+                let mut all: Vec<(u64, Value)> = rows
+                    .cells
+                    .iter()
+                    .filter(newer)
+                    .map(|(key, cell)| (cell.ver, found(key, cell)))
+                    .collect();
+                all.sort_by_key(|(ver, _)| *ver);
+                let all: Vec<Value> = all.into_iter().map(|(_, row)| row).collect();
+                (all, rows.ver)
+            };
+            let waited = tokio::time::timeout_at(end, woken);
+            if !changes.is_empty() || waited.await.is_err() {
+                return answer(200, &json!({"rows": changes, "ver": ver, "nowS": 1.0}));
+            }
+        }
+    }
+
+    fn put_object(&self, path: &str, body: &[u8]) -> CallerAnswer {
+        let mut rows = self.rows.lock();
+        let name = path.trim_start_matches("/blob-put/").to_owned();
+        if rows.objects.contains_key(&name) {
+            return answer(412, &json!({}));
+        }
+        rows.objects.insert(name, body.to_vec());
+        answer(200, &json!({}))
+    }
+
+    fn get_object(&self, path: &str) -> CallerAnswer {
+        let rows = self.rows.lock();
+        match rows.objects.get(path.trim_start_matches("/blob-get/")) {
+            Some(bytes) => caller_text(StatusCode::OK, "application/json", bytes.clone()),
+            None => answer(404, &json!({})),
+        }
+    }
+}
+
+fn query(text: &str) -> BTreeMap<String, String> {
+    text.split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), unquoted(value)))
+        .collect()
+}
+
+fn unquoted(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let hex = after.get(..2).filter(|_| *first == b'%');
+        let code = hex.and_then(|hex| u8::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok());
+        match code {
+            Some(code) => {
+                bytes.push(code);
+                rest = &after[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
