--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinSet;
@@ -15,7 +17,7 @@
 use crate::entry::{Entry, serve_callers};
 use crate::error::Error;
 use crate::guard::Guard;
-use crate::metrics::Metrics;
+use crate::metrics::{Gauges, Group, Metrics, page};
 use crate::model::{Instance, StartStamp, Version};
 use crate::operator::{Operator, serve_operators};
 use crate::peer::{Peers, Pool, serve_peers};
@@ -29,7 +31,7 @@
     Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Shared, Splits, unix_ms,
 };
 use crate::task::{Stopping, find_members, gossip, keep_homes, poll, report, stop, watch_lease};
-use crate::web::{Listening, Running};
+use crate::web::{Listening, Running, caller_text, listen};
 
 /// How long the platform may take for one request.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -95,6 +97,10 @@
             let announcements = hosting.announcements;
             hosted.push(serve_announcements(announcements, Arc::clone(&guard)).await?);
             hosted.push(serve_readiness(hosting.readiness, Arc::clone(&shared)).await?);
+            if let Some(address) = hosting.metrics {
+                let (shared, guard) = (Arc::clone(&shared), Arc::clone(&guard));
+                hosted.push(serve_metrics(address, shared, guard).await?);
+            }
         }
         let mut tasks = JoinSet::new();
         tasks.spawn(gossip(Arc::clone(&shared), Arc::clone(&pool)));
@@ -160,6 +166,23 @@
     }
 }
 
+/// Serves counters and histograms as text.
+async fn serve_metrics(
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    guard: Arc<Guard>,
+) -> Result<Listening, Error> {
+    listen(address, move |_, _| {
+        let gauges = Gauges {
+            load: guard.gate().load(),
+            version: shared.current.version().get(),
+        };
+        let text = page(&shared.metrics.rows(Group::Class), gauges);
+        async move { caller_text(StatusCode::OK, "text/plain; version=0.0.4", text) }
+    })
+    .await
+}
+
 fn shared(
     config: Config,
     platform: Arc<dyn Platform>,
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -2,6 +2,8 @@
 
 mod histogram;
 mod metric;
+mod page;
 
 pub use histogram::{Group, Row, Table};
 pub use metric::{Ending, Metrics};
+pub use page::{Gauges, NAMES, page};
