--- a/src/policy/admission/limit.rs
+++ b/src/policy/admission/limit.rs
@@ -6,8 +6,9 @@
 
 use crate::model::Slots;
 
-/// Share of the slots at which a cold backend server starts.
-const COLD_SHARE: f64 = 0.1;
+/// Share of the slots at which a cold backend server starts. On the users' sites
+/// cold servers take twice as long; whatever is too much, they refuse.
+const COLD_SHARE: f64 = 0.5;
 /// Shortest time between two decreases.
 const MIN_HOLD: Duration = Duration::from_millis(20);
 /// Weight of one call in the moving average of latency.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,13 +4,13 @@
 mod memory;
 mod settle;
 mod standin;
-mod store;
+mod traits;
 
 pub use client::HttpPlatform;
 pub use memory::{Fault, Memory};
 pub use settle::{Settled, settle};
 pub use standin::serve_standin;
-pub use store::{
+pub use traits::{
     Changes, Condition, Feed, FeedError, ObjectStore, Platform, ReadError, Revision, Row,
     RowChange, TableStore, WriteError,
 };
--- /dev/null
+++ b/tests/metrics_page.rs
@@ -0,0 +1,80 @@
+//! The page of figures, and the page on it.
+
+#![allow(missing_docs)]
+
+use std::path::Path;
+use std::time::Duration;
+
+use bramleymount::config::Config;
+use bramleymount::metrics::{Ending, Gauges, Group, Metrics, NAMES, page};
+
+fn read(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
+    std::fs::read_to_string(path).expect("a file")
+}
+
+#[test]
+fn page_gives_figures_by_class() {
+    let metrics = Metrics::new(None).expect("metrics");
+    let latency = Duration::from_millis(20);
+    metrics.ended("rank-0", "other", Ending::Whole, latency, 1);
+    metrics.ended("rank-0", "other", Ending::Shed, latency, 0);
+    let gauges = Gauges {
+        load: (3, 2, 27),
+        version: 7,
+    };
+    let text = page(&metrics.rows(Group::Class), gauges);
+    for line in [
+        "bramleymount_calls_total{class=\"rank-0\",ending=\"whole\"} 1",
+        "bramleymount_calls_total{class=\"rank-0\",ending=\"shed\"} 1",
+        "bramleymount_retries_total{class=\"rank-0\"} 1",
+        "bramleymount_guard_in_flight 3",
+        "bramleymount_guard_waiting 2",
+        "bramleymount_guard_limit 27",
+        "bramleymount_configuration_version 7",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+    }
+}
+
+#[test]
+fn page_is_bounded_whatever_is_counted() {
+    let metrics = Metrics::new(None).expect("metrics");
+    for n in 0..1000 {
+        let name = format!("class-{n}");
+        metrics.ended(&name, "other", Ending::Whole, Duration::from_millis(1), 0);
+    }
+    assert!(metrics.rows(Group::Class).len() <= 257);
+}
+
+#[test]
+fn page_names_are_those_of_the_operators_page() {
+    let text = read("docs/operate/metrics.md");
+    for (name, _) in NAMES {
+        assert!(
+            text.contains(name),
+            "{name} is not in docs/operate/metrics.md"
+        );
+    }
+}
+
+#[test]
+fn settings_template_makes_settings_that_are_accepted() {
+    let text = read("deploy/settings.yaml")
+        .replace("{{zone}}", "hall-a")
+        .replace("{{upstream}}", "huvo11a")
+        .replace("{{listen.outbound}}", "10.1.0.8:8304")
+        .replace("{{listen.inbound}}", "10.1.0.8:8300")
+        .replace("{{listen.control}}", "10.1.0.8:8306")
+        .replace("{{listen.ready}}", "10.1.0.8:8302")
+        .replace("{{portRange.0}}", "7620")
+        .replace("{{portRange.1}}", "7635")
+        .replace("{{ip}}", "10.1.0.8")
+        .replace("{{appAddr}}", "10.1.0.8:8301")
+        .replace("{{platform.address}}", "10.200.1.7:8309");
+    assert!(!text.contains("{{"), "a placeholder is left in\n{text}");
+    let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
+    let config = config.unwrap_or_else(|e| panic!("{e}"));
+    let hosting = config.hosting.expect("hosting");
+    assert_eq!(hosting.metrics.expect("an address").port(), 7635);
+}
