End a planned stop within the grace though store and neighbours are silent

Ruled out: the drain itself, which is bounded by the grace. Change: neighbours have 500 ms; the last writes 500 ms where a platform hosts the daemon; both at the same time.

--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -28,6 +28,13 @@
 /// How long the platform may take for the last writes.
 const LAST_WRITES: Duration = Duration::from_secs(3);
 
+/// The same where a platform hosts the daemon: a hundred times what its store
+/// usually takes.
+const LAST_WRITES_HOSTED: Duration = Duration::from_millis(500);
+/// How long neighbours may take to hear the news of a stop; others hear it by
+/// the regular exchange.
+const TELL: Duration = Duration::from_millis(500);
+
 /// The parts of a daemon that a stop concerns.
 pub struct Stopping {
     /// The shared tables.
@@ -69,20 +76,29 @@
         () = hurry => false,
     };
     guard.once().stop();
-    let last = tokio::time::timeout(LAST_WRITES, hand_over_home(shared, guard, pool)).await;
+    let longest = last_writes(shared);
+    let last = tokio::time::timeout(longest, hand_over_home(shared, guard, pool)).await;
     spdlog::info!("ledger", kv: { handed_over = last.unwrap_or(false) });
     say_state(shared, MemberState::Left);
-    tell_neighbours(shared, pool).await;
-    if tokio::time::timeout(LAST_WRITES, remove_row(shared))
-        .await
-        .is_err()
-    {
+    let removed = tokio::time::timeout(longest, remove_row(shared));
+    let (removed, ()) = tokio::join!(removed, tell_neighbours(shared, pool));
+    if removed.is_err() {
         spdlog::warn!("own row not removed: no answer in time");
     }
     spdlog::info!("stopped", kv: { drained = drained });
     drained
 }
 
+/// Returns how long the platform may take for each of the last writes.
+///
+/// A platform that hosts the daemon ends it by force soon after its grace.
+fn last_writes(shared: &Shared) -> Duration {
+    match shared.config.hosting {
+        Some(_) => LAST_WRITES_HOSTED,
+        None => LAST_WRITES,
+    }
+}
+
 async fn drain(entry: &Entry, guard: &Guard, shared: &Shared, limit: Instant) -> bool {
     while Instant::now() < limit {
         let (in_flight, waiting, _) = guard.gate().load();
@@ -100,7 +116,10 @@
     let told = neighbours
         .all()
         .map(|instance| exchange(shared, pool, instance.address, Told::default()));
-    futures_util::future::join_all(told).await;
+    let told = futures_util::future::join_all(told);
+    if tokio::time::timeout(TELL, told).await.is_err() {
+        spdlog::debug!("a neighbour did not hear of the stop in time");
+    }
 }
 
 /// Hands the ledger to another instance of the service, then gives it the
--- a/tests/platform_daemon.rs
+++ b/tests/platform_daemon.rs
@@ -209,3 +209,25 @@
     let left = rows.calls();
     assert!(left > 0);
 }
+
+/// The platform ends a process by force six seconds after it asked it to stop.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_ends_in_time_though_store_and_neighbours_are_silent() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let silent = TcpListener::bind(free_address().expect("a port")).expect("a listener");
+    let silent_at = silent.local_addr().expect("an address");
+    let member = format!(
+        r#"{{"instance":"{silent_at}@1","centre":"hall-a","service":"svc","beat":1,
+        "state":"serving","version":0,"slots":20}}"#
+    );
+    rows.put("member", &silent_at.to_string(), &member);
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    rows.set(Trouble::Silent);
+    let started = std::time::Instant::now();
+    vm.daemon.stop(std::future::pending()).await;
+    let took = started.elapsed();
+    assert!(took < Duration::from_millis(5600), "{took:?}");
+}
