Split the guard by job; keep an operator's drain through renewals

Change: announced.rs (announcements), run_once.rs (keyed calls), serve.rs; a renewal opens nothing, a server that stays after all comes back.

--- /dev/null
+++ b/src/guard/announced.rs
@@ -0,0 +1,100 @@
+//! What the backend server announces of itself, and what follows for calls.
+
+use std::sync::atomic::Ordering;
+
+use tokio::time::Instant;
+
+use super::{Guard, Lease, LeaseState};
+use crate::model::{ServerId, Slots};
+use crate::policy::member::{Announcement, Presented};
+
+impl Guard {
+    /// Returns whether the backend server takes calls.
+    pub fn lease_state(&self) -> LeaseState {
+        self.lease.lock().state(Instant::now())
+    }
+
+    /// Takes an announcement or renewal of the backend server; returns whether
+    /// it had been away.
+    pub fn announce(&self, cold: bool) -> bool {
+        let first = self.lease.lock().renew(Instant::now());
+        if first {
+            self.shared.announced.notify_one();
+        }
+        if first && cold {
+            self.gate.restart(self.slots());
+        } else if first {
+            self.gate.rejoin();
+        }
+        first
+    }
+
+    /// Takes an announcement of one run of the backend server, which may come
+    /// late or out of order.
+    pub fn hear(&self, news: &Announcement) -> Presented {
+        let change = self.presence.lock().announce(news);
+        if change != Presented::Renewed {
+            self.shared.announced.notify_one();
+        }
+        match change {
+            Presented::Old => {}
+            Presented::Leaving => self.drain(),
+            // What an operator has drained is not opened by a renewal.
+            Presented::Renewed if self.lease_state() == LeaseState::Leaving => {}
+            Presented::Arrived | Presented::Renewed => {
+                self.announced.lock().replace(news.slots);
+                self.gate.reload(self.slots(), self.protected());
+                if !self.stopping.load(Ordering::Relaxed) {
+                    self.announce(news.cold);
+                }
+            }
+        }
+        change
+    }
+
+    /// Takes note that a run of the backend server has ended or is about to.
+    pub fn depart(&self, server: &ServerId) {
+        if self.presence.lock().depart(server) {
+            self.drain();
+            self.shared.announced.notify_one();
+        }
+    }
+
+    /// Returns the run of the backend server that is present, if it said so.
+    pub fn server(&self) -> Option<ServerId> {
+        self.presence.lock().server().cloned()
+    }
+
+    /// Returns the slots that the backend server announced.
+    pub fn announced(&self) -> Option<Slots> {
+        *self.announced.lock()
+    }
+
+    pub(super) fn displaced(&self, meant: Option<&ServerId>, found: Option<&ServerId>) {
+        if let Some(meant) = meant {
+            self.presence.lock().displaced(meant, found);
+            *self.lease.lock() = Lease::absent();
+        }
+    }
+
+    /// Refuses new calls for good, since the daemon stops.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.drain();
+    }
+
+    /// Renews the announcement of a backend server that has not been told to
+    /// leave.
+    pub fn renew(&self) {
+        let mut lease = self.lease.lock();
+        if lease.state(Instant::now()) != LeaseState::Leaving {
+            lease.renew(Instant::now());
+        }
+    }
+
+    /// Refuses new calls; those in flight go on.
+    pub fn drain(&self) {
+        self.lease.lock().drain();
+        self.gate.leave();
+    }
+}
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -1,9 +1,11 @@
 //! The guard: stands before the one backend server of its VM.
 
+mod announced;
 mod backend;
 mod gate;
 mod lease;
 mod once;
+mod run_once;
 mod serve;
 
 pub use backend::Backend;
--- a/src/policy/member/presence.rs
+++ b/src/policy/member/presence.rs
@@ -35,7 +35,7 @@
 /// What an announcement changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presented {
-    /// Another run has taken the place.
+    /// Another run has taken the place, or one that was leaving stays.
     Arrived,
     /// The same run is still there.
     Renewed,
@@ -78,18 +78,19 @@
         if last.is_some_and(|last| news.sequence <= last.sequence) {
             return Presented::Old;
         }
-        if !same && let Some(before) = self.present.take() {
-            self.bury(before.server);
+        let before = last.map(|last| last.intent);
+        if !same && let Some(replaced) = self.present.take() {
+            self.bury(replaced.server);
         }
         self.present = Some(Present {
             server: news.server.clone(),
             sequence: news.sequence,
             intent: news.intent,
         });
-        match (news.intent, same) {
+        match (news.intent, before) {
             (Intent::Leave, _) => Presented::Leaving,
-            (Intent::Serve, true) => Presented::Renewed,
-            (Intent::Serve, false) => Presented::Arrived,
+            (Intent::Serve, Some(Intent::Serve)) => Presented::Renewed,
+            (Intent::Serve, Some(Intent::Leave) | None) => Presented::Arrived,
         }
     }
 
--- a/tests/platform_daemon.rs
+++ b/tests/platform_daemon.rs
@@ -231,3 +231,17 @@
     let took = started.elapsed();
     assert!(took < Duration::from_millis(5600), "{took:?}");
 }
+
+#[tokio::test]
+async fn server_drained_by_an_operator_stays_so() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    vm.daemon.guard().drain();
+    vm.announce("ready", 2).await;
+    let answer = vm.ask(Method::GET, "/read/x", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(vm.seen.runs.lock().is_empty());
+}
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -84,3 +84,11 @@
     assert!(presence.serves());
     assert_eq!(presence.announce(&serve("a", 41)), Presented::Old);
 }
+
+#[test]
+fn announce_takes_a_server_back_that_stays_after_all() {
+    let mut presence = Presence::default();
+    presence.announce(&news("a", Intent::Leave, 4));
+    assert_eq!(presence.announce(&serve("a", 5)), Presented::Arrived);
+    assert_eq!(presence.announce(&serve("a", 6)), Presented::Renewed);
+}
