--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -13,9 +13,6 @@
     Admission, Decision, Event, Load, Met, Outcome, Settings, Shed, Token, Waiting,
 };
 
-/// How often a waiting call looks whether its wait has ended.
-const LOOK: Duration = Duration::from_millis(10);
-
 struct Inner {
     admission: Admission,
     waiting: HashMap<Token, oneshot::Sender<Result<(), Shed>>>,
@@ -63,7 +60,7 @@
             let (sender, receiver) = oneshot::channel();
             inner.waiting.insert(token, sender);
             let (decision, events) = inner.admission.arrive(now, call);
-            if decision != Decision::Wait {
+            if !matches!(decision, Decision::Wait(_)) {
                 inner.waiting.remove(&token);
             }
             inner.deliver(events);
@@ -72,20 +69,21 @@
         match decision {
             Decision::Start => Ok(self.pass(token)),
             Decision::Shed(shed) => Err(shed),
-            Decision::Wait => self.wait(token, waiter).await,
+            Decision::Wait(until) => self.wait(token, until, waiter).await,
         }
     }
 
     async fn wait(
         self: &Arc<Self>,
         token: Token,
+        until: Instant,
         mut waiter: oneshot::Receiver<Result<(), Shed>>,
     ) -> Result<Pass, Shed> {
         // If the caller goes away the pass is dropped, which takes the call
         // out of the queue or frees the slot that it was given meanwhile.
         let pass = self.pass(token);
         loop {
-            match tokio::time::timeout(LOOK, &mut waiter).await {
+            match tokio::time::timeout_at(until, &mut waiter).await {
                 Ok(Ok(Ok(()))) => return Ok(pass),
                 Ok(Ok(Err(shed))) => return Err(shed),
                 Ok(Err(_)) => return Err(Shed::Cancelled),
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -38,8 +38,8 @@
 pub enum Decision {
     /// It starts at once.
     Start,
-    /// It waits; an [`Event`] will tell its end.
-    Wait,
+    /// It waits until then at the longest; an [`Event`] will tell its end.
+    Wait(Instant),
     /// It is shed at once.
     Shed(Shed),
 }
@@ -155,7 +155,7 @@
             call.deadline.min(now + MAX_WAIT)
         };
         self.queue.push(Waiting { expires, ..call });
-        Decision::Wait
+        Decision::Wait(expires)
     }
 
     fn evict(&mut self, events: &mut Vec<Event>) {
@@ -211,11 +211,6 @@
         }
     }
 
-    /// Returns when [`Admission::expire`] should be called next.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.queue.next_expiry()
-    }
-
     /// Refuses all new calls from now on and sheds those that wait.
     pub fn leave(&mut self) -> Vec<Event> {
         self.leaving = true;
--- a/src/policy/admission/queue.rs
+++ b/src/policy/admission/queue.rs
@@ -92,11 +92,6 @@
             .collect()
     }
 
-    /// Returns when the next wait ends.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.calls.values().map(|call| call.expires).min()
-    }
-
     /// Takes out all calls.
     pub fn drain(&mut self) -> Vec<Waiting> {
         self.keys.clear();
