Hand out retries by tree, within what a window of the estate allows

Retries were handed out as they were asked for, at 15 in 100 of the calls of the moment, so each tree of four to ten calls got one or two and failed all the same; and as fewer calls were made fewer retries were earned. (b) levels by the threshold of admission: they move within 250 ms, faster than a tree lasts. Change: an allowance of three quarters of the estate's share of the calls of its window, both from the settings; where more is wanted, the trees with the highest level get retries and keep getting them. An account lends three quarters, so that branches at the same time have some. Nine attempts at a refusing service in place of three. Also found: uploads are refused as if they depended on the last service; open.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -10,6 +10,7 @@
 use crate::declare::{Errors, parse, read};
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Span};
+use crate::policy::retry::AllowanceSettings;
 
 /// Largest number of first neighbours.
 const MAX_NEIGHBOURS: usize = 64;
@@ -30,7 +31,7 @@
 }
 
 /// Where a hosting platform meets the daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Hosting {
     /// For announcements of the own backend server.
     pub announcements: SocketAddr,
@@ -38,10 +39,12 @@
     pub readiness: SocketAddr,
     /// For scrapers of metrics, if any.
     pub metrics: Option<SocketAddr>,
+    /// What the platform allows of retries.
+    pub repeats: AllowanceSettings,
 }
 
 /// The settings of one daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// The data centre of the VM.
     pub centre: CentreName,
@@ -115,6 +118,15 @@
     readiness: SocketAddr,
     #[serde(default)]
     metrics: Option<SocketAddr>,
+    #[serde(default)]
+    repeats: Option<RepeatsEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RepeatsEntry {
+    share: Spanned<f64>,
+    window: Span,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -178,6 +190,12 @@
             Some(count) => count.value,
             None => 1,
         };
+        let hosting = file.hosting.map(|entry| Hosting {
+            announcements: entry.announcements,
+            readiness: entry.readiness,
+            metrics: entry.metrics,
+            repeats: check_repeats(path, entry.repeats, &mut errors),
+        });
         errors.or(Self {
             centre: file.data_centre,
             hall: file.hall,
@@ -191,11 +209,7 @@
             backend: file.backend.value,
             platform: file.platform.value,
             neighbours: file.neighbours.iter().map(|n| n.value).collect(),
-            hosting: file.hosting.map(|entry| Hosting {
-                announcements: entry.announcements,
-                readiness: entry.readiness,
-                metrics: entry.metrics,
-            }),
+            hosting,
             metrics: file.metrics,
             workers,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
@@ -206,6 +220,23 @@
     }
 }
 
+fn check_repeats(
+    path: &Path,
+    entry: Option<RepeatsEntry>,
+    errors: &mut Errors,
+) -> AllowanceSettings {
+    let Some(entry) = entry else {
+        return AllowanceSettings::default();
+    };
+    if !(0.0..=1.0).contains(&entry.share.value) {
+        errors.at(path, &entry.share, "share must be from 0 to 1, such as 0.2");
+    }
+    AllowanceSettings {
+        share: entry.share.value,
+        window: entry.window.get(),
+    }
+}
+
 fn check_listen(path: &Path, listen: &ListenEntry, errors: &mut Errors) {
     let all = [&listen.callers, &listen.peers, &listen.operators];
     for (place, address) in all.iter().enumerate() {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -25,7 +25,6 @@
     PlatformProtocol, RowStore, serve_announcements, serve_readiness, watch_configuration,
 };
 use crate::policy::member::{Beat, Member, MemberState, View};
-use crate::policy::retry::RatioSettings;
 use crate::store::{Feed, HttpPlatform, Platform};
 use crate::tables::{
     Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Shared, Splits, unix_ms,
@@ -199,16 +198,13 @@
         version: Version::NONE,
         slots: None,
     };
-    let ratio = match config.hosting {
-        Some(_) => RatioSettings::ASKED,
-        None => RatioSettings::ANSWERED,
-    };
+    let allowed = config.hosting.map(|hosting| hosting.repeats);
     Ok(Shared {
         instance,
         current: Current::default(),
         view: Mutex::new(View::new(Instant::now(), own)),
         homes: Homes::default(),
-        routes: Routes::new(config.centre.clone(), ratio),
+        routes: Routes::new(config.centre.clone(), allowed),
         splits: Splits::default(),
         protocol,
         calls: Arc::new(Calls::default()),
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -22,8 +22,10 @@
 /// make refusals late.
 const MAX_DETOURS: u32 = 3;
 
-/// How often a call is asked again of backend servers that refused it.
-const MAX_ASKED_AGAIN: u32 = 2;
+/// How often a call is asked again of backend servers that refused it. Where
+/// they refuse 55 in 100, as some do for seconds, fewer than one call in two
+/// hundred is refused that often in a row.
+const MAX_ASKED_AGAIN: u32 = 8;
 
 /// How a call ended, and how many retries it took here.
 pub(super) struct Ended {
@@ -121,7 +123,8 @@
     }
 
     async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
-        self.table(|table| table.ratio().asked());
+        let now = Instant::now();
+        self.table(|table| table.retries().asked(now));
         self.refresh_home().await?;
         let mut last = None;
         loop {
@@ -408,9 +411,14 @@
             left: head.deadline.saturating_duration_since(Instant::now()),
         };
         let safety = self.accepted.safety;
+        let now = Instant::now();
+        let (level, root) = (head.priority.level(), head.root);
         self.table(|table| {
-            self.purse
-                .with(|account| decide(failure, safety, account, table.ratio()))
+            self.purse.with(|account| {
+                decide(failure, safety, account, || {
+                    table.retries().take(now, level, root)
+                })
+            })
         }) == Retry::Again
     }
 }
@@ -454,7 +462,7 @@
         self.forward.table(|table| {
             table.report(now, self.target, report);
             if result.is_ok() {
-                table.ratio().answered();
+                table.retries().answered();
             }
         });
         self.reported = true;
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -14,9 +14,11 @@
 /// Slots of a server until it has announced its own.
 const UNANNOUNCED_SLOTS: Slots = Slots::new(16);
 /// Retries of a request and all calls made for it. A request of the users
-/// makes up to ten calls; if each is refused by itself one time in three, this
-/// lets nearly all be made again, and it is a fixed total all the same.
-const RETRIES: Retries = Retries::new(8);
+/// makes up to ten calls at the end of its chain, in two branches at the same
+/// time; where servers refuse 55 in 100 they need twelve retries in the mean.
+/// A quarter stays at each step of the way, so this leaves nine for the branch
+/// that starts second. What all requests use together is bounded elsewhere.
+const RETRIES: Retries = Retries::new(64);
 /// Deadline of a request that matches no route; it is refused anyway.
 const NO_ROUTE_DEADLINE: Span = Span::from_millis(1000);
 /// How keys would be kept; the platform's callers send none.
--- a/src/policy/retry/account.rs
+++ b/src/policy/retry/account.rs
@@ -62,16 +62,18 @@
         true
     }
 
-    /// Lends retries to an attempt: all but one, or the only one.
+    /// Lends retries to an attempt: three quarters of a large account, all but
+    /// one of a small one, or the only one.
     ///
-    /// One stays for the case that the attempt is lost together with its loan.
-    /// The rest goes down, since a failure is cheapest to retry where it is
-    /// met.
+    /// What stays is for the case that the attempt is lost together with its
+    /// loan, and for attempts that are made at the same time. The rest goes
+    /// down, since a failure is cheapest to retry where it is met.
     pub fn lend(&mut self) -> Loan {
         let share = match self.left {
             0 => 0,
             1 => 1,
-            left => left - 1,
+            left @ 2..=4 => left - 1,
+            left => left - left / 4,
         };
         self.left -= share;
         let id = LoanId(self.next);
--- a/src/policy/retry/decide.rs
+++ b/src/policy/retry/decide.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Account, Ratio};
+use super::Account;
 use crate::model::Verdict;
 
 /// Whether a call may run twice.
@@ -37,8 +37,14 @@
 /// Time below which another attempt is not worth while.
 const MIN_LEFT: Duration = Duration::from_millis(5);
 
-/// Decides on another attempt, and spends a retry for it.
-pub fn decide(failure: Failure, safety: Safety, account: &mut Account, ratio: &mut Ratio) -> Retry {
+/// Decides on another attempt, and spends a retry for it; `take` takes one out
+/// of what the service may use.
+pub fn decide(
+    failure: Failure,
+    safety: Safety,
+    account: &mut Account,
+    take: impl FnOnce() -> bool,
+) -> Retry {
     let harmless = match failure.verdict {
         Verdict::NotRun => true,
         Verdict::MayHaveRun => safety == Safety::Idempotent,
@@ -47,7 +53,7 @@
     if !harmless || failure.overload || failure.left < MIN_LEFT {
         return Retry::GiveUp;
     }
-    if account.left().get() == 0 || !ratio.take() {
+    if account.left().get() == 0 || !take() {
         return Retry::GiveUp;
     }
     if account.spend() {
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -8,7 +8,7 @@
 use super::pick::{Choice, Want, demand, pick};
 use super::{Ejector, Pick, Target, TargetState};
 use crate::model::{CentreName, Demand, GuardNews, Instance};
-use crate::policy::retry::{Ratio, RatioSettings};
+use crate::policy::retry::RetryBudget;
 
 /// What a call met at its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     far: Vec<Target>,
     places: HashMap<Instance, Place>,
     ejector: Ejector,
-    ratio: Ratio,
+    retries: RetryBudget,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -51,14 +51,14 @@
             far: Vec::new(),
             places: HashMap::new(),
             ejector: Ejector::default(),
-            ratio: Ratio::default(),
+            retries: RetryBudget::default(),
         }
     }
 
-    /// Makes an empty table whose retries are earned in another way.
-    pub fn with_ratio(own: CentreName, settings: RatioSettings) -> Self {
+    /// Makes an empty table whose retries are bounded in another way.
+    pub fn with_retries(own: CentreName, retries: RetryBudget) -> Self {
         Self {
-            ratio: Ratio::new(settings),
+            retries,
             ..Self::new(own)
         }
     }
@@ -201,9 +201,9 @@
         demand(now, targets, false)
     }
 
-    /// Returns the retry ratio of the service.
-    pub fn ratio(&mut self) -> &mut Ratio {
-        &mut self.ratio
+    /// Returns what bounds the retries of the service.
+    pub fn retries(&mut self) -> &mut RetryBudget {
+        &mut self.retries
     }
 
     /// Returns the targets, those of the own data centre first.
--- a/src/tables/routes.rs
+++ b/src/tables/routes.rs
@@ -8,24 +8,24 @@
 use crate::declare::Estate;
 use crate::model::{CentreName, Instance, ServiceName};
 use crate::policy::member::View;
-use crate::policy::retry::RatioSettings;
+use crate::policy::retry::{Allowance, AllowanceSettings, RetryBudget};
 use crate::policy::route::{Table, Target, subset, subset_size};
 
 /// The tables of targets by service.
 #[derive(Debug)]
 pub struct Routes {
     own: CentreName,
-    ratio: RatioSettings,
+    allowed: Option<AllowanceSettings>,
     tables: Mutex<HashMap<ServiceName, Arc<Mutex<Table>>>>,
 }
 
 impl Routes {
     /// Makes the tables of an entry in the data centre `own`, whose retries
-    /// are earned as `ratio` says.
-    pub fn new(own: CentreName, ratio: RatioSettings) -> Self {
+    /// are bounded by what the estate allows, or else by the calls answered.
+    pub fn new(own: CentreName, allowed: Option<AllowanceSettings>) -> Self {
         Self {
             own,
-            ratio,
+            allowed,
             tables: Mutex::default(),
         }
     }
@@ -36,7 +36,12 @@
         match tables.get(service) {
             Some(table) => Arc::clone(table),
             None => {
-                let table = Arc::new(Mutex::new(Table::with_ratio(self.own.clone(), self.ratio)));
+                let retries = match self.allowed {
+                    Some(settings) => RetryBudget::Allowed(Box::new(Allowance::new(settings))),
+                    None => RetryBudget::default(),
+                };
+                let table = Table::with_retries(self.own.clone(), retries);
+                let table = Arc::new(Mutex::new(table));
                 tables.insert(service.clone(), Arc::clone(&table));
                 table
             }
--- /dev/null
+++ b/tests/allowance.rs
@@ -0,0 +1,183 @@
+//! Retries within what an estate allows, and which trees of calls get them.
+
+#![allow(missing_docs)]
+
+use std::time::Duration;
+
+use bramleymount::model::{ClassRank, Depth, Level, Priority, RootId};
+use bramleymount::policy::retry::{Allowance, AllowanceSettings};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS_A_SECOND: usize = 100;
+const WINDOW: usize = 10 * STEPS_A_SECOND;
+
+/// Calls and retries of all daemons, by step.
+struct Counts {
+    asked: Vec<u32>,
+    repeats: Vec<u32>,
+}
+
+impl Counts {
+    /// Plays daemons that retry whatever they may, on calls that arrive at
+    /// `rates` a second, each for ten seconds.
+    fn play(daemons: usize, rates: &[f64]) -> Self {
+        let mut all: Vec<Allowance> = (0..daemons)
+            .map(|_| Allowance::new(AllowanceSettings::default()))
+            .collect();
+        let start = Instant::now();
+        let steps = rates.len() * WINDOW;
+        let mut counts = Self {
+            asked: vec![0; steps],
+            repeats: vec![0; steps],
+        };
+        let mut due = 0.0;
+        let mut turn = 0;
+        for step in 0..steps {
+            let now = start + STEP * step as u32;
+            due += rates[step / WINDOW] / STEPS_A_SECOND as f64;
+            while due >= 1.0 {
+                due -= 1.0;
+                turn += 1;
+                counts.asked[step] += 1;
+                all[turn % daemons].asked(now);
+            }
+            for allowance in &mut all {
+                while allowance.take(now, Level::OPEN, RootId::random()) {
+                    counts.repeats[step] += 1;
+                }
+            }
+        }
+        counts
+    }
+
+    fn asked(&self, end: usize) -> u32 {
+        let end = end.min(self.asked.len());
+        self.asked[end.saturating_sub(WINDOW)..end].iter().sum()
+    }
+}
+
+/// The users count calls in the same ten seconds, the ten before, or those that
+/// began half a window before, whichever are most; and allow some more.
+#[rstest]
+#[case::small(13, &[900.0, 900.0], 47.0)]
+#[case::small_and_idle(16, &[40.0, 40.0], 47.0)]
+#[case::grown(75, &[9000.0, 9000.0], 100.0)]
+#[case::load_ends(13, &[1500.0, 0.0, 0.0], 47.0)]
+#[case::load_comes_and_goes(13, &[100.0, 1500.0, 100.0], 47.0)]
+fn take_stays_within_any_window(#[case] daemons: usize, #[case] rates: &[f64], #[case] slack: f64) {
+    let counts = Counts::play(daemons, rates);
+    for end in WINDOW..=counts.asked.len() {
+        let repeats: u32 = counts.repeats[end - WINDOW..end].iter().sum();
+        let asked = [0, WINDOW / 2, WINDOW].map(|back| counts.asked(end.saturating_sub(back)));
+        let asked = asked.into_iter().max().unwrap_or(0);
+        let most = f64::from(asked) * 0.2 + slack;
+        assert!(f64::from(repeats) <= most, "{repeats} of {most} at {end}");
+    }
+}
+
+struct Tree {
+    root: RootId,
+    level: Level,
+    urgent: bool,
+    left: u32,
+    next: usize,
+}
+
+struct Passed {
+    urgent: u32,
+    other: u32,
+}
+
+/// Plays trees of calls to a service that refuses 55 of 100 calls by itself:
+/// 54 urgent ones a second of eight calls, 110 others of four, one after the
+/// other, 55 ms each.
+fn refusing_service(seconds: usize) -> Passed {
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut allowance = Allowance::new(AllowanceSettings::default());
+    let start = Instant::now();
+    let mut trees: Vec<Tree> = Vec::new();
+    let mut passed = Passed {
+        urgent: 0,
+        other: 0,
+    };
+    for step in 0..(10 + seconds) * STEPS_A_SECOND {
+        let now = start + STEP * step as u32;
+        // Ten seconds without trouble come first.
+        let refusing = step >= 10 * STEPS_A_SECOND;
+        for (rate, urgent) in [(0.54, true), (1.1, false)] {
+            let count = rate as usize + usize::from(rng.random_bool(f64::fract(rate)));
+            for _ in 0..count {
+                let rank = ClassRank::new(if urgent { 0 } else { 2 });
+                let root = RootId::random();
+                let level = Priority::new(rank, Depth::default(), root).level();
+                trees.push(Tree {
+                    root,
+                    level,
+                    urgent,
+                    left: if urgent { 8 } else { 4 },
+                    next: step,
+                });
+            }
+        }
+        trees.retain_mut(|tree| {
+            if tree.next > step {
+                return true;
+            }
+            allowance.asked(now);
+            for _ in 0..9 {
+                let refused = refusing && rng.random_bool(0.55);
+                if !refused {
+                    tree.left -= 1;
+                    tree.next = step + 5;
+                    if tree.left == 0 && refusing {
+                        *(if tree.urgent {
+                            &mut passed.urgent
+                        } else {
+                            &mut passed.other
+                        }) += 1;
+                    }
+                    return tree.left > 0;
+                }
+                if !allowance.take(now, tree.level, tree.root) {
+                    return false;
+                }
+            }
+            false
+        });
+    }
+    passed
+}
+
+/// A service whose servers all refuse 55 of 100 calls for some seconds, as
+/// those of the users do on their heavy days. Retries handed out as they are
+/// asked for let two in a hundred of the urgent trees pass.
+#[test]
+fn take_lets_whole_trees_pass() {
+    let passed = refusing_service(8);
+    let urgent = f64::from(passed.urgent) / (54.0 * 8.0);
+    assert!(urgent > 0.1, "{urgent} of the urgent trees");
+    // Four in a hundred of the others pass without any retry.
+    assert!(passed.other < 60, "others {}", passed.other);
+}
+
+/// Where few calls are refused nearly each gets its retry.
+#[test]
+fn take_serves_all_where_few_are_refused() {
+    let mut allowance = Allowance::new(AllowanceSettings::default());
+    let mut rng = StdRng::seed_from_u64(5);
+    let start = Instant::now();
+    let mut denied = 0;
+    for step in 0..2 * WINDOW as u32 {
+        let now = start + STEP * step;
+        for _ in 0..5 {
+            allowance.asked(now);
+            let refused = rng.random_bool(0.08);
+            denied += u32::from(refused && !allowance.take(now, Level::OPEN, RootId::random()));
+        }
+    }
+    assert!(denied < 100, "{denied} of 800 retries denied");
+}
