Spare a class that seldom calls a service from that service's demands

A call whose parent has ended is not recognised as its child and takes the class of its own route, which is that of uploads; one such call that failed marked the class as dependent, and since uploads call nothing onwards nothing unmarked it. Change: a service's demands count for a class only while a quarter of its calls or more have called it; what calls meet also says whether they failed. Test: chain_spares_a_class_that_seldom_calls, which fails without the bound.

--- a/benches/overload/world.rs
+++ b/benches/overload/world.rs
@@ -690,6 +690,7 @@
             service,
             demand,
             refused,
+            failed: refused,
         });
     }
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -103,10 +103,12 @@
             let now = Instant::now();
             let demand = self.table(|table| table.demand(now));
             let refused = matches!(&result, Err(refusal) if refusal.reason().is_overload());
+            let failed = !matches!(&result, Ok(reply) if !reply.head.status.is_server_error());
             let met = Met {
                 service: self.head().service.clone(),
                 demand,
                 refused,
+                failed,
             };
             parent.met(met);
         }
--- a/src/policy/admission/chain.rs
+++ b/src/policy/admission/chain.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::Heard;
+use super::share::Shares;
 use crate::model::{ClassRank, Demand, Level, RankSet, ServiceName};
 
 /// What a call met at a service that it called onwards.
@@ -16,6 +17,8 @@
     pub demand: Demand,
     /// Whether it refused.
     pub refused: bool,
+    /// Whether the call ended badly, by refusal or otherwise.
+    pub failed: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -24,14 +27,15 @@
     below: Heard,
     classes: RankSet,
     depends: RankSet,
+    callers: Shares,
 }
 
 /// Learns below which level calls would fail further down.
 ///
 /// Each answer to an onward call tells what the service called demands now.
-/// It counts for a class only once a call of the class has failed since the
-/// service refused, and until one was answered all the same; so work that
-/// does not depend on the refusing service goes on.
+/// It counts for a class only if many of its calls call the service, once one
+/// of them has failed since the service refused, and until one was answered all
+/// the same; so work that does not depend on the refusing service goes on.
 #[derive(Debug, Default)]
 pub struct Chain {
     services: BTreeMap<ServiceName, Below>,
@@ -40,11 +44,16 @@
 impl Chain {
     /// Takes note of what a call of `rank` met, and how it ended.
     pub fn hear(&mut self, now: Instant, rank: ClassRank, met: &[Met], answered: bool) {
+        for (service, below) in &mut self.services {
+            let called = met.iter().any(|one| one.service == *service);
+            below.callers.record(rank, called);
+        }
         for one in met {
             if let Some(below) = self.services.get_mut(&one.service) {
                 below.hear(now, rank, one, answered);
             } else {
                 let below = self.services.entry(one.service.clone()).or_default();
+                below.callers.record(rank, true);
                 below.hear(now, rank, one, answered);
             }
         }
@@ -80,7 +89,7 @@
     }
 
     fn level(&self, now: Instant, rank: ClassRank, protected: bool) -> Level {
-        if !self.depends.contains(rank) {
+        if !self.dependents().contains(rank) {
             return Level::OPEN;
         }
         let own = self.level.level(now, protected);
@@ -91,13 +100,19 @@
         }
     }
 
+    /// Returns the classes that cannot do without the service.
+    fn dependents(&self) -> RankSet {
+        self.depends.both(self.callers.many())
+    }
+
     fn highest(&self, now: Instant) -> (Level, RankSet) {
+        let depends = self.dependents();
         let own = self.level.level(now, false);
         let below = self.below.level(now, false);
         if below > own {
-            (below, self.depends.both(self.classes))
+            (below, depends.both(self.classes))
         } else {
-            (own, self.depends)
+            (own, depends)
         }
     }
 }
--- a/src/policy/admission/mod.rs
+++ b/src/policy/admission/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod load;
 mod queue;
+mod share;
 mod shed;
 mod threshold;
 
--- /dev/null
+++ b/src/policy/admission/share.rs
@@ -0,0 +1,34 @@
+//! Which classes call a service, learned from the calls that end.
+
+use crate::model::{ClassRank, RankSet};
+
+/// Weight of one call; some twenty calls make up a share.
+const WEIGHT: f32 = 0.05;
+/// Share of a class's calls above which the class depends on the service. A few
+/// calls are of another class than their parent, which has ended before them.
+const MANY: f32 = 0.25;
+
+/// The share of each class's calls that called one service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Shares {
+    shares: [Option<f32>; ClassRank::COUNT],
+}
+
+impl Shares {
+    /// Takes note of a call that ended, and whether it called the service.
+    pub(super) fn record(&mut self, rank: ClassRank, called: bool) {
+        let sign = if called { 1.0 } else { 0.0 };
+        let share = self.shares[rank.index()].get_or_insert(sign);
+        *share += (sign - *share) * WEIGHT;
+    }
+
+    /// Returns the classes of which many calls called the service.
+    pub(super) fn many(&self) -> RankSet {
+        let mut many = RankSet::default();
+        for (place, share) in self.shares.iter().enumerate() {
+            let is_in = share.is_some_and(|share| share >= MANY);
+            many.set(ClassRank::new(place), is_in);
+        }
+        many
+    }
+}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use bramleymount::model::{ClassRank, Depth, Level, Priority, RootId, Slots};
+use bramleymount::model::{ClassRank, Demand, Depth, Level, Priority, RootId, Slots};
 use bramleymount::policy::admission::{
-    Admission, Backlog, Decision, Event, Heard, Limit, Outcome, Settings, Shed, Threshold, Token,
-    Waiting,
+    Admission, Backlog, Chain, Decision, Event, Heard, Limit, Met, Outcome, Settings, Shed,
+    Threshold, Token, Waiting,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -180,3 +180,34 @@
     let later = heard.level(now + Duration::from_millis(ms), protected);
     assert_eq!(Level::new(ClassRank::new(2), 0) < later, refuses);
 }
+
+/// Uploads make no calls, but now and then a call of their class does, whose
+/// parent has ended and is not known any more. The service below refuses work.
+#[test]
+fn chain_spares_a_class_that_seldom_calls() {
+    let now = Instant::now();
+    let mut chain = Chain::default();
+    let upload = ClassRank::new(1);
+    let alert = ClassRank::new(0);
+    let level = Level::new(alert, u16::MAX / 2);
+    let refused = [Met {
+        service: "abonnent".parse().expect("a name"),
+        demand: Demand {
+            level,
+            ..Demand::default()
+        },
+        refused: true,
+        failed: true,
+    }];
+    for turn in 0..500 {
+        chain.hear(now, alert, &refused, false);
+        let orphan = turn % 50 == 0;
+        let met: &[Met] = if orphan { &refused } else { &[] };
+        chain.hear(now, upload, met, !orphan);
+    }
+    assert_eq!(chain.level(now, alert, false), level);
+    assert_eq!(chain.level(now, upload, false), Level::OPEN);
+    let (told, classes) = chain.highest(now);
+    assert_eq!(told, level);
+    assert!(classes.contains(alert) && !classes.contains(upload));
+}
