Leave out servers that fail calls by themselves, by word of their guards

Ruled out: learning it at each entry, since a pair of daemons exchanges less than one call a second there; counting refusals, which cost little. Change: a guard counts the calls that its server fails though all it called onwards was answered, and tells the share with every answer; entries leave a server out above a quarter if others do better by half, and ask again as the news ages by half each second.

--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -44,6 +44,16 @@
     OtherServer(Option<ServerId>),
 }
 
+impl BackendError {
+    /// Tells whether it speaks against the backend server that stands there.
+    pub(super) const fn is_fault(&self) -> bool {
+        match self {
+            Self::Cut(_) | Self::Garbage(_) => true,
+            Self::Connect(_) | Self::NotRun | Self::OtherServer(_) => false,
+        }
+    }
+}
+
 /// A client of the backend server.
 #[derive(Clone, Debug)]
 pub struct Backend {
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -180,6 +180,11 @@
         self.outcome = outcome;
     }
 
+    /// Notes whether the backend server failed the call by itself.
+    pub fn judge(&self, faulty: bool) {
+        self.gate.inner.lock().admission.judge(faulty);
+    }
+
     /// Notes what the call met further down its chain.
     pub fn met_below(&self, met: &[Met], answered: bool) {
         let mut inner = self.gate.inner.lock();
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -217,7 +217,10 @@
         let asked = tokio::time::timeout_at(head.deadline, self.ask(&head, body)).await;
         let answered = match asked {
             Err(_) => return Err(self.give_up(attempt.lose(Reason::Timeout, ""), &held)),
-            Ok(Err(error)) => return Err(self.failed(attempt, &error, &held)),
+            Ok(Err(error)) => {
+                pass.judge(error.is_fault());
+                return Err(self.failed(attempt, &error, &held));
+            }
             Ok(Ok(answered)) => answered,
         };
         self.note_end(&mut pass, &held, answered.status);
@@ -292,6 +295,10 @@
         let met = held.take_met();
         let answered = !status.is_server_error();
         let refused = met.iter().any(|met| met.refused);
+        if status != StatusCode::GATEWAY_TIMEOUT {
+            let excused = met.iter().any(|met| met.failed);
+            pass.judge(!answered && !excused);
+        }
         pass.met_below(&met, answered);
         let outcome = match (refused, answered) {
             (true, false) => Outcome::Failed,
--- a/src/model/news.rs
+++ b/src/model/news.rs
@@ -1,6 +1,6 @@
 //! What a guard tells of itself.
 
-use super::{ClassRank, Level};
+use super::{ClassRank, Level, Percent};
 
 /// A set of classes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -72,6 +72,8 @@
     pub demand: Demand,
     /// Calls in flight at its backend server and waiting.
     pub load: u32,
+    /// Calls that its backend server fails by itself.
+    pub faults: Percent,
     /// Whether it takes no new calls.
     pub leaving: bool,
 }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -12,8 +12,8 @@
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
-    AttemptId, CallId, ClassRank, Demand, Depth, GuardNews, Instance, Level, Priority, RankSet,
-    Retries, RootId, Verdict,
+    AttemptId, CallId, ClassRank, Demand, Depth, GuardNews, Instance, Level, Percent, Priority,
+    RankSet, Retries, RootId, Verdict,
 };
 
 /// Most headers of a message.
@@ -164,6 +164,7 @@
         below: u32::from(head.news.demand.below.get()),
         classes: head.news.demand.classes.bits(),
         load: head.news.load,
+        faults: u32::from(head.news.faults.get()),
         leaving: head.news.leaving,
     }
 }
@@ -188,6 +189,7 @@
                 classes: RankSet::from_bits(head.classes),
             },
             load: head.load,
+            faults: Percent::new(head.faults),
             leaving: head.leaving,
         },
         kept: head.kept,
@@ -210,6 +212,7 @@
         below: u32::from(news.demand.below.get()),
         classes: news.demand.classes.bits(),
         load: news.load,
+        faults: u32::from(news.faults.get()),
         leaving: news.leaving,
     }
 }
@@ -242,6 +245,7 @@
                 classes: RankSet::from_bits(message.classes),
             },
             load: message.load,
+            faults: Percent::new(message.faults),
             leaving: message.leaving,
         });
     }
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -111,6 +111,9 @@
     /// Whether the answer was kept from an earlier run of the same key.
     #[prost(bool, tag = "13")]
     pub kept: bool,
+    /// Calls that the backend server fails by itself, in a hundred.
+    #[prost(uint32, tag = "14")]
+    pub faults: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refusal {
@@ -140,6 +143,9 @@
     /// Whether the verdict speaks of the key as a whole.
     #[prost(bool, tag = "12")]
     pub of_key: bool,
+    /// Calls that the backend server fails by itself, in a hundred.
+    #[prost(uint32, tag = "13")]
+    pub faults: u32,
 }
 /// Closes a streamed body: its length and digest as a whole.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -6,7 +6,9 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::{Backlog, Chain, Limit, Load, Met, Outcome, Queue, Shed, Threshold, Token, Waiting};
+use super::{
+    Backlog, Chain, Faults, Limit, Load, Met, Outcome, Queue, Shed, Threshold, Token, Waiting,
+};
 use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
 
 /// Longest wait of a call that is not protected.
@@ -60,6 +62,7 @@
     queue: Queue,
     threshold: Threshold,
     chain: Chain,
+    faults: Faults,
     protected: Option<ClassRank>,
     running: HashMap<Token, Running>,
     leaving: bool,
@@ -86,6 +89,7 @@
             queue: Queue::default(),
             threshold: Threshold::new(now),
             chain: Chain::default(),
+            faults: Faults::default(),
             protected: settings.protected,
             running: HashMap::new(),
             leaving: false,
@@ -103,6 +107,7 @@
     /// Starts anew with a cold backend server.
     pub fn restart(&mut self, slots: Slots) {
         self.limit = Limit::cold(slots);
+        self.faults = Faults::default();
         self.leaving = false;
     }
 
@@ -186,6 +191,11 @@
         }
     }
 
+    /// Takes note of whether the backend server failed a call by itself.
+    pub fn judge(&mut self, faulty: bool) {
+        self.faults.record(faulty);
+    }
+
     /// Takes a waiting call out; a running one goes on until it is finished.
     pub fn cancel(&mut self, token: Token) {
         self.queue.remove(token);
@@ -272,6 +282,7 @@
                 classes,
             },
             load: u32::try_from(load).unwrap_or(u32::MAX),
+            faults: self.faults.share(),
             leaving: self.leaving,
         }
     }
--- a/src/policy/admission/mod.rs
+++ b/src/policy/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod chain;
 mod control;
+mod faults;
 mod fill;
 mod heard;
 mod limit;
@@ -13,6 +14,7 @@
 
 pub use chain::{Chain, Met};
 pub use control::{Admission, Decision, Event, Settings};
+pub use faults::Faults;
 pub use fill::usable;
 pub use heard::Heard;
 pub use limit::{Limit, Outcome};
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -33,6 +33,8 @@
     pub(super) far: &'a [Target],
     /// Targets that are not to be chosen again.
     pub(super) tried: &'a [Instance],
+    /// The smallest share of calls that any target fails by itself.
+    pub(super) least: f64,
     /// Which targets are out.
     pub(super) ejector: &'a Ejector,
     /// The call that a target is wanted for.
@@ -48,6 +50,7 @@
         self.is_open(target)
             && self.want.avoid != Some(target.instance)
             && self.ejector.admits(now, target.instance)
+            && !target.is_faulty(now, self.least)
     }
 }
 
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -114,6 +114,7 @@
         rng: &mut R,
     ) -> Pick {
         let choice = Choice {
+            least: self.least_faults(now),
             tried,
             near: &self.near,
             far: &self.far,
@@ -127,6 +128,13 @@
         found
     }
 
+    /// Returns the smallest share of calls that any serving target fails by
+    /// itself.
+    fn least_faults(&self, now: Instant) -> f64 {
+        let serving = self.targets().filter(|t| t.state == TargetState::Serving);
+        serving.map(|t| t.faults(now)).fold(1.0, f64::min)
+    }
+
     /// Tells whether a target was heard from just now.
     pub fn is_fresh(&self, now: Instant, target: Instance) -> bool {
         let mut all = self.targets();
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -17,6 +17,13 @@
 /// its slots keep nearly all calls away while another refuses none, and make
 /// no difference where all refuse alike.
 const REJECTS_LOAD: f64 = 2.0;
+/// Share of calls that a server fails by itself above which it is left out, if
+/// others do better: it answers sooner than sound ones, and would draw more
+/// calls the more it fails. Sound servers of the users fail one in 250.
+const MOST_FAULTS: f64 = 0.25;
+/// Half-life of the faults that were heard: a server that is left out gets a
+/// call of each entry about every second, whose answer tells how it fares now.
+const FAULTS_AGE: Duration = Duration::from_secs(1);
 /// Half-life of a load that was heard on an answer.
 const LOAD_AGE: Duration = Duration::from_millis(200);
 
@@ -48,6 +55,7 @@
     below: Heard,
     classes: RankSet,
     rejects: f64,
+    faults: Option<(f64, Instant)>,
 }
 
 impl Target {
@@ -64,6 +72,7 @@
             below: Heard::default(),
             classes: RankSet::default(),
             rejects: 0.0,
+            faults: None,
         }
     }
 
@@ -90,6 +99,7 @@
         self.level.hear(now, news.demand.level);
         self.below.hear(now, news.demand.below);
         self.classes = news.demand.classes;
+        self.faults = Some((news.faults.share(), now));
         if news.leaving {
             self.state = TargetState::Leaving;
         }
@@ -101,6 +111,22 @@
         self.rejects += (sign - self.rejects) * REJECTS_WEIGHT;
     }
 
+    /// Returns the share of calls that its backend server fails by itself; old
+    /// news counts less.
+    pub fn faults(&self, now: Instant) -> f64 {
+        self.faults.map_or(0.0, |(share, at)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            share * (-age / FAULTS_AGE.as_secs_f64()).exp2()
+        })
+    }
+
+    /// Tells whether it is to be left out where another target has `least`
+    /// faults.
+    pub fn is_faulty(&self, now: Instant, least: f64) -> bool {
+        let faults = self.faults(now);
+        faults >= MOST_FAULTS && faults >= least * 2.0
+    }
+
     /// Tells whether it was heard from just now, so that it can be taken to be
     /// within reach.
     pub fn is_fresh(&self, now: Instant) -> bool {
--- a/tests/route_choice.rs
+++ b/tests/route_choice.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bramleymount::model::{
-    CentreName, ClassRank, Demand, GuardNews, Instance, Level, Slots, StartStamp,
+    CentreName, ClassRank, Demand, GuardNews, Instance, Level, Percent, Slots, StartStamp,
 };
 use bramleymount::policy::route::{Pick, Report, Split, Table, Target, Want};
 use rand::SeedableRng;
@@ -102,6 +102,49 @@
     assert!(!table.is_fresh(now + Duration::from_secs(1), instance(2)));
 }
 
+/// One of three servers fails every call at once while its health check is
+/// good, and so always has the least load. Its data centre is the entry's own.
+#[test]
+fn choose_leaves_out_a_server_that_fails_all() {
+    let mut table = table();
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut to_bad = 0;
+    for turn in 0..1000_u32 {
+        // A thousand calls in five seconds.
+        let now = start + Duration::from_millis(5) * turn;
+        let Pick::Target(target) = table.choose(now, want(Level::OPEN), &mut rng) else {
+            panic!("no target");
+        };
+        let bad = target == instance(1);
+        let news = GuardNews {
+            faults: Percent::new(if bad { 100 } else { 0 }),
+            load: if bad { 0 } else { 26 },
+            ..GuardNews::default()
+        };
+        table.report(now, target, Report::Heard(news));
+        to_bad += u32::from(bad);
+    }
+    assert!((2..20).contains(&to_bad), "{to_bad} of 1000 calls");
+}
+
+/// All servers fail alike, so none is left out.
+#[test]
+fn choose_keeps_servers_that_fail_alike() {
+    let mut table = table();
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(7);
+    for n in 1..=3 {
+        let news = GuardNews {
+            faults: Percent::new(55),
+            ..GuardNews::default()
+        };
+        table.report(now, instance(n), Report::Heard(news));
+    }
+    let chosen = table.choose(now, want(Level::OPEN), &mut rng);
+    assert_eq!(chosen, Pick::Target(instance(1)));
+}
+
 /// One of three servers refuses nearly half of its calls by itself, as the
 /// users' servers do while their health check is good.
 #[test]
