--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -6,6 +6,7 @@
 
 use bramleymount::config::Config;
 use bramleymount::declare::{diff, join, load, split};
+use bramleymount::model::{Percent, Span};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -170,6 +171,12 @@
 )]
 #[case::host_name("platform: 10.1.0.9:7000", "platform: store:7000", "s.yaml:9")]
 #[case::own_neighbour("[10.0.0.6:8001]", "[10.0.0.5:8001]", "no neighbour of its own")]
+#[case::share_of_repeats(
+    "hall: a",
+    "hall: a\nhosting: {announcements: 10.0.0.5:8003, readiness: 10.0.0.5:8004, \
+     repeats: {share: 2.0, window: 10s}}",
+    "share must be from 0 to 1"
+)]
 #[case::no_workers("hall: a", "hall: a\nworkers: 0", "workers must be from 1 to 64")]
 fn config_refuses(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
     let text = SETTINGS.replace(from, to);
@@ -177,6 +184,29 @@
     assert!(errors.to_string().contains(message), "{errors}");
 }
 
+#[rstest]
+#[case::whole("10s", Some(10_000))]
+#[case::fraction("2.5s", Some(2_500))]
+#[case::milliseconds("250ms", Some(250))]
+#[case::zero("0.0s", None)]
+#[case::negative("-1.5s", None)]
+#[case::no_unit("2.5", None)]
+#[case::not_a_number("NaN.s", None)]
+fn span_parse(#[case] text: &str, #[case] millis: Option<u64>) {
+    let span = text.parse::<Span>().ok();
+    assert_eq!(span, millis.map(Span::from_millis));
+}
+
+#[rstest]
+#[case::usual("45%", Some(45))]
+#[case::most("100%", Some(100))]
+#[case::too_much("101%", None)]
+#[case::no_sign("45", None)]
+fn percent_parse(#[case] text: &str, #[case] hundredths: Option<u32>) {
+    let percent = text.parse::<Percent>().ok();
+    assert_eq!(percent, hundredths.map(Percent::new));
+}
+
 proptest! {
     #[test]
     fn config_parse_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -137,6 +137,18 @@
     assert!(!ratio.take());
 }
 
+/// A request of two branches at the same time has retries for both, and what a
+/// branch does not use comes home.
+#[test]
+fn lend_leaves_some_for_a_second_branch() {
+    let mut account = Account::open(Retries::new(64));
+    let first = account.lend();
+    let second = account.lend();
+    assert_eq!((first.retries.get(), second.retries.get()), (48, 12));
+    account.settle(first.id, Retries::new(40));
+    assert_eq!(account.left().get(), 44);
+}
+
 #[rstest]
 #[case::first(Some(1), None, false)]
 #[case::counted(Some(2), None, true)]
