Send calls of one message between daemons as plain HTTP requests

Cause: a call over two daemons cost 115.4 us of processor time beside 41.5 us on one VM (benches/cost, less the direct call of 14.3 us; all in one process beside a build). A profile of it is flat by function; by library the kernel has 22%, the allocator 13%, tokio 11%, h2 9%, copying 6%. All but the kernel's part comes of streams, frames, windows, trailers, a buffer task a connection and the early head that says that a call arrived. Calls that need a word before they start, streamed ones, news and inquiries stay on tonic. Connections that go silent end by TCP_USER_TIMEOUT and keep-alive.

--- /dev/null
+++ b/benches/cost.rs
@@ -0,0 +1,116 @@
+//! Processor time that a call takes, by the way it goes.
+//!
+//! Callers, backend servers and daemons share one process, so the direct call
+//! is measured as well and taken off: what is left is the daemons' own.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use bramleymount::emulator::{Behaviour, Site};
+use bramleymount::web::Client;
+use bytes::Bytes;
+use http::{HeaderValue, Request};
+use http_body_util::Full;
+
+const CALLERS: usize = 32;
+/// Size of an answer, in bytes.
+const ANSWER: usize = 600;
+/// Rounds of which the least is taken: what else runs only adds.
+const ROUNDS: usize = 3;
+
+/// Time that the calls of one round are made for.
+const ROUND: Duration = Duration::from_secs(2);
+
+fn main() -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run())?;
+    std::process::exit(0)
+}
+
+async fn run() -> eyre::Result<()> {
+    // One server of each kind, so that it is known which way a call takes.
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/nordlysvakt");
+    let mut estate = Site::estate(&dir, 2, 1.0)?;
+    estate.services.retain(|name, _| {
+        matches!(
+            name.as_str(),
+            "station-status" | "magnetometer-ingest" | "forecast-archive"
+        )
+    });
+    estate.services.values_mut().for_each(|s| s.depends.clear());
+    for service in estate.services.values_mut() {
+        service.servers.truncate(1);
+    }
+    let site = Site::start_direct(estate, |_| Behaviour {
+        answer: ANSWER,
+        ..Behaviour::default()
+    })
+    .await?;
+    let find = |name: &str| {
+        site.servers
+            .iter()
+            .find(|s| s.service.as_str() == name)
+            .expect("a server")
+    };
+    let status = find("station-status");
+    let other = find("forecast-archive");
+    let backend = status.daemon.shared().config.backend;
+    let mut least = [f64::MAX; 3];
+    for _ in 0..ROUNDS {
+        for (n, address) in [backend, status.callers, other.callers]
+            .into_iter()
+            .enumerate()
+        {
+            if only.as_deref().is_some_and(|only| only != n.to_string()) {
+                continue;
+            }
+            least[n] = least[n].min(micros_a_call(address).await);
+        }
+    }
+    let [direct, local, hop] = least;
+    println!("direct_us {direct:.1}");
+    println!("local_us {:.1}", local - direct);
+    println!("hop_us {:.1}", hop - direct);
+    Ok(())
+}
+
+async fn micros_a_call(address: SocketAddr) -> f64 {
+    let busy = cpu_seconds();
+    let end = Instant::now() + ROUND;
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(caller(address, end)))
+        .collect();
+    let mut calls = 0;
+    for task in tasks {
+        calls += task.await.expect("a caller");
+    }
+    (cpu_seconds() - busy) / f64::from(calls) * 1e6
+}
+
+async fn caller(address: SocketAddr, end: Instant) -> u32 {
+    let client = Client::new(Duration::from_secs(10), 1 << 20);
+    let mut calls = 0;
+    while Instant::now() < end {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = format!("http://{address}/").parse().expect("a URI");
+        request
+            .headers_mut()
+            .insert("host", HeaderValue::from_static("station-status"));
+        let answer = client.send(request).await.expect("an answer");
+        calls += u32::from(answer.status.is_success());
+    }
+    calls
+}
+
+/// Processor time of this process, in seconds.
+fn cpu_seconds() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    let nanos = stat
+        .split_whitespace()
+        .next()
+        .and_then(|n| n.parse::<f64>().ok());
+    nanos.unwrap_or_default() / 1e9
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::convert::{call_out, id_bytes, refusal_in, reply_in};
+use super::direct;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
 use super::generated::{AnswerFrame, CallFrame, InquireRequest, Start, Tail};
@@ -21,7 +22,7 @@
 
 /// How much longer than the deadline an answer is waited for, so that the
 /// guard's own word on it can arrive.
-const SLACK: Duration = Duration::from_millis(20);
+pub(super) const SLACK: Duration = Duration::from_millis(20);
 /// How long the other daemon may take to say that a call has arrived. It does
 /// so at once; a daemon whose share of its core is used up pauses for a tenth
 /// of a second.
@@ -44,6 +45,9 @@
     call: Call,
     held: bool,
 ) -> Result<Reply, Refusal> {
+    if !held && let Payload::Whole(body) = call.body {
+        return direct::send(pool, instance, attempt, call.head, body).await;
+    }
     let Some(mut client) = pool.get(instance.address) else {
         return Err(attempt.refuse(Reason::Unreachable, "no valid address"));
     };
--- /dev/null
+++ b/src/peer/direct.rs
@@ -0,0 +1,192 @@
+//! Calls to other daemons that are one request and one answer.
+//!
+//! A plain call on a connection of its own costs both daemons about half of the
+//! processor time that a stream among others does: no frames, windows and
+//! trailers, no task that owns the connection for all callers, and no early
+//! word that the call arrived, since the daemon was heard from just before.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::Instant;
+
+use super::client::SLACK;
+use super::convert::{call_out, id_bytes, refusal_in, reply_in};
+use super::generated as wire;
+use super::generated::answer_frame::Frame as AnswerPart;
+use super::message::{join, take};
+use super::pool::{CONNECT, MAX_MESSAGE, Pool};
+use crate::call::{Attempt, CallHead, Planned, Reason, Refusal, Reply, Sent};
+use crate::model::Instance;
+use crate::web::{Chunks, Cut, Payload, alive_or_closed};
+
+/// The path of plain calls.
+pub(super) const PATH: &str = "/call";
+/// Idle connections that are kept to one daemon.
+const MAX_IDLE: usize = 16;
+/// How long a connection may be idle.
+const IDLE: Duration = Duration::from_secs(20);
+/// How long sent bytes may go without an acknowledgement of the other VM; its
+/// daemon may pause, its network stack does not.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(500);
+
+/// Makes plain calls to one daemon.
+#[derive(Clone, Debug)]
+pub(super) struct DirectClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    uri: Uri,
+}
+
+impl DirectClient {
+    /// Makes a client of the daemon at `address` whose connections go out from
+    /// `own`.
+    pub(super) fn new(address: SocketAddr, own: IpAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(Some(own));
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        alive_or_closed(&mut connector);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .pool_max_idle_per_host(MAX_IDLE)
+            .build(connector);
+        let uri = format!("http://{address}{PATH}");
+        let uri = uri.parse().expect("an address and a path are a URI");
+        Self { client, uri }
+    }
+
+    async fn ask(&self, body: Bytes) -> Result<Response<Incoming>, Failed> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = self.uri.clone();
+        self.client.request(request).await.map_err(|e| Failed {
+            connected: !e.is_connect(),
+            cause: e.to_string().into(),
+        })
+    }
+}
+
+/// Why there is no answer.
+struct Failed {
+    connected: bool,
+    cause: Box<str>,
+}
+
+/// Sends a call that came whole to the guard of `instance` and waits for the
+/// answer.
+///
+/// # Errors
+///
+/// Returns what to tell the caller in place of an answer.
+pub(super) async fn send(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Planned>,
+    head: CallHead,
+    body: Bytes,
+) -> Result<Reply, Refusal> {
+    let deadline = head.deadline;
+    let message = call_out(instance, &head, Some(Bytes::new()), Instant::now());
+    let client = pool.direct(instance.address);
+    let attempt = attempt.send();
+    let asked = tokio::time::timeout_at(deadline + SLACK, client.ask(join(&message, &body)));
+    let answer = match asked.await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(failed)) => {
+            pool.replace(instance.address);
+            return Err(lost(attempt, failed));
+        }
+        Err(_) => return Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
+    };
+    match tokio::time::timeout_at(deadline + SLACK, read(answer.into_body())).await {
+        Ok(Ok((part, payload))) => answered(attempt, part, payload),
+        Ok(Err(cause)) => Err(attempt.lose(Reason::Cut, cause)),
+        Err(_) => Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
+    }
+}
+
+fn lost(attempt: Attempt<Sent>, failed: Failed) -> Refusal {
+    if failed.connected {
+        attempt.lose(Reason::Cut, failed.cause)
+    } else {
+        attempt.unsent().refuse(Reason::Unreachable, failed.cause)
+    }
+}
+
+/// Reads an answer: whole if its length is known, else up to its message.
+async fn read(mut body: Incoming) -> Result<(Option<AnswerPart>, Payload), Box<str>> {
+    let cut = |e: &dyn std::fmt::Display| -> Box<str> { e.to_string().into() };
+    if body.size_hint().exact().is_some() {
+        let whole = Limited::new(body, MAX_MESSAGE).collect().await;
+        let mut whole = whole.map_err(|e| cut(&e))?.to_bytes();
+        let frame: wire::AnswerFrame = take(&mut whole).map_err(|e| cut(&e))?;
+        return Ok((frame.frame, Payload::Whole(whole)));
+    }
+    let first = next_chunk(&mut body).await;
+    let mut first = first.map_err(|e| cut(&e))?.unwrap_or_default();
+    let frame: wire::AnswerFrame = take(&mut first).map_err(|e| cut(&e))?;
+    let (sender, chunks) = Chunks::channel();
+    tokio::spawn(pump_in(body, sender));
+    let length = None;
+    Ok((frame.frame, Payload::Stream { length, chunks }))
+}
+
+async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(chunk) = frame?.into_data()
+            && !chunk.is_empty()
+        {
+            return Ok(Some(chunk));
+        }
+    }
+    Ok(None)
+}
+
+/// Takes a streamed answer in; the end of the chunks says that it is whole.
+async fn pump_in(mut body: Incoming, to: tokio::sync::mpsc::Sender<Result<Bytes, Cut>>) {
+    loop {
+        let item = match next_chunk(&mut body).await {
+            Ok(chunk) => Ok(chunk.unwrap_or_default()),
+            Err(_) => Err(Cut),
+        };
+        let last = !matches!(&item, Ok(chunk) if !chunk.is_empty());
+        if to.send(item).await.is_err() || last {
+            return;
+        }
+    }
+}
+
+fn answered(
+    attempt: Attempt<Sent>,
+    part: Option<AnswerPart>,
+    payload: Payload,
+) -> Result<Reply, Refusal> {
+    let mut head = match part {
+        Some(AnswerPart::Head(head)) => head,
+        Some(AnswerPart::Refusal(refusal)) => return Err(refusal_in(attempt, &refusal)),
+        _ => return Err(attempt.lose(Reason::Garbage, "the answer has no head")),
+    };
+    if head.attempt != id_bytes(attempt.id().get()) {
+        return Err(attempt.lose(Reason::Garbage, "the answer was to another attempt"));
+    }
+    if let Payload::Whole(body) = &payload {
+        head.body = body.clone();
+    }
+    let head = match reply_in(head) {
+        Ok((head, _)) => head,
+        Err(e) => return Err(attempt.lose(Reason::Garbage, e.to_string())),
+    };
+    Ok(Reply {
+        head,
+        body: payload,
+    })
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,7 +1,12 @@
-//! Calls and news between daemons, by `tonic`.
+//! Calls and news between daemons.
+//!
+//! News, and calls that need a word before their answer, go by `tonic`; a call
+//! that is one message there and one back goes as a plain HTTP request, which
+//! takes half of the processor time.
 
 mod client;
 mod convert;
+mod direct;
 #[allow(
     missing_docs,
     unreachable_pub,
@@ -9,12 +14,15 @@
     reason = "generated from proto/peer.proto"
 )]
 mod generated;
+mod listen;
+mod message;
 mod news;
 mod pool;
 mod server;
 
 pub use client::{inquire, send};
+pub use listen::serve_peers;
 pub use news::{ExchangeError, Exchanged, exchange, hand_over};
 pub(crate) use news::{known_documents, put_in_force};
 pub use pool::Pool;
-pub use server::{Peers, serve_peers};
+pub use server::Peers;
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -8,10 +8,11 @@
 use tokio::runtime::Handle;
 use tonic::transport::{Channel, Endpoint};
 
+use super::direct::DirectClient;
 use super::generated::peer_client::PeerClient;
 
 /// How long connecting may take.
-const CONNECT: Duration = Duration::from_millis(500);
+pub(super) const CONNECT: Duration = Duration::from_millis(500);
 /// How often a connection with calls out is asked whether it still lives.
 const PING: Duration = Duration::from_millis(500);
 /// How long such a question may go unanswered.
@@ -22,15 +23,17 @@
 const STREAM_WINDOW: u32 = 1024 * 1024;
 const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
 
-/// One connection to each daemon that is called.
+/// The connections to each daemon that is called: one that carries any number
+/// of streams, and some that carry one plain call at a time.
 ///
-/// A connection that has gone silent is found by unanswered pings while calls
-/// are out on it, and is then replaced.
+/// A connection that has gone silent is found by unanswered pings or probes
+/// while calls are out on it; all connections to the daemon are then replaced.
 #[derive(Debug)]
 pub struct Pool {
     handle: Handle,
     own: IpAddr,
     clients: Mutex<HashMap<SocketAddr, PeerClient<Channel>>>,
+    direct: Mutex<HashMap<SocketAddr, DirectClient>>,
 }
 
 impl Pool {
@@ -41,9 +44,17 @@
             handle,
             own,
             clients: Mutex::default(),
+            direct: Mutex::default(),
         }
     }
 
+    /// Returns the client of plain calls to `address`.
+    pub(super) fn direct(&self, address: SocketAddr) -> DirectClient {
+        let mut direct = self.direct.lock();
+        let made = || DirectClient::new(address, self.own);
+        direct.entry(address).or_insert_with(made).clone()
+    }
+
     /// Returns the connection to `address`, which is made when first used.
     pub(super) fn get(&self, address: SocketAddr) -> Option<PeerClient<Channel>> {
         let mut clients = self.clients.lock();
@@ -76,14 +87,16 @@
         )
     }
 
-    /// Drops the connection to `address`; the next call makes a new one.
+    /// Drops the connections to `address`; the next call makes a new one.
     pub(super) fn replace(&self, address: SocketAddr) {
         self.clients.lock().remove(&address);
+        self.direct.lock().remove(&address);
     }
 
     /// Drops the connections to all addresses that `keep` does not know.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.clients.lock().retain(|address, _| keep(address));
+        self.direct.lock().retain(|address, _| keep(address));
     }
 
     /// Returns the number of connections.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,37 +1,37 @@
 //! Taking of calls and news from other daemons.
 
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use http::StatusCode;
+use http_body_util::{BodyExt, Collected, Full, Limited, StreamBody};
+use hyper::body::{Frame as BodyFrame, Incoming};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_stream::StreamExt;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
-use tonic::transport::Server;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::client::Measure;
 use super::convert::{attempt_of, call_in, refusal_out, reply_out};
+use super::direct;
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
-use super::generated::peer_server::{Peer, PeerServer};
+use super::generated::peer_server::Peer;
+use super::message::{join, take};
 use super::news;
 use super::pool::MAX_MESSAGE;
 use crate::call::{Attempt, Call, Confirm, Reason, Refusal, Reply};
 use crate::error::Error;
 use crate::guard::Guard;
-use crate::model::{AttemptId, Instance, MintTime, OnceKey};
+use crate::model::{AttemptId, Instance, MintTime, OnceKey, Retries};
 use crate::tables::{Shared, mint_now};
 use crate::web::{Chunks, Cut, Payload};
 
-/// Calls under way on one connection.
-const MAX_STREAMS: u32 = 8192;
 /// Frames that wait to be sent.
 const WINDOW: usize = 8;
 
@@ -66,6 +66,79 @@
     }
 }
 
+impl Peers {
+    /// Answers a plain call.
+    pub(super) async fn answer_plain(&self, request: http::Request<Incoming>) -> PlainAnswer {
+        if request.uri().path() != direct::PATH {
+            return plain_status(StatusCode::NOT_FOUND);
+        }
+        let whole = Limited::new(request.into_body(), MAX_MESSAGE)
+            .collect()
+            .await;
+        let Ok(mut body) = whole.map(Collected::to_bytes) else {
+            return plain_status(StatusCode::BAD_REQUEST);
+        };
+        let Ok(message) = take::<wire::CallHead>(&mut body) else {
+            return plain_status(StatusCode::BAD_REQUEST);
+        };
+        let Ok(attempt) = attempt_of(&message.attempt) else {
+            return plain_status(StatusCode::BAD_REQUEST);
+        };
+        let account = Retries::new(message.account);
+        let result = match self.read_head(message) {
+            Ok(head) => {
+                let body = Payload::Whole(body);
+                let confirm = None;
+                let call = Call {
+                    head,
+                    body,
+                    confirm,
+                };
+                self.guard.serve(call).await
+            }
+            Err(reason) => {
+                let mut refusal = Attempt::with_id(attempt).refuse(reason, "");
+                refusal.account = account;
+                Err(refusal)
+            }
+        };
+        plain_answer(attempt, result)
+    }
+}
+
+/// The answer to a plain call.
+pub(super) type PlainAnswer = http::Response<tonic::body::Body>;
+
+fn plain_status(status: StatusCode) -> PlainAnswer {
+    let mut answer = PlainAnswer::default();
+    *answer.status_mut() = status;
+    answer
+}
+
+fn plain_answer(attempt: AttemptId, result: Result<Reply, Refusal>) -> PlainAnswer {
+    let whole = |bytes: Bytes| tonic::body::Body::new(Full::new(bytes));
+    let body = match result {
+        Err(refusal) => {
+            let message = part(AnswerPart::Refusal(refusal_out(attempt, &refusal)));
+            whole(join(&message, &[]))
+        }
+        Ok(Reply { head, body }) => match body {
+            Payload::Whole(bytes) => {
+                let mut message = reply_out(attempt, &head, Some(bytes));
+                let bytes = std::mem::take(&mut message.body);
+                whole(join(&part(AnswerPart::Head(message)), &bytes))
+            }
+            Payload::Stream { chunks, .. } => {
+                let message = part(AnswerPart::Head(reply_out(attempt, &head, None)));
+                let first = tokio_stream::once(Ok(join(&message, &[])));
+                let frames = first.chain(chunks).map(|chunk| chunk.map(BodyFrame::data));
+                tonic::body::Body::new(StreamBody::new(frames))
+            }
+        },
+    };
+    http::Response::new(body)
+}
+
 fn one(frame: wire::AnswerFrame) -> Response<AnswerStream> {
     Response::new(Box::pin(tokio_stream::once(Ok(frame))))
 }
@@ -198,7 +271,7 @@
             Ok(head) => head,
             Err(reason) => {
                 let mut refusal = Attempt::with_id(attempt).refuse(reason, "");
-                refusal.account = crate::model::Retries::new(account);
+                refusal.account = Retries::new(account);
                 return Ok(answer(attempt, Err(refusal)));
             }
         };
@@ -280,37 +353,3 @@
         Ok(Response::new(wire::HandOverReply { taken }))
     }
 }
-
-/// Serves other daemons on `address` until `stop` is told.
-///
-/// # Errors
-///
-/// Fails if the address cannot be bound.
-pub async fn serve_peers(
-    address: SocketAddr,
-    peers: Peers,
-    stop: oneshot::Receiver<()>,
-) -> Result<tokio::task::JoinHandle<()>, Error> {
-    let failed = |e| Error::io(format!("listen on {address}"), e);
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let service = PeerServer::new(peers)
-        .max_decoding_message_size(MAX_MESSAGE)
-        .max_encoding_message_size(MAX_MESSAGE);
-    let incoming = TcpListenerStream::new(listener).map(|stream| {
-        let stream = stream?;
-        // Frames are small and each is waited for.
-        stream.set_nodelay(true)?;
-        Ok::<_, std::io::Error>(stream)
-    });
-    let served = Server::builder()
-        .max_concurrent_streams(MAX_STREAMS)
-        .add_service(service)
-        .serve_with_incoming_shutdown(incoming, async {
-            let _ = stop.await;
-        });
-    Ok(tokio::spawn(async move {
-        if let Err(e) = served.await {
-            spdlog::error!("peer server ended", kv: { cause = e.to_string().as_str() });
-        }
-    }))
-}
