Spend nothing on notes, metrics and levels that nobody reads

Cause: each call made text of its targets for a log line that is written only on failures, of its target for a note that is read by an operator at most, and of four metrics that go nowhere without a metrics address. A guard went through 32,768 levels twice whenever a window of its threshold closed, up to twenty times a second, though some tens of calls arrive in one. Change: notes keep values and are made into text when asked for; no metric line without an address; arrivals are kept by level at which calls arrived.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -1,5 +1,6 @@
 //! The attempts at one call, until it is answered or given up.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use crate::policy::once::{Place, Refuse, place};
 use crate::policy::retry::{Account, Failure, Loan, Retry, Safety, decide};
 use crate::policy::route::{Pick, Report, Table, Want};
-use crate::tables::{Held, Step};
+use crate::tables::{Detail, Held, Step};
 use crate::task::read_home;
 use crate::web::Payload;
 
@@ -31,8 +32,8 @@
 pub(super) struct Ended {
     pub(super) result: Result<Reply, Refusal>,
     pub(super) retries: u32,
-    /// The guards that were tried, for logs.
-    pub(super) targets: Box<str>,
+    /// The guards that were asked, in order.
+    pub(super) targets: Box<[SocketAddr]>,
 }
 
 /// The account that a call draws on: its parent's or its own.
@@ -60,7 +61,7 @@
     earlier: Verdict,
     tried: Vec<Instance>,
     /// All guards that were asked, in order.
-    asked: Vec<std::net::SocketAddr>,
+    asked: Vec<SocketAddr>,
     /// Backend servers that refused the call without running it.
     rejected_by: Vec<Instance>,
     /// How often the call was sent to a backend server.
@@ -115,15 +116,10 @@
         Ended {
             result,
             retries: self.retries,
-            targets: self.targets(),
+            targets: self.asked.into(),
         }
     }
 
-    fn targets(&self) -> Box<str> {
-        let all: Vec<String> = self.asked.iter().map(ToString::to_string).collect();
-        all.join(" ").into()
-    }
-
     async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
         let now = Instant::now();
         self.table(|table| table.retries().asked(now));
@@ -158,7 +154,8 @@
             }
             self.retries += 1;
             let journal = &self.context.shared.journal;
-            journal.note(self.head().call, Step::Retried, failed.reason().as_str());
+            let reason = Detail::Word(failed.reason().as_str());
+            journal.note(self.head().call, Step::Retried, reason);
             last = Some(failed);
         }
     }
@@ -291,7 +288,7 @@
         head.attempt = attempt.id();
         head.account = loan.retries;
         let journal = &self.context.shared.journal;
-        journal.note(head.call, Step::Sent, target.to_string());
+        journal.note(head.call, Step::Sent, Detail::Target(target));
         let sent = Sending {
             forward: self,
             target,
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -26,7 +26,7 @@
 use crate::policy::once::Refuse;
 use crate::policy::retry::Repeats;
 use crate::policy::route::TargetState;
-use crate::tables::{Shared, Step};
+use crate::tables::{Detail, Shared, Step};
 use crate::web::{CallerAnswer, Listening, listen};
 
 /// The name in metrics of callers and classes that are not declared.
@@ -80,9 +80,7 @@
             }
         };
         let call = accepted.head.call;
-        shared
-            .journal
-            .note(call, Step::Entered, accepted.head.service.as_str());
+        shared.journal.note(call, Step::Entered, Detail::None);
         let started = Instant::now();
         let ended = self.run(&accepted, &parts.headers, body).await;
         self.record(&accepted, &ended, started.elapsed());
@@ -91,14 +89,14 @@
             Ok(reply) => {
                 shared
                     .journal
-                    .note(call, Step::Answered, reply.head.status.as_str());
+                    .note(call, Step::Answered, Detail::Status(reply.head.status));
                 answering.reply(call, reply)
             }
             Err(mut refusal) => {
                 self.context.advise(&mut refusal);
                 shared
                     .journal
-                    .note(call, Step::Refused, refusal.reason().as_str());
+                    .note(call, Step::Refused, Detail::Word(refusal.reason().as_str()));
                 let ticket = self.ticket(&accepted, &refusal);
                 answering.refusal(Some(call), &refusal, ticket.as_ref())
             }
@@ -196,6 +194,8 @@
             ),
         };
         let left = head.deadline.saturating_duration_since(Instant::now());
+        let targets: Vec<String> = ended.targets.iter().map(ToString::to_string).collect();
+        let targets = targets.join(" ");
         spdlog::info!("call failed", kv: {
             request = id,
             call = head.call.to_string().as_str(),
@@ -205,7 +205,7 @@
             outcome,
             verdict,
             detail = &*detail,
-            targets = &*ended.targets,
+            targets = targets.as_str(),
             retries = ended.retries,
             took_ms = took.as_millis() as u64,
             left_ms = left.as_millis() as u64,
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -21,7 +21,7 @@
 use crate::policy::admission::{Outcome, Settings, Shed, usable};
 use crate::policy::member::Presence;
 use crate::policy::once::LedgerLimits;
-use crate::tables::{Held, HeldCall, Shared, Step};
+use crate::tables::{Detail, Held, HeldCall, Shared, Step};
 use crate::web::{Chunks, Payload};
 
 /// Slots of a backend server whose service is not declared yet.
@@ -180,10 +180,10 @@
         let result = self.gate.enter(head.priority, head.deadline).await;
         let journal = &self.shared.journal;
         match &result {
-            Ok(_) => journal.note(head.call, Step::Started, self.service().as_str()),
+            Ok(_) => journal.note(head.call, Step::Started, Detail::None),
             Err(shed) => {
                 self.shared.metrics.count_reason("shed", shed.as_str());
-                journal.note(head.call, Step::Shed, shed.as_str());
+                journal.note(head.call, Step::Shed, Detail::Word(shed.as_str()));
             }
         }
         result
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -3,9 +3,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-use cadence::{
-    BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
-};
+use cadence::{BufferedUdpMetricSink, Counted, QueuingMetricSink, StatsdClient, Timed};
 
 use super::{Group, Row, Table};
 use crate::error::Error;
@@ -38,7 +36,8 @@
 
 /// Counters and histograms of one daemon.
 pub struct Metrics {
-    client: StatsdClient,
+    /// Set if there is an address to send to; no line is made up otherwise.
+    client: Option<StatsdClient>,
     classes: Table,
     callers: Table,
 }
@@ -58,9 +57,9 @@
                 let sink = BufferedUdpMetricSink::from(address, socket)
                     .map_err(|e| Error::remote(format!("metrics: {e}")))?;
                 let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
-                StatsdClient::from_sink(PREFIX, sink)
+                Some(StatsdClient::from_sink(PREFIX, sink))
             }
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            None => None,
         };
         Ok(Self {
             client,
@@ -80,14 +79,17 @@
     ) {
         self.classes.record(class, ending, latency, retries);
         self.callers.record(caller, ending, latency, retries);
-        self.client
+        let Some(client) = &self.client else {
+            return;
+        };
+        client
             .count_with_tags("calls", 1)
             .with_tag("class", class)
             .with_tag("caller", caller)
             .with_tag("ending", ending.as_str())
             .send();
         if ending == Ending::Whole {
-            self.client
+            client
                 .time_with_tags("latency", latency)
                 .with_tag("class", class)
                 .with_tag("caller", caller)
@@ -97,15 +99,19 @@
 
     /// Counts an event under a fixed name.
     pub fn count(&self, name: &'static str) {
-        let _ = self.client.count(name, 1);
+        if let Some(client) = &self.client {
+            let _ = client.count(name, 1);
+        }
     }
 
     /// Counts an event with its reason.
     pub fn count_reason(&self, name: &'static str, reason: &'static str) {
-        self.client
-            .count_with_tags(name, 1)
-            .with_tag("reason", reason)
-            .send();
+        if let Some(client) = &self.client {
+            client
+                .count_with_tags(name, 1)
+                .with_tag("reason", reason)
+                .send();
+        }
     }
 
     /// Returns the histograms of a group.
--- a/src/policy/admission/threshold.rs
+++ b/src/policy/admission/threshold.rs
@@ -1,5 +1,7 @@
 //! The level below which a guard is shedding, computed from measured excess.
 
+use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -18,7 +20,9 @@
 /// Share of the queue's distance from half full that one window makes up.
 const CATCH_UP: f64 = 0.2;
 /// What is left of the counts of earlier windows.
-const MEMORY: f32 = 0.5;
+const MEMORY: f64 = 0.5;
+/// Count of a level below which it is forgotten: one arrival, ten windows ago.
+const FORGOTTEN: f64 = 1.0 / 1024.0;
 /// Fewest levels of which the density of arrivals is judged, and most that
 /// are opened at once when nothing is known.
 const BAND: usize = Level::STEPS / 64;
@@ -47,8 +51,11 @@
 #[derive(Debug)]
 pub struct Threshold {
     level: Level,
-    arrivals: Box<[f32]>,
-    weight: f32,
+    /// Arrivals by level, of those levels at which calls arrived lately. A
+    /// window holds some tens of calls, so this is far shorter than all levels;
+    /// it is gone through whenever a window closes.
+    arrivals: BTreeMap<usize, f64>,
+    weight: f64,
     arrived: u32,
     started: u32,
     shed: u32,
@@ -61,7 +68,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             level: Level::OPEN,
-            arrivals: vec![0.0; Level::COUNT].into(),
+            arrivals: BTreeMap::new(),
             weight: 0.0,
             arrived: 0,
             started: 0,
@@ -73,7 +80,7 @@
 
     /// Counts an arrival.
     pub fn arrived(&mut self, level: Level) {
-        self.arrivals[level.index()] += 1.0;
+        *self.arrivals.entry(level.index()).or_default() += 1.0;
         self.arrived += 1;
     }
 
@@ -115,7 +122,10 @@
         } else {
             1.0
         };
-        self.arrivals.iter_mut().for_each(|count| *count *= MEMORY);
+        self.arrivals.retain(|_, count| {
+            *count *= MEMORY;
+            *count >= FORGOTTEN
+        });
         self.arrived = 0;
         self.started = 0;
         self.shed = 0;
@@ -149,8 +159,7 @@
             GROW
         };
         let most = (open.max(BAND) as f64 * share).max(1.0);
-        let sum: f32 = self.arrivals[low..self.level.class_end()].iter().sum();
-        let density = f64::from(sum / self.weight) / open as f64;
+        let density = self.between(low..self.level.class_end()) / open as f64;
         if density <= 0.0 || (idle && offered < want * FAR_LESS) {
             return most;
         }
@@ -159,16 +168,21 @@
 
     /// Returns the arrivals of one window at or above the level.
     fn offered(&self) -> f64 {
-        let sum: f32 = self.arrivals[self.level.index()..].iter().sum();
-        f64::from(sum / self.weight)
+        self.between(self.level.index()..Level::COUNT)
+    }
+
+    /// Returns the arrivals of one window at some levels.
+    fn between(&self, levels: Range<usize>) -> f64 {
+        let sum: f64 = self.arrivals.range(levels).map(|(_, count)| count).sum();
+        sum / self.weight
     }
 
     fn level_admitting(&self, want: f64) -> Level {
         let mut sum = 0.0;
-        for (index, count) in self.arrivals.iter().enumerate().rev() {
-            sum += f64::from(count / self.weight);
+        for (index, count) in self.arrivals.iter().rev() {
+            sum += count / self.weight;
             if sum > want {
-                return Level::from_raw(index as u32 + 1);
+                return Level::from_raw(*index as u32 + 1);
             }
         }
         Level::OPEN
--- a/src/tables/journal.rs
+++ b/src/tables/journal.rs
@@ -1,12 +1,14 @@
 //! What this daemon decided on recent calls, for `bramleyctl explain`.
 
 use std::collections::VecDeque;
+use std::fmt;
 
+use http::StatusCode;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 use super::unix_ms;
-use crate::model::CallId;
+use crate::model::{CallId, Instance};
 
 /// Notes that are kept.
 const KEPT: usize = 8192;
@@ -46,10 +48,35 @@
     pub unix_ms: u64,
 }
 
+/// What is noted beside a step; made into text only when somebody asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Detail {
+    /// Nothing.
+    None,
+    /// A fixed word.
+    Word(&'static str),
+    /// The status of an answer.
+    Status(StatusCode),
+    /// The daemon that a call was sent to.
+    Target(Instance),
+}
+
+impl fmt::Display for Detail {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::None => Ok(()),
+            Self::Word(word) => f.write_str(word),
+            Self::Status(status) => f.write_str(status.as_str()),
+            Self::Target(target) => target.fmt(f),
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
 struct Record {
     call: CallId,
     step: Step,
-    detail: Box<str>,
+    detail: Detail,
     unix_ms: u64,
 }
 
@@ -61,11 +88,11 @@
 
 impl Journal {
     /// Adds a note.
-    pub fn note(&self, call: CallId, step: Step, detail: impl Into<Box<str>>) {
+    pub fn note(&self, call: CallId, step: Step, detail: Detail) {
         let record = Record {
             call,
             step,
-            detail: detail.into(),
+            detail,
             unix_ms: unix_ms(),
         };
         let mut records = self.records.lock();
@@ -84,7 +111,7 @@
             .map(|record| Note {
                 call: call.to_string().into(),
                 step: record.step,
-                detail: record.detail.clone(),
+                detail: record.detail.to_string().into(),
                 unix_ms: record.unix_ms,
             })
             .collect()
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -27,7 +27,7 @@
 pub use current::{Current, InForce};
 pub use decisions::Decisions;
 pub use homes::{Home, Homes};
-pub use journal::{Journal, Note, Step};
+pub use journal::{Detail, Journal, Note, Step};
 pub use readiness::Readiness;
 pub use routes::Routes;
 pub use shared::{Shared, mint_now, unix_ms};
