Make the futures of a call a sixth as large

Cause: the future that handles a request had 24,832 bytes, room for every way that a call may take, and was copied whole some times before its first step; an attempt cloned the head of its call only to write it. Change: ways that few calls take are put on the heap when taken, a future that runs under a time limit is made in place, the head is written from a reference. The handler's future has 4,368 bytes now (size_of_val in a test build).

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -9,8 +9,8 @@
 use super::accept::Accepted;
 use super::context::Context;
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply, Scope};
-use crate::model::{Instance, OnceKey, Verdict};
-use crate::peer;
+use crate::model::{AttemptId, Instance, OnceKey, Retries, Verdict};
+use crate::peer::{self, Message};
 use crate::policy::admission::{Met, Shed};
 use crate::policy::once::{Place, Refuse, place};
 use crate::policy::retry::{Account, Failure, Loan, Retry, Safety, decide};
@@ -95,7 +95,7 @@
         let result = match body {
             Payload::Whole(bytes) => self.attempts(bytes).await,
             stream @ Payload::Stream { .. } => match self.target(Attempt::plan()) {
-                Ok((attempt, target)) => self.attempt(attempt, target, stream).await,
+                Ok((attempt, target)) => Box::pin(self.attempt(attempt, target, stream)).await,
                 Err(refusal) => Err(refusal),
             },
         };
@@ -190,7 +190,9 @@
             return Ok(());
         }
         let service = &self.head().service;
-        if !read_home(&self.context.shared, service).await || self.place(&once.key) != not_owned {
+        if !Box::pin(read_home(&self.context.shared, service)).await
+            || self.place(&once.key) != not_owned
+        {
             return Ok(());
         }
         Err(Attempt::plan().refuse_once(Refuse::NotOwned).of_key())
@@ -284,32 +286,44 @@
         body: Payload,
     ) -> Result<Reply, Refusal> {
         let loan = self.purse.with(Account::lend);
-        let mut head = self.head().clone();
-        head.attempt = attempt.id();
-        head.account = loan.retries;
         let journal = &self.context.shared.journal;
-        journal.note(head.call, Step::Sent, Detail::Target(target));
+        journal.note(self.head().call, Step::Sent, Detail::Target(target));
         let sent = Sending {
             forward: self,
             target,
             reported: false,
         };
-        let call = Call {
-            head,
-            body,
-            confirm: None,
-        };
         let result = if target == self.context.shared.instance {
-            self.context.guard.serve(call).await
+            let call = self.call(attempt.id(), loan.retries, body);
+            // On the heap, so that calls to other daemons need no room for it.
+            Box::pin(self.context.guard.serve(call)).await
         } else {
-            let held = self.holds(target);
-            peer::send(&self.context.pool, target, attempt, call, held).await
+            let message = Message {
+                head: self.head(),
+                account: loan.retries,
+                body,
+                held: self.holds(target),
+            };
+            peer::send(&self.context.pool, target, attempt, message).await
         };
         sent.report(&result);
         self.settle(loan, &result);
         result
     }
 
+    /// Makes the call of one attempt for the guard of this VM.
+    fn call(&self, attempt: AttemptId, account: Retries, body: Payload) -> Call {
+        Call {
+            head: CallHead {
+                attempt,
+                account,
+                ..self.head().clone()
+            },
+            body,
+            confirm: None,
+        }
+    }
+
     /// Tells whether the guard asks before it starts the call: one that must
     /// not run twice, and any to a guard that may be out of reach, so that it
     /// can be tried elsewhere at no cost.
@@ -341,13 +355,13 @@
             return Err(failed);
         };
         if failed.reason() == Reason::Once(Refuse::WrongOwner) {
-            return self.follow(&once.key, failed).await;
+            return Box::pin(self.follow(&once.key, failed)).await;
         }
         let lost = matches!(failed.reason(), Reason::Cut | Reason::Garbage);
         if !lost || failed.verdict() != Verdict::MayHaveRun {
             return Err(failed);
         }
-        let asked = self.inquire(target, &once.key).await;
+        let asked = Box::pin(self.inquire(target, &once.key)).await;
         match asked {
             Err(answer) if answer.reason() == Reason::Once(Refuse::Unseen) => Err(failed),
             Err(answer) => Err(answer.after(Verdict::MayHaveRun)),
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::accept::{Accepted, accept};
 use super::answer::Answering;
@@ -130,16 +130,17 @@
             targets: Box::default(),
         };
         let hold = accepted.head.once.is_some();
-        let body = receive(headers, body, hold);
-        let body = match tokio::time::timeout_at(accepted.head.deadline, body).await {
+        let deadline = accepted.head.deadline;
+        let body = match timeout_at(deadline, receive(headers, body, hold)).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => return refused(Reason::TooLarge),
             Ok(Err(BodyError::Cut)) => return refused(Reason::RequestCut),
             Err(_) => return refused(Reason::Shed(Shed::Deadline)),
         };
         self.note_repeat(accepted);
-        let ended = Forward::new(&self.context, accepted).run(body);
-        match tokio::time::timeout_at(accepted.head.deadline + LAST_WORD, ended).await {
+        let latest = accepted.head.deadline + LAST_WORD;
+        // Made in place: a future that is named first is kept twice.
+        match timeout_at(latest, Forward::new(&self.context, accepted).run(body)).await {
             Ok(ended) => ended,
             Err(_) => Ended {
                 result: Err(Attempt::plan().send().lose(Reason::Timeout, "")),
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -128,7 +128,8 @@
             Ok(()) => match (&call.head.once, call.body) {
                 (Some(once), Payload::Whole(body)) => {
                     let once = once.clone();
-                    self.serve_once(attempt, call.head, once, body).await
+                    // On the heap, so that other calls need no room for it.
+                    Box::pin(self.serve_once(attempt, call.head, once, body)).await
                 }
                 (Some(_), Payload::Stream { .. }) => {
                     let detail = "a once call must be sent whole";
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -15,8 +15,8 @@
 use super::generated::call_frame::Frame as CallPart;
 use super::generated::{AnswerFrame, CallFrame, InquireRequest, Start, Tail};
 use super::pool::Pool;
-use crate::call::{Attempt, Call, Planned, Reason, Refusal, Reply, Sent};
-use crate::model::{Instance, OnceKey, ServiceName};
+use crate::call::{Attempt, CallHead, Planned, Reason, Refusal, Reply, Sent};
+use crate::model::{AttemptId, Instance, OnceKey, Retries, ServiceName};
 use crate::policy::admission::Shed;
 use crate::web::{Chunks, Cut, Payload};
 
@@ -30,9 +30,22 @@
 /// Frames that wait to be sent.
 const WINDOW: usize = 8;
 
+/// A call on its way to another daemon.
+#[derive(Debug)]
+pub struct Message<'c> {
+    /// What travels with the call, but for its account.
+    pub head: &'c CallHead,
+    /// Retries lent to this attempt.
+    pub account: Retries,
+    /// The body.
+    pub body: Payload,
+    /// Whether the guard asks before it starts the call.
+    pub held: bool,
+}
+
 /// Sends a call to the guard of `instance` and waits for the answer.
 ///
-/// A `held` call is started only after the guard has said that it can, and
+/// A held call is started only after the guard has said that it can, and
 /// this side has said that it shall; until then it counts as not sent.
 ///
 /// # Errors
@@ -42,17 +55,33 @@
     pool: &Pool,
     instance: Instance,
     attempt: Attempt<Planned>,
-    call: Call,
-    held: bool,
+    message: Message<'_>,
 ) -> Result<Reply, Refusal> {
-    if !held && let Payload::Whole(body) = call.body {
-        return direct::send(pool, instance, attempt, call.head, body).await;
+    match &message.body {
+        Payload::Whole(body) if !message.held => {
+            let body = body.clone();
+            let head = call_out(instance, attempt.id(), &message, Instant::now());
+            let deadline = message.head.deadline;
+            direct::send(pool, instance, attempt, head, body, deadline).await
+        }
+        // On the heap, since it needs more room than plain calls.
+        _ => Box::pin(send_stream(pool, instance, attempt, message)).await,
     }
+}
+
+/// Sends a call as a stream, which can carry words before the answer.
+async fn send_stream(
+    pool: &Pool,
+    instance: Instance,
+    attempt: Attempt<Planned>,
+    message: Message<'_>,
+) -> Result<Reply, Refusal> {
     let Some(mut client) = pool.get(instance.address) else {
         return Err(attempt.refuse(Reason::Unreachable, "no valid address"));
     };
-    let deadline = call.head.deadline;
-    let (frames, rest) = call_frames(instance, call, held);
+    let deadline = message.head.deadline;
+    let held = message.held;
+    let (frames, rest) = call_frames(instance, attempt.id(), message);
     let reached = (Instant::now() + REACH).min(deadline + SLACK);
     let answer = tokio::time::timeout_at(reached, client.call(frames)).await;
     let answer = match answer {
@@ -182,15 +211,16 @@
     }
 }
 
-fn call_frames(instance: Instance, call: Call, held: bool) -> (Frames, Rest) {
+fn call_frames(instance: Instance, attempt: AttemptId, message: Message<'_>) -> (Frames, Rest) {
     let (sender, receiver) = mpsc::channel(WINDOW);
-    let now = Instant::now();
-    let (whole, chunks) = match call.body {
-        Payload::Whole(bytes) => (Some(bytes), None),
-        Payload::Stream { chunks, .. } => (None, Some(chunks)),
+    let mut head = call_out(instance, attempt, &message, Instant::now());
+    let chunks = match message.body {
+        Payload::Whole(bytes) => {
+            head.body = bytes;
+            None
+        }
+        Payload::Stream { chunks, .. } => Some(chunks),
     };
-    let mut head = call_out(instance, &call.head, whole, now);
-    head.held = held;
     let _ = sender.try_send(frame(CallPart::Head(head)));
     let rest = Rest { chunks, sender };
     (ReceiverStream::new(receiver), rest)
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::client::Message;
 use super::generated as wire;
 use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Scope, Sent};
 use crate::declare::Estate;
@@ -15,6 +16,7 @@
     AttemptId, CallId, ClassRank, Demand, Depth, GuardNews, Instance, Level, Percent, Priority,
     RankSet, Retries, RootId, Verdict,
 };
+use crate::web::Payload;
 
 /// Most headers of a message.
 const MAX_HEADERS: usize = 128;
@@ -67,18 +69,19 @@
     Ok(map)
 }
 
-/// Writes the head of a call to `instance`.
+/// Writes the head of a call to `instance`, without its body.
 pub(super) fn call_out(
     instance: Instance,
-    head: &CallHead,
-    body: Option<Bytes>,
+    attempt: AttemptId,
+    message: &Message<'_>,
     now: Instant,
 ) -> wire::CallHead {
+    let head = message.head;
     let left = head.deadline.saturating_duration_since(now);
     let once = head.once.as_ref();
     wire::CallHead {
         instance: instance.to_string(),
-        attempt: id_bytes(head.attempt.get()),
+        attempt: id_bytes(attempt.get()),
         call: id_bytes(head.call.get()),
         root: id_bytes(head.root.get()),
         service: head.service.to_string(),
@@ -89,16 +92,16 @@
         class: head.class.to_string(),
         depth: u32::from(head.depth.get()),
         deadline_ms: millis(left),
-        account: head.account.get(),
+        account: message.account.get(),
         once_key: once.map_or(String::new(), |once| once.key.to_string()),
         method: head.method.as_str().to_owned(),
         target: head.target.to_string(),
         headers: headers_out(&head.headers),
-        streamed: body.is_none(),
-        body: body.unwrap_or_default(),
+        streamed: matches!(message.body, Payload::Stream { .. }),
+        body: Bytes::new(),
         repeat: head.repeat,
         rank: u32::from(head.priority.rank().get()),
-        held: false,
+        held: message.held,
     }
 }
 
--- a/src/peer/direct.rs
+++ b/src/peer/direct.rs
@@ -15,15 +15,15 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::client::SLACK;
-use super::convert::{call_out, id_bytes, refusal_in, reply_in};
+use super::convert::{id_bytes, refusal_in, reply_in};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::message::{join, take};
 use super::pool::{CONNECT, MAX_MESSAGE, Pool};
-use crate::call::{Attempt, CallHead, Planned, Reason, Refusal, Reply, Sent};
+use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::Instance;
 use crate::web::{Chunks, Cut, Payload, alive_or_closed};
 
@@ -64,6 +64,12 @@
         Self { client, uri }
     }
 
+    /// Sends a request and reads its answer.
+    async fn exchange(self, body: Bytes) -> Result<(Option<AnswerPart>, Payload), Failed> {
+        let answer = self.ask(body).await?;
+        read(answer.into_body()).await
+    }
+
     async fn ask(&self, body: Bytes) -> Result<Response<Incoming>, Failed> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = Method::POST;
@@ -91,25 +97,20 @@
     pool: &Pool,
     instance: Instance,
     attempt: Attempt<Planned>,
-    head: CallHead,
+    head: wire::CallHead,
     body: Bytes,
+    deadline: Instant,
 ) -> Result<Reply, Refusal> {
-    let deadline = head.deadline;
-    let message = call_out(instance, &head, Some(Bytes::new()), Instant::now());
+    let whole = join(&head, &body);
+    drop((head, body));
     let client = pool.direct(instance.address);
     let attempt = attempt.send();
-    let asked = tokio::time::timeout_at(deadline + SLACK, client.ask(join(&message, &body)));
-    let answer = match asked.await {
-        Ok(Ok(answer)) => answer,
+    match timeout_at(deadline + SLACK, client.exchange(whole)).await {
+        Ok(Ok((part, payload))) => answered(attempt, part, payload),
         Ok(Err(failed)) => {
             pool.replace(instance.address);
-            return Err(lost(attempt, failed));
+            Err(lost(attempt, failed))
         }
-        Err(_) => return Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
-    };
-    match tokio::time::timeout_at(deadline + SLACK, read(answer.into_body())).await {
-        Ok(Ok((part, payload))) => answered(attempt, part, payload),
-        Ok(Err(cause)) => Err(attempt.lose(Reason::Cut, cause)),
         Err(_) => Err(attempt.lose(Reason::Timeout, "no answer before the deadline")),
     }
 }
@@ -123,8 +124,11 @@
 }
 
 /// Reads an answer: whole if its length is known, else up to its message.
-async fn read(mut body: Incoming) -> Result<(Option<AnswerPart>, Payload), Box<str>> {
-    let cut = |e: &dyn std::fmt::Display| -> Box<str> { e.to_string().into() };
+async fn read(mut body: Incoming) -> Result<(Option<AnswerPart>, Payload), Failed> {
+    let cut = |e: &dyn std::fmt::Display| Failed {
+        connected: true,
+        cause: e.to_string().into(),
+    };
     if body.size_hint().exact().is_some() {
         let whole = Limited::new(body, MAX_MESSAGE).collect().await;
         let mut whole = whole.map_err(|e| cut(&e))?.to_bytes();
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -20,7 +20,7 @@
 mod pool;
 mod server;
 
-pub use client::{inquire, send};
+pub use client::{Message, inquire, send};
 pub use listen::serve_peers;
 pub use news::{ExchangeError, Exchanged, exchange, hand_over};
 pub(crate) use news::{known_documents, put_in_force};
--- a/src/web/listen.rs
+++ b/src/web/listen.rs
@@ -121,7 +121,8 @@
     }
     let service = service_fn(|request| {
         let large = head_size(&request) > MAX_HEAD;
-        let answer = (!large).then(|| handler(request, from));
+        // Put on the heap at once: it is large, and would be copied thrice.
+        let answer = (!large).then(|| Box::pin(handler(request, from)));
         let closing = &closing;
         Box::pin(async move {
             let mut answer = match answer {
