Take a service's demand from the targets that were heard just now

An entry took the mean of its targets' levels, and counted those that it had not heard from in 150 ms as lower or open; with 46 targets these are most. Ruled out: guards of the last service that turn calls away (60 to 655 of 30,000 in two seconds), free slots there (296 of 296 in use). Change: the mean is that of up to eight targets heard just now, and of all as before if there is none.

--- a/src/policy/admission/heard.rs
+++ b/src/policy/admission/heard.rs
@@ -26,6 +26,12 @@
         self.news = Some((level, now));
     }
 
+    /// Tells whether a level was heard so lately that it holds in full.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.news
+            .is_some_and(|(_, at)| now.saturating_duration_since(at) <= FRESH)
+    }
+
     /// Returns the level that holds for a call. For protected classes only
     /// fresh news counts, since older news may refuse them while less important
     /// work is admitted again.
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -65,31 +65,44 @@
     pub avoid: Option<Instance>,
 }
 
-/// Returns what a set of targets demands of calls: the mean of some of them.
+/// Returns what a set of targets demands of calls: the mean of some of those
+/// that were heard from just now, or of what is left of older news.
 ///
 /// The mean, rather than the least, keeps entries from sending all at the one
-/// guard that happens to demand least.
+/// guard that happens to demand least. Silent targets have no part in it: in an
+/// estate of many VMs an entry hears from few of its targets in any moment, and
+/// counting the others as open lets in several times what can be served.
 pub(super) fn demand(now: Instant, targets: &[Target], protected: bool) -> Demand {
-    let step = targets.len().div_ceil(SAMPLE).max(1);
+    let serving = || targets.iter().filter(|t| t.state == TargetState::Serving);
+    let fresh = serving().filter(|target| target.is_level_fresh(now));
+    mean(now, fresh, protected).unwrap_or_else(|| {
+        let step = targets.len().div_ceil(SAMPLE).max(1);
+        mean(now, serving().step_by(step), protected).unwrap_or_default()
+    })
+}
+
+/// Returns the mean of what some targets demand, if there are any.
+fn mean<'t>(
+    now: Instant,
+    targets: impl Iterator<Item = &'t Target>,
+    protected: bool,
+) -> Option<Demand> {
     let mut level = 0;
     let mut below = 0;
     let mut classes = RankSet::default();
     let mut count = 0;
-    for target in targets.iter().step_by(step) {
-        if target.state != TargetState::Serving {
-            continue;
-        }
+    for target in targets.take(SAMPLE) {
         let demand = target.demand(now, protected);
         level += u32::from(demand.level.get());
         below += u32::from(demand.below.get());
         classes = classes.either(demand.classes);
         count += 1;
     }
-    Demand {
-        level: Level::from_raw(level.checked_div(count).unwrap_or(0)),
-        below: Level::from_raw(below.checked_div(count).unwrap_or(0)),
+    Some(Demand {
+        level: Level::from_raw(level.checked_div(count)?),
+        below: Level::from_raw(below.checked_div(count)?),
         classes,
-    }
+    })
 }
 
 /// Chooses a target for a call: the better of two random ones of the own data
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -134,6 +134,11 @@
             .is_some_and(|(_, at)| now.saturating_duration_since(at) < REACHABLE)
     }
 
+    /// Tells whether the level that it demands was heard just now.
+    pub fn is_level_fresh(&self, now: Instant) -> bool {
+        self.level.is_fresh(now)
+    }
+
     /// Returns the calls of this entry in flight there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
