--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -4,16 +4,19 @@
 //! capture passes last, with the peak of this process's memory before and
 //! after.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use bramleymount::emulator::{Behaviour, Site, free_address};
+use bramleymount::emulator::free_address;
 use bramleymount::web::Client;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request};
 use http_body_util::Full;
+use support::{one_of_each, server};
 
 const CALLERS: usize = 64;
 const CALLS: usize = 150;
@@ -33,30 +36,8 @@
 }
 
 async fn run() -> eyre::Result<()> {
-    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/nordlysvakt");
-    let mut estate = Site::estate(&dir, 2, 1.0)?;
-    estate.services.retain(|name, _| {
-        matches!(
-            name.as_str(),
-            "station-status" | "magnetometer-ingest" | "forecast-archive"
-        )
-    });
-    estate.services.values_mut().for_each(|s| s.depends.clear());
-    // One server of each kind, so that it is known which way a call takes.
-    for service in estate.services.values_mut() {
-        service.servers.truncate(1);
-    }
-    let site = Site::start_direct(estate, |_| Behaviour {
-        answer: ANSWER,
-        ..Behaviour::default()
-    })
-    .await?;
-    let find = |name: &str| {
-        site.servers
-            .iter()
-            .find(|s| s.service.as_str() == name)
-            .expect("a server")
-    };
+    let site = one_of_each(ANSWER).await?;
+    let find = |name: &str| server(&site, name);
     let status = find("station-status");
     let other = find("forecast-archive");
     let backend = status.daemon.shared().config.backend;
