--- /dev/null
+++ b/benches/overload/world/figure.rs
@@ -0,0 +1,40 @@
+//! What a run came to, and what the service that is short could serve.
+
+use super::*;
+
+impl World {
+    pub(crate) fn wasted_ms(&self) -> f64 {
+        self.roots
+            .iter()
+            .filter(|r| !r.whole)
+            .map(|r| r.work_ms)
+            .sum()
+    }
+
+    pub(crate) fn retries_max(&self) -> u32 {
+        self.roots.iter().map(|r| r.retries).max().unwrap_or(0)
+    }
+
+    /// Calls a second that the bottleneck can run during the disturbance.
+    pub(crate) fn bottleneck_capacity(&self) -> f64 {
+        let service = self.scenario.bottleneck();
+        let spec = &self.scenario.services[service];
+        let disturb = &self.scenario.disturb;
+        self.by_service[service]
+            .iter()
+            .map(|id| {
+                let server = &self.servers[*id];
+                let warm = match server.cold_since {
+                    // Mean share of slots over the disturbance.
+                    Some(_) => {
+                        let warming = (COLD_SHARE + 1.0) / 2.0 * COLD_S / LENGTH;
+                        warming + (LENGTH - COLD_S) / LENGTH
+                    }
+                    None => 1.0,
+                };
+                let work_ms = spec.work_ms * disturb.slow * server.factor;
+                f64::from(spec.slots) * warm * 1000.0 / work_ms
+            })
+            .sum()
+    }
+}
