Split the world of the fault matrix by job

Change: a file each for callers, entries, guards, membership, the planned stop and what must hold; no line of logic or of a check is changed.

--- /dev/null
+++ b/tests/fault_matrix/world/entry.rs
@@ -0,0 +1,121 @@
+//! Entries: where a call goes, and what its answer means.
+
+use super::*;
+
+impl World {
+    pub(super) fn enter(&mut self, caller: usize, n: usize, first: bool) {
+        if !self.nodes[n].up {
+            self.callers[caller].silent = true;
+            return self.again(caller);
+        }
+        let key = self.callers[caller].key.clone();
+        let target = match self.place(n, &key) {
+            Ok(_) if self.misroute => self.nodes[self.rng.random_range(0..NODES)].instance,
+            Ok(target) => target,
+            Err(refusal) => return self.refuse(caller, first, refusal),
+        };
+        let attempt = Attempt::with_id(AttemptId::new(self.rng.random()));
+        let id = attempt.id();
+        let from = self.nodes[n].instance;
+        self.nodes[n].out.insert(
+            id,
+            Out {
+                attempt: attempt.send(),
+                caller,
+                first,
+            },
+        );
+        let to = self.address(target);
+        let event = Event::Call {
+            from,
+            to: target,
+            attempt: id,
+            key,
+        };
+        if to == n {
+            self.after(0, event);
+        } else {
+            self.message(n, to, event);
+        }
+        self.after(
+            DEADLINE,
+            Event::Timeout {
+                at: from,
+                attempt: id,
+            },
+        );
+    }
+
+    /// Finds where a key must go; reads the row anew if nobody owns the key.
+    pub(super) fn place(&mut self, n: usize, key: &OnceKey) -> Result<Instance, Refusal> {
+        let find = |node: &Node| {
+            place(
+                key,
+                node.row.as_ref().map(|(_, row)| &**row),
+                &node.view,
+                &service(),
+            )
+        };
+        let mut found = find(&self.nodes[n]);
+        let mut fresh = false;
+        if found == Place::Refused(Refuse::NotOwned)
+            && !self.platform_cuts.contains(&n)
+            && let Ok(row) = now(self.table.read("home"))
+        {
+            fresh = true;
+            if let Some(row) = row {
+                self.take_row(n, row.revision, &row.content);
+            }
+            found = find(&self.nodes[n]);
+        }
+        match found {
+            Place::At(instance) => Ok(instance),
+            Place::Refused(refuse) => {
+                let refusal = Attempt::plan().refuse_once(refuse);
+                Err(if fresh && refuse == Refuse::NotOwned {
+                    refusal.of_key()
+                } else {
+                    refusal
+                })
+            }
+        }
+    }
+
+    /// Tells a caller of a refusal, weakened as the entry does.
+    pub(super) fn refuse(&mut self, caller: usize, first: bool, refusal: Refusal) {
+        let unsure = !first && refusal.scope() == Scope::Attempt;
+        let refusal = refusal.after(if unsure {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        });
+        self.tell(caller, &Err(refusal));
+    }
+
+    pub(super) fn reply(&mut self, to: Instance, attempt: AttemptId, result: Answered) {
+        let Some(n) = self.number(to) else { return };
+        let Some(out) = self.nodes[n].out.remove(&attempt) else {
+            return;
+        };
+        match result {
+            Ok(kept) => self.tell(out.caller, &Ok(kept)),
+            Err(r) => {
+                let mut relayed = out
+                    .attempt
+                    .relay(attempt, r.verdict(), r.reason(), &r.detail);
+                if r.scope() == Scope::Key {
+                    relayed = relayed.of_key();
+                }
+                self.refuse(out.caller, out.first, relayed);
+            }
+        }
+    }
+
+    pub(super) fn timeout(&mut self, at: Instance, attempt: AttemptId) {
+        let Some(n) = self.number(at) else { return };
+        if let Some(out) = self.nodes[n].out.remove(&attempt) {
+            let refusal = out.attempt.lose(Reason::Timeout, "");
+            self.refuse(out.caller, out.first, refusal);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fault_matrix/world/guard.rs
@@ -0,0 +1,184 @@
+//! Guards: claims, ledgers, runs and words on them.
+
+use super::*;
+
+impl World {
+    pub(super) fn answer(
+        &mut self,
+        at: Instance,
+        to: Instance,
+        attempt: AttemptId,
+        result: Answered,
+    ) {
+        let (from, n) = (self.address(at), self.address(to));
+        let event = Event::Reply {
+            to,
+            attempt,
+            result,
+        };
+        if from == n {
+            self.after(0, event);
+        } else {
+            self.message(from, n, event);
+        }
+    }
+
+    pub(super) fn call(&mut self, from: Instance, to: Instance, attempt: AttemptId, key: &OnceKey) {
+        let Some(n) = self.number(to) else {
+            // Another instance at the address refuses what is not meant for it.
+            let n = self.address(to);
+            if self.nodes[n].up {
+                let refusal = Attempt::with_id(attempt).refuse(Reason::Replaced, "");
+                self.answer(to, from, attempt, Err(refusal));
+            }
+            return;
+        };
+        let planned = Attempt::with_id(attempt);
+        let own_row = self.nodes[n].row.as_ref().map(|(_, row)| &**row);
+        if let Err(refuse) = authority(key, to, own_row) {
+            return self.answer(to, from, attempt, Err(planned.refuse_once(refuse)));
+        }
+        if self.nodes[n].left_at.is_some() && !self.nodes[n].ledger.has_begun(key) {
+            let refusal = planned.refuse(Reason::Shed(Shed::Leaving), "");
+            return self.answer(to, from, attempt, Err(refusal));
+        }
+        let mint = self.mint();
+        let hash = key.hash();
+        let begin = self.nodes[n].ledger.begin(mint, key, hash);
+        match begin {
+            Begin::Start | Begin::Resume => {
+                self.nodes[n]
+                    .attached
+                    .entry(key.clone())
+                    .or_default()
+                    .push((from, attempt));
+                let resumed = begin == Begin::Resume;
+                self.after(
+                    1,
+                    Event::Claim {
+                        at: to,
+                        key: key.clone(),
+                        resumed,
+                    },
+                );
+            }
+            Begin::Attach => {
+                self.nodes[n]
+                    .attached
+                    .entry(key.clone())
+                    .or_default()
+                    .push((from, attempt));
+            }
+            Begin::Answer(kept) => self.answer(to, from, attempt, Ok(kept)),
+            Begin::Refuse(refuse) => {
+                self.answer(to, from, attempt, Err(planned.refuse_once(refuse)));
+            }
+        }
+    }
+
+    pub(super) fn claim(&mut self, at: Instance, key: &OnceKey, resumed: bool) {
+        let Some(n) = self.number(at) else { return };
+        if let OnceKey::Opaque(_) = key
+            && let Err((refuse, keep)) = self.try_claim(n, at, key, resumed)
+        {
+            if keep {
+                self.nodes[n].ledger.release(key);
+            } else {
+                self.nodes[n].ledger.retract(key);
+            }
+            let refusal = Attempt::plan().refuse_once(refuse);
+            return self.answer_all(at, key, &Err(refusal));
+        }
+        if self.shedding && self.rng.random_bool(0.5) {
+            self.nodes[n].ledger.release(key);
+            let refusal = Attempt::plan()
+                .refuse(Reason::Shed(Shed::Overload), "")
+                .of_key();
+            return self.answer_all(at, key, &Err(refusal));
+        }
+        self.after(
+            1,
+            Event::Start {
+                at,
+                key: key.clone(),
+            },
+        );
+    }
+
+    pub(super) fn try_claim(
+        &mut self,
+        n: usize,
+        own: Instance,
+        key: &OnceKey,
+        resumed: bool,
+    ) -> Result<(), (Refuse, bool)> {
+        if self.platform_cuts.contains(&n) {
+            return Err((Refuse::NoPlatform, true));
+        }
+        let nonce = Nonce(self.rng.random());
+        let claim = Claim { owner: own, nonce };
+        let content = Bytes::from(serde_json::to_vec(&claim).expect("JSON"));
+        let name = claim_key(&service(), key);
+        match now(settle(&self.table, &name, Condition::Absent, content)) {
+            Settled::Written(_) => Ok(()),
+            Settled::Lost(row) => {
+                let found = row
+                    .and_then(|row| serde_json::from_slice(&row.content).ok())
+                    .expect("a claim");
+                match judge_claim(found, own, nonce) {
+                    ClaimCheck::Won => Ok(()),
+                    ClaimCheck::OwnEarlier if resumed => Ok(()),
+                    ClaimCheck::OwnEarlier => Err((Refuse::Forgotten, false)),
+                    ClaimCheck::Other(_) => Err((Refuse::WrongOwner, false)),
+                }
+            }
+            Settled::NotSent(_) | Settled::Unsettled(_) => Err((Refuse::NoPlatform, true)),
+        }
+    }
+
+    pub(super) fn start(&mut self, at: Instance, key: &OnceKey) {
+        let Some(n) = self.number(at) else { return };
+        if let Some(left) = self.nodes[n].left_at
+            && self.time > left + LEAVE
+            && self.nodes[n].paused_until < left
+        {
+            self.violations.push(format!(
+                "{key} started {} ms after its node left",
+                self.time - left
+            ));
+        }
+        let runs = self.runs.entry(key.clone()).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            self.violations.push(format!("{key} ran {runs} times"));
+        }
+        self.running.insert((at, key.clone()));
+        let work = self.rng.random_range(5..60);
+        self.after(
+            work,
+            Event::Finish {
+                at,
+                key: key.clone(),
+            },
+        );
+    }
+
+    pub(super) fn finish(&mut self, at: Instance, key: &OnceKey) {
+        let Some(n) = self.number(at) else { return };
+        self.running.remove(&(at, key.clone()));
+        let kept = Kept {
+            status: 200,
+            headers: Vec::new(),
+            body: Some(key.to_string().into_bytes().into()),
+        };
+        self.nodes[n].ledger.finish(key, kept.clone());
+        self.answer_all(at, key, &Ok(kept));
+    }
+
+    pub(super) fn answer_all(&mut self, at: Instance, key: &OnceKey, result: &Answered) {
+        let Some(n) = self.number(at) else { return };
+        for (to, attempt) in self.nodes[n].attached.remove(key).unwrap_or_default() {
+            self.answer(at, to, attempt, result.clone());
+        }
+    }
+}
--- /dev/null
+++ b/tests/fault_matrix/world/membership.rs
@@ -0,0 +1,181 @@
+//! Home rows, membership and configuration.
+
+use super::*;
+
+impl World {
+    pub(super) fn take_row(&mut self, n: usize, revision: Revision, content: &[u8]) {
+        let row = HomeRow::decode(content).expect("a home row");
+        self.keep_row(n, revision, Rc::new(row));
+    }
+
+    pub(super) fn keep_row(&mut self, n: usize, revision: Revision, row: Rc<HomeRow>) {
+        let known = self.nodes[n].row.as_ref().map(|(r, _)| *r);
+        if known.is_none_or(|known| known < revision) {
+            self.nodes[n].row = Some((revision, row));
+        }
+    }
+
+    pub(super) fn tick(&mut self, n: usize) {
+        if !self.nodes[n].up {
+            return;
+        }
+        self.after(TICK, Event::Tick(n));
+        self.plan_home(n);
+        self.watch(n);
+        self.read_config(n);
+        let node = &self.nodes[n];
+        let members: Vec<Member> = node.view.members().cloned().collect();
+        let row = node.row.clone();
+        let version = node.rollout.current();
+        for to in (0..NODES).filter(|to| *to != n) {
+            let event = Event::Gossip {
+                to,
+                members: members.clone(),
+                row: row.clone(),
+                version,
+            };
+            self.message(n, to, event);
+        }
+    }
+
+    pub(super) fn plan_home(&mut self, n: usize) {
+        if self.platform_cuts.contains(&n) || self.nodes[n].left_at.is_some() {
+            return;
+        }
+        let live: Vec<Instance> = self.nodes[n]
+            .view
+            .serving(&service())
+            .map(|m| m.instance)
+            .collect();
+        let horizon = Horizon {
+            ahead: Duration::from_millis(HORIZON_MS),
+            memory: Duration::from_secs(3600),
+        };
+        let known = self.nodes[n].row.clone();
+        let row = known
+            .as_ref()
+            .map(|(_, row)| (**row).clone())
+            .unwrap_or_default();
+        let Some(next) = plan(&row, self.mint(), &live, horizon) else {
+            return;
+        };
+        if !row.allows(&next, self.nodes[n].instance) {
+            self.violations.push("a plan takes a promise back".into());
+        }
+        let condition = known.map_or(Condition::Absent, |(revision, _)| {
+            Condition::Revision(revision)
+        });
+        match now(settle(&self.table, "home", condition, next.encode().into())) {
+            Settled::Written(revision) => self.nodes[n].row = Some((revision, Rc::new(next))),
+            Settled::Lost(Some(found)) => self.take_row(n, found.revision, &found.content),
+            _ => {}
+        }
+    }
+
+    /// Calls a neighbour silent that could not answer.
+    pub(super) fn watch(&mut self, n: usize) {
+        let next = (n + 1) % NODES;
+        let other = &self.nodes[next];
+        let unheard = !other.up || other.paused_until > self.time || self.cuts.contains(&(n, next));
+        if unheard {
+            let known = self.nodes[n]
+                .view
+                .at(other.instance.address)
+                .map(|m| m.instance);
+            let at = self.instant();
+            if let Some(known) = known {
+                self.nodes[n].view.call_silent(at, known);
+            }
+        }
+    }
+
+    pub(super) fn gossip(
+        &mut self,
+        to: usize,
+        members: Vec<Member>,
+        row: Option<(Revision, Rc<HomeRow>)>,
+        version: Version,
+    ) {
+        if !self.nodes[to].up {
+            return;
+        }
+        let at = self.instant();
+        for member in members {
+            self.nodes[to].view.merge(at, member);
+        }
+        if let Some((revision, row)) = row {
+            self.keep_row(to, revision, row);
+        }
+        self.take_version(to, version);
+    }
+
+    pub(super) fn take_version(&mut self, n: usize, version: Version) {
+        let before = self.nodes[n].rollout.current();
+        if self.nodes[n].rollout.offer(version) == Offer::Take {
+            self.nodes[n].rollout.take(version);
+        }
+        if self.nodes[n].rollout.current() < before {
+            self.violations
+                .push(format!("node {n} went back from version {before}"));
+        }
+    }
+
+    pub(super) fn read_config(&mut self, n: usize) {
+        if self.platform_cuts.contains(&n) || !self.nodes[n].up {
+            return;
+        }
+        if let Ok(Some(row)) = now(self.table.read("config")) {
+            let (version, _) = config(&row.content);
+            self.take_version(n, version);
+        }
+    }
+
+    pub(super) fn apply(&mut self, n: usize, change: u64, base: Version) {
+        if !self.nodes[n].up || self.platform_cuts.contains(&n) {
+            return;
+        }
+        let Ok(found) = now(self.table.read("config")) else {
+            return;
+        };
+        let (condition, current) = match &found {
+            Some(row) => (Condition::Revision(row.revision), config(&row.content)),
+            None => (Condition::Absent, (Version::NONE, 0)),
+        };
+        if current.1 == change && change != 0 {
+            return self.accept(n, current.0, change);
+        }
+        if current.0 != base {
+            return;
+        }
+        let version = base.next();
+        let content = format!("{} {change}", version.get());
+        match now(settle(&self.table, "config", condition, content.into())) {
+            Settled::Written(_) => self.accept(n, version, change),
+            Settled::Unsettled(_) => {
+                self.unsettled.push((n, change, base));
+                self.after(
+                    OUTAGE + 1000,
+                    Event::Apply {
+                        node: n,
+                        change,
+                        base,
+                    },
+                );
+            }
+            Settled::Lost(_) | Settled::NotSent(_) => {}
+        }
+    }
+
+    pub(super) fn accept(&mut self, n: usize, version: Version, change: u64) {
+        let clash = self
+            .accepted
+            .iter()
+            .any(|(v, c)| *v == version && *c != change);
+        if clash {
+            self.violations
+                .push(format!("version {version} was accepted twice"));
+        }
+        self.accepted.push((version, change));
+        self.take_version(n, version);
+    }
+}
