Test that a caller who leaves ends plain work elsewhere; share set-ups

A plain call is cancelled by its closed connection, which no test showed between two daemons. The test was written after the code and passes; it was not seen to fail. Tests and benches only.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -4,6 +4,9 @@
 //! The daemons run their real tasks in one process, without backend load. The
 //! bytes are those of loopback as the kernel counts them, headers included.
 
+#[path = "support/cpu.rs"]
+mod cpu;
+
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -43,11 +46,11 @@
     let mut site = Site::start_direct(estate, |_| Behaviour::default()).await?;
     let count = site.servers.len() as f64;
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let (bytes, cpu, counts) = (loopback_bytes(), cpu_seconds(), site.platform.counts());
+    let (bytes, cpu, counts) = (loopback_bytes(), cpu::cpu_seconds(), site.platform.counts());
     tokio::time::sleep(QUIET).await;
     let secs = QUIET.as_secs_f64();
     let bytes = (loopback_bytes() - bytes) / secs / count;
-    let cpu = (cpu_seconds() - cpu) / secs / count * 100.0;
+    let cpu = (cpu::cpu_seconds() - cpu) / secs / count * 100.0;
     let later = site.platform.counts();
     let rate = |a: u64, b: u64| (b - a) as f64 / secs / count * 1000.0;
     let up = change(&mut site, None).await?;
@@ -94,23 +97,6 @@
     sent.unwrap_or(0.0)
 }
 
-fn cpu_seconds() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split_whitespace()
-        .collect();
-    let ticks = |n: usize| {
-        fields
-            .get(n)
-            .and_then(|f| f.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
-    (ticks(11) + ticks(12)) / 100.0
-}
-
 fn memory_mb() -> f64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status
--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -4,6 +4,8 @@
 //! capture passes last, with the peak of this process's memory before and
 //! after.
 
+#[path = "support/cpu.rs"]
+mod cpu;
 mod support;
 
 use std::net::SocketAddr;
@@ -75,7 +77,7 @@
 }
 
 async fn load(address: SocketAddr, think: Duration) -> Figures {
-    let busy = cpu_seconds();
+    let busy = cpu::cpu_seconds();
     let tasks: Vec<_> = (0..CALLERS)
         .map(|_| tokio::spawn(caller(address, think)))
         .collect();
@@ -83,7 +85,7 @@
     for task in tasks {
         times.extend(task.await.expect("a caller"));
     }
-    let busy = cpu_seconds() - busy;
+    let busy = cpu::cpu_seconds() - busy;
     times.sort_by(f64::total_cmp);
     let at = |q: f64| times[((times.len() - 1) as f64 * q) as usize];
     Figures {
@@ -118,24 +120,6 @@
     times
 }
 
-/// Processor time of this process, in seconds.
-fn cpu_seconds() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split_whitespace()
-        .collect();
-    let ticks = |n: usize| {
-        fields
-            .get(n)
-            .and_then(|f| f.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
-    (ticks(11) + ticks(12)) / 100.0
-}
-
 fn memory_mb(process: &str, field: &str) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status
--- a/tests/platform_daemon.rs
+++ b/tests/platform_daemon.rs
@@ -14,7 +14,7 @@
 use rstest::rstest;
 use support::eventually;
 use support::hosted::{document, store, vm};
-use support::rows::Trouble;
+use support::rows::{RowsStandIn, Trouble};
 
 #[tokio::test]
 async fn answer_is_whole_and_its_origin_set() {
@@ -115,6 +115,35 @@
     }
 }
 
+/// The call goes to another daemon as a plain one, since that daemon has just
+/// answered another call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_that_leaves_ends_the_work_at_another_daemon() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 10.0));
+    let serving = vm("svc", address).await;
+    serving.announce("ready", 1).await;
+    let entry = vm("other", address).await;
+    entry.wait_ready().await;
+    eventually("a first answer", || async {
+        let answer = entry.ask(Method::GET, "/read/x", "r0").await;
+        (answer.status == StatusCode::OK).then_some(())
+    })
+    .await;
+    let working = || serving.seen.working.load(Ordering::SeqCst);
+    let asked = async {
+        let asked = entry.ask(Method::GET, "/read/slow", "r1");
+        let _ = tokio::time::timeout(Duration::from_millis(300), asked).await;
+    };
+    let started = eventually("the work", || async { (working() == 1).then_some(()) });
+    tokio::join!(asked, started);
+    let end = std::time::Instant::now() + Duration::from_millis(500);
+    while working() > 0 {
+        assert!(std::time::Instant::now() < end, "the server still works");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn leaving_server_gets_nothing() {
     let (address, rows, _listening) = store().await;
@@ -151,18 +180,24 @@
     eventually("version 13", || async { (version() == 13).then_some(()) }).await;
 }
 
-/// A daemon that takes connections and never answers, as behind a cut.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn unsafe_calls_pass_by_a_silent_guard() {
-    let (address, rows, _listening) = store().await;
-    rows.put("op", "config", &document(7, "svc", 2.0));
+/// Adds a member whose daemon takes connections and never answers, as behind a
+/// cut, while the listener is kept.
+fn silent_member(rows: &RowsStandIn) -> TcpListener {
     let silent = TcpListener::bind(free_address().expect("a port")).expect("a listener");
-    let silent_at = silent.local_addr().expect("an address");
+    let at = silent.local_addr().expect("an address");
     let member = format!(
-        r#"{{"instance":"{silent_at}@1","centre":"hall-a","service":"svc","beat":1,
+        r#"{{"instance":"{at}@1","centre":"hall-a","service":"svc","beat":1,
         "state":"serving","version":0,"slots":20}}"#
     );
-    rows.put("member", &silent_at.to_string(), &member);
+    rows.put("member", &at.to_string(), &member);
+    silent
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unsafe_calls_pass_by_a_silent_guard() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let _silent = silent_member(&rows);
     let serving = vm("svc", address).await;
     serving.announce("ready", 1).await;
     let entry = vm("other", address).await;
@@ -223,13 +258,7 @@
 ) {
     let (address, rows, _listening) = store().await;
     rows.put("op", "config", &document(7, "svc", 20.0));
-    let silent = TcpListener::bind(free_address().expect("a port")).expect("a listener");
-    let silent_at = silent.local_addr().expect("an address");
-    let member = format!(
-        r#"{{"instance":"{silent_at}@1","centre":"hall-a","service":"svc","beat":1,
-        "state":"serving","version":0,"slots":20}}"#
-    );
-    rows.put("member", &silent_at.to_string(), &member);
+    let _silent = silent_member(&rows);
     let vm = vm("svc", address).await;
     vm.wait_ready().await;
     vm.announce("ready", 1).await;
