Carry requests over connections of our own keeping

Cause: a call goes through two clients, and the library's pool spawned a task, raced waiting against connecting and hashed the host for each request, and moved futures of kilobytes. Each exchange of news also computed the hash of every document of the configuration, though the manifest names them. Change: web/connections.rs on hyper's connection, used by the guard and by plain calls between daemons; hashes are taken from the manifest. Time among cold processes is yet to be measured.

--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -4,18 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::uri::{Parts, PathAndQuery};
+use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio_stream::StreamExt;
 
 use crate::call::CallHead;
 use crate::model::ServerId;
-use crate::web::{Chunks, Cut, Payload, SMALL_BODY, alive_or_closed};
+use crate::web::{Chunks, Connections, Cut, Dial, Keep, Payload, RequestError, SMALL_BODY};
 
 type RequestBody = UnsyncBoxBody<Bytes, Cut>;
 
@@ -55,25 +53,27 @@
 }
 
 /// A client of the backend server.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Backend {
-    client: Client<HttpConnector, RequestBody>,
-    address: SocketAddr,
+    connections: Connections<RequestBody>,
 }
 
 impl Backend {
     /// Makes a client of the backend server at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT));
-        alive_or_closed(&mut connector);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE)
-            .pool_max_idle_per_host(MAX_IDLE)
-            .build(connector);
-        Self { client, address }
+        let dial = Dial {
+            address,
+            own: None,
+            timeout: CONNECT,
+            unacknowledged: None,
+        };
+        let keep = Keep {
+            most: MAX_IDLE,
+            idle: IDLE,
+        };
+        Self {
+            connections: Connections::new(dial, keep),
+        }
     }
 
     /// Sends a call and waits for the head of the answer.
@@ -83,28 +83,27 @@
         headers: HeaderMap,
         body: Payload,
     ) -> Result<Response<Incoming>, BackendError> {
-        let uri = format!("http://{}{}", self.address, head.target);
         let mut request = Request::new(request_body(body));
         *request.method_mut() = head.method.clone();
-        *request.uri_mut() = uri
-            .parse()
-            .map_err(|_| BackendError::Connect("the target is no valid path".into()))?;
+        *request.uri_mut() = target(&head.target)?;
         *request.headers_mut() = headers;
-        self.client.request(request).await.map_err(|e| {
-            if e.is_connect() {
-                return BackendError::Connect(e.to_string().into());
-            }
-            let source = std::error::Error::source(&e);
-            let parse = source
-                .and_then(|s| s.downcast_ref::<hyper::Error>())
-                .is_some_and(hyper::Error::is_parse);
-            let text = source.map_or_else(|| e.to_string(), ToString::to_string);
-            if parse {
-                BackendError::Garbage(text.into())
-            } else {
-                BackendError::Cut(text.into())
-            }
-        })
+        self.connections.request(request).await.map_err(failed)
+    }
+}
+
+/// Makes a target without a host, as servers take it.
+fn target(path: &str) -> Result<Uri, BackendError> {
+    let wrong = || BackendError::Connect("the target is no valid path".into());
+    let mut parts = Parts::default();
+    parts.path_and_query = Some(PathAndQuery::try_from(path).map_err(|_| wrong())?);
+    Uri::from_parts(parts).map_err(|_| wrong())
+}
+
+fn failed(error: RequestError) -> BackendError {
+    match error {
+        RequestError::Connect(e) => BackendError::Connect(e.to_string().into()),
+        RequestError::Lost(e) if e.is_parse() => BackendError::Garbage(e.to_string().into()),
+        RequestError::Lost(e) => BackendError::Cut(e.to_string().into()),
     }
 }
 
--- a/src/peer/direct.rs
+++ b/src/peer/direct.rs
@@ -6,15 +6,13 @@
 //! word that the call arrived, since the daemon was heard from just before.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, Uri};
+use http::{Method, Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::{Instant, timeout_at};
 
 use super::client::SLACK;
@@ -25,7 +23,7 @@
 use super::pool::{CONNECT, MAX_MESSAGE, Pool};
 use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::Instance;
-use crate::web::{Chunks, Cut, Payload, alive_or_closed};
+use crate::web::{Chunks, Connections, Cut, Dial, Keep, Payload, RequestError};
 
 /// The path of plain calls.
 pub(super) const PATH: &str = "/call";
@@ -40,44 +38,39 @@
 /// Makes plain calls to one daemon.
 #[derive(Clone, Debug)]
 pub(super) struct DirectClient {
-    client: Client<HttpConnector, Full<Bytes>>,
-    uri: Uri,
+    connections: Arc<Connections<Full<Bytes>>>,
 }
 
 impl DirectClient {
     /// Makes a client of the daemon at `address` whose connections go out from
     /// `own`.
     pub(super) fn new(address: SocketAddr, own: IpAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_local_address(Some(own));
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT));
-        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
-        alive_or_closed(&mut connector);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE)
-            .pool_max_idle_per_host(MAX_IDLE)
-            .build(connector);
-        let uri = format!("http://{address}{PATH}");
-        let uri = uri.parse().expect("an address and a path are a URI");
-        Self { client, uri }
+        let dial = Dial {
+            address,
+            own: Some(own),
+            timeout: CONNECT,
+            unacknowledged: Some(UNACKNOWLEDGED),
+        };
+        let keep = Keep {
+            most: MAX_IDLE,
+            idle: IDLE,
+        };
+        Self {
+            connections: Arc::new(Connections::new(dial, keep)),
+        }
     }
 
     /// Sends a request and reads its answer.
     async fn exchange(self, body: Bytes) -> Result<(Option<AnswerPart>, Payload), Failed> {
-        let answer = self.ask(body).await?;
-        read(answer.into_body()).await
-    }
-
-    async fn ask(&self, body: Bytes) -> Result<Response<Incoming>, Failed> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = Method::POST;
-        *request.uri_mut() = self.uri.clone();
-        self.client.request(request).await.map_err(|e| Failed {
-            connected: !e.is_connect(),
+        *request.uri_mut() = Uri::from_static(PATH);
+        let answer = self.connections.request(request).await;
+        let answer = answer.map_err(|e| Failed {
+            connected: !matches!(e, RequestError::Connect(_)),
             cause: e.to_string().into(),
-        })
+        })?;
+        read(answer.into_body()).await
     }
 }
 
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -268,11 +268,14 @@
     let Some(in_force) = in_force else {
         return Vec::new();
     };
+    // The manifest names the hashes; each exchange comes by here, and computing
+    // them anew would go through all routes.
     in_force
+        .manifest
         .documents
-        .values()
-        .map(|document| (document, document.hash()))
+        .iter()
         .filter(|(_, hash)| want.iter().any(|w| w == hash.as_str()))
+        .filter_map(|(name, hash)| Some((in_force.documents.get(name)?, hash)))
         .map(|(document, hash)| wire::Document {
             name: document.name.to_string(),
             hash: hash.to_string(),
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -10,6 +10,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::dial::alive_or_closed;
+
 /// How long an idle connection is kept; short, since a connection that
 /// something between has forgotten fails the next request.
 const IDLE: Duration = Duration::from_secs(5);
@@ -122,19 +124,6 @@
     }
 }
 
-/// How long a connection may carry nothing before the other end is asked
-/// whether it still knows it, and how often.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Questions without an answer after which a connection is closed.
-const KEEPALIVE_TRIES: u32 = 2;
-
-/// Makes connections that go silent for good end within a few seconds.
-pub fn alive_or_closed(connector: &mut HttpConnector) {
-    connector.set_keepalive(Some(KEEPALIVE));
-    connector.set_keepalive_interval(Some(KEEPALIVE));
-    connector.set_keepalive_retries(Some(KEEPALIVE_TRIES));
-}
-
 fn chain(error: &dyn std::error::Error) -> Box<str> {
     let mut text = error.to_string();
     let mut source = error.source();
--- /dev/null
+++ b/src/web/connections.rs
@@ -0,0 +1,166 @@
+//! Connections to one address, each of which carries one request at a time.
+//!
+//! A call over two daemons goes through two of these. Beside a general pool of
+//! the library they spare a spawned task, a race between waiting and
+//! connecting and a look-up by host for each request.
+
+use std::collections::VecDeque;
+use std::fmt;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, Response};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use super::Dial;
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum RequestError {
+    /// No connection was made; nothing was sent.
+    Connect(std::io::Error),
+    /// The request may have arrived.
+    Lost(hyper::Error),
+}
+
+impl fmt::Display for RequestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(cause) => write!(f, "cannot connect: {cause}"),
+            Self::Lost(cause) => write!(f, "no answer: {cause}"),
+        }
+    }
+}
+
+/// What is kept of connections that carry no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keep {
+    /// Most connections that are kept.
+    pub most: usize,
+    /// How long one is kept.
+    pub idle: Duration,
+}
+
+/// A connection that was given back.
+#[derive(Debug)]
+struct Idle<B> {
+    sender: SendRequest<B>,
+    since: Instant,
+}
+
+/// Connections to one address.
+///
+/// The one used last is used first, since the other end is the least likely to
+/// have closed or forgotten it.
+#[derive(Debug)]
+pub struct Connections<B> {
+    dial: Dial,
+    keep: Keep,
+    host: HeaderValue,
+    idle: Mutex<VecDeque<Idle<B>>>,
+}
+
+impl<B> Connections<B>
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    /// Makes a set without any connection.
+    pub fn new(dial: Dial, keep: Keep) -> Self {
+        let host = HeaderValue::try_from(dial.address.to_string());
+        Self {
+            dial,
+            keep,
+            host: host.unwrap_or_else(|_| HeaderValue::from_static("")),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sends a request, whose target is a path, and waits for the head of the
+    /// answer.
+    ///
+    /// The connection is used again once the body of the answer was read; it
+    /// ends if this future or the body is dropped before.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request may have arrived.
+    pub async fn request(
+        &self,
+        mut request: Request<B>,
+    ) -> Result<Response<Incoming>, RequestError> {
+        if !request.headers().contains_key(HOST) {
+            request.headers_mut().insert(HOST, self.host.clone());
+        }
+        while let Some(mut sender) = self.take() {
+            match sender.try_send_request(request).await {
+                Ok(answer) => return Ok(self.answered(sender, answer)),
+                Err(mut failed) => match failed.take_message() {
+                    // The other end had closed the connection.
+                    Some(unsent) => request = unsent,
+                    None => return Err(RequestError::Lost(failed.into_error())),
+                },
+            }
+        }
+        let mut sender = self.connect().await?;
+        match sender.send_request(request).await {
+            Ok(answer) => Ok(self.answered(sender, answer)),
+            Err(e) => Err(RequestError::Lost(e)),
+        }
+    }
+
+    async fn connect(&self) -> Result<SendRequest<B>, RequestError> {
+        let stream = self.dial.connect().await.map_err(RequestError::Connect)?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(RequestError::Lost)?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                spdlog::debug!("connection ended", kv: { cause = e.to_string().as_str() });
+            }
+        });
+        Ok(sender)
+    }
+
+    /// Takes out the connection that was used last of those that can carry a
+    /// request now.
+    fn take(&self) -> Option<SendRequest<B>> {
+        let mut idle = self.idle.lock();
+        let mut place = idle.len();
+        while place > 0 {
+            place -= 1;
+            let sender = &idle[place].sender;
+            if sender.is_ready() {
+                return idle.remove(place).map(|idle| idle.sender);
+            }
+            if sender.is_closed() {
+                idle.remove(place);
+            }
+        }
+        None
+    }
+
+    /// Gives a connection back, whose answer may still be on its way; it is
+    /// not taken before its end.
+    fn answered(&self, sender: SendRequest<B>, answer: Response<Incoming>) -> Response<Incoming> {
+        let since = Instant::now();
+        let mut idle = self.idle.lock();
+        idle.push_back(Idle { sender, since });
+        let old = |kept: &Idle<B>| since.saturating_duration_since(kept.since) > self.keep.idle;
+        while idle.len() > self.keep.most || idle.front().is_some_and(old) {
+            idle.pop_front();
+        }
+        answer
+    }
+
+    /// Returns the number of connections that carry no request, or one that
+    /// is answered already.
+    pub fn kept(&self) -> usize {
+        self.idle.lock().len()
+    }
+}
--- /dev/null
+++ b/src/web/dial.rs
@@ -0,0 +1,70 @@
+//! Making of connections.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use hyper_util::client::legacy::connect::HttpConnector;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// How long a connection may carry nothing before the other end is asked
+/// whether it still knows it, and how often.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Questions without an answer after which a connection is closed.
+const KEEPALIVE_TRIES: u32 = 2;
+
+/// How connections to one address are made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Dial {
+    /// The other end.
+    pub address: SocketAddr,
+    /// The address that connections go out from, if not any.
+    pub own: Option<IpAddr>,
+    /// How long connecting may take.
+    pub timeout: Duration,
+    /// How long sent bytes may go without an acknowledgement, if bounded.
+    pub unacknowledged: Option<Duration>,
+}
+
+impl Dial {
+    /// Makes a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none in time; nothing was sent then.
+    pub async fn connect(&self) -> std::io::Result<TcpStream> {
+        let socket = match self.address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        if let Some(own) = self.own {
+            socket.bind(SocketAddr::new(own, 0))?;
+        }
+        let connecting = socket.connect(self.address);
+        let stream = tokio::time::timeout(self.timeout, connecting).await??;
+        self.prepare(&stream)?;
+        Ok(stream)
+    }
+
+    fn prepare(&self, stream: &TcpStream) -> std::io::Result<()> {
+        // Messages are small and each is waited for.
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE)
+            .with_interval(KEEPALIVE)
+            .with_retries(KEEPALIVE_TRIES);
+        socket.set_tcp_keepalive(&keepalive)?;
+        if self.unacknowledged.is_some() {
+            socket.set_tcp_user_timeout(self.unacknowledged)?;
+        }
+        Ok(())
+    }
+}
+
+/// Makes connections that go silent for good end within a few seconds.
+pub(super) fn alive_or_closed(connector: &mut HttpConnector) {
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_TRIES));
+}
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,156 @@
+//! Connections that carry one request at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bramleymount::web::{Connections, Dial, Keep, RequestError};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn connections(address: SocketAddr) -> Connections<Full<Bytes>> {
+    let dial = Dial {
+        address,
+        own: None,
+        timeout: Duration::from_secs(1),
+        unacknowledged: None,
+    };
+    let keep = Keep {
+        most: 2,
+        idle: Duration::from_secs(1),
+    };
+    Connections::new(dial, keep)
+}
+
+fn request() -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = "/path".parse().expect("a path");
+    request
+}
+
+async fn ask(connections: &Connections<Full<Bytes>>) -> Bytes {
+    let answer = connections.request(request()).await.expect("an answer");
+    let body = answer.into_body().collect().await.expect("a body");
+    body.to_bytes()
+}
+
+/// Reads the head of a request.
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("a byte"));
+    }
+    String::from_utf8(head).expect("text")
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Lets the task of a connection see what the other end did.
+async fn settle() {
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+#[tokio::test]
+async fn request_uses_the_connection_again() {
+    let (listener, address) = listener().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut heads = Vec::new();
+        for _ in 0..3 {
+            heads.push(read_head(&mut stream).await);
+            stream.write_all(ANSWER).await.expect("to write");
+        }
+        heads
+    });
+    let connections = connections(address);
+    for _ in 0..3 {
+        assert_eq!(ask(&connections).await, "ok");
+        settle().await;
+    }
+    let heads = server.await.expect("a server");
+    let first = heads[0].to_lowercase();
+    assert!(first.starts_with("get /path http/1.1"), "{first}");
+    assert!(first.contains(&format!("host: {address}")), "{first}");
+    assert_eq!(connections.kept(), 1);
+}
+
+#[tokio::test]
+async fn request_goes_out_anew_where_the_connection_was_closed() {
+    let (listener, address) = listener().await;
+    let server = tokio::spawn(async move {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            read_head(&mut stream).await;
+            stream.write_all(ANSWER).await.expect("to write");
+        }
+    });
+    let connections = connections(address);
+    assert_eq!(ask(&connections).await, "ok");
+    assert_eq!(ask(&connections).await, "ok");
+    server.await.expect("a server");
+}
+
+#[tokio::test]
+async fn request_leaves_a_connection_whose_answer_is_unread() {
+    let (listener, address) = listener().await;
+    let server = tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.expect("a connection");
+        read_head(&mut first).await;
+        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
+        first.write_all(head).await.expect("to write");
+        let (mut second, _) = listener.accept().await.expect("a connection");
+        read_head(&mut second).await;
+        second.write_all(ANSWER).await.expect("to write");
+    });
+    let connections = connections(address);
+    let unread = connections.request(request()).await.expect("a head");
+    assert_eq!(ask(&connections).await, "ok");
+    drop(unread);
+    server.await.expect("a server");
+}
+
+#[tokio::test]
+async fn request_that_may_have_arrived_is_not_sent_again() {
+    let (listener, address) = listener().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_head(&mut stream).await;
+        drop(stream);
+        let again = tokio::time::timeout(Duration::from_millis(200), listener.accept());
+        again.await.is_ok()
+    });
+    let connections = connections(address);
+    let lost = connections.request(request()).await;
+    assert!(matches!(lost, Err(RequestError::Lost(_))), "{lost:?}");
+    assert!(!server.await.expect("a server"), "it was sent twice");
+}
+
+#[tokio::test]
+async fn request_says_that_no_connection_was_made() {
+    let (listener, address) = listener().await;
+    drop(listener);
+    let refused = connections(address).request(request()).await;
+    assert!(matches!(refused, Err(RequestError::Connect(_))));
+}
+
+#[tokio::test]
+async fn request_that_is_dropped_closes_its_connection() {
+    let (listener, address) = listener().await;
+    let connections = connections(address);
+    let asked = tokio::time::timeout(Duration::from_millis(50), connections.request(request()));
+    let (asked, accepted) = tokio::join!(asked, listener.accept());
+    assert!(asked.is_err());
+    let (mut stream, _) = accepted.expect("a connection");
+    read_head(&mut stream).await;
+    let end = tokio::time::timeout(Duration::from_secs(1), stream.read(&mut [0; 1])).await;
+    assert_eq!(end.expect("to end").expect("to read"), 0);
+    assert_eq!(connections.kept(), 0);
+}
