Tell runs of one server apart by their start; pass over what others write

Cause: a server may start again under its id, with its counts anew. Runs were known by the id alone, so it was refused for ever, and its limit and share of faults were those of the run before while its lease lasted. One row that could not be read hid its whole page, and the feed with it. Ruled out: an order by start across ids; the clock of a VM may step back, and the ids say enough there. Change: announcements and goodbyes carry the start (platform/beat.rs into model/born.rs); presence orders runs of one id by it and keeps the former order without it; a new run forgets limit and faults. Rows that cannot be read are logged and passed over; unreadable content counts as empty, so that the own row can be written over it; scans go on behind such a page.

--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::{Guard, Lease, LeaseState};
-use crate::model::{ServerId, Slots};
+use crate::model::{Born, ServerId, Slots};
 use crate::policy::member::{Announcement, Presented};
 
 impl Guard {
@@ -41,9 +41,9 @@
             Presented::Leaving => self.drain(),
             // What an operator has drained is not opened by a renewal.
             Presented::Renewed if self.lease_state() == LeaseState::Leaving => {}
-            Presented::Arrived | Presented::Renewed => {
-                self.announced.lock().replace(news.slots);
-                self.gate.reload(self.slots(), self.protected());
+            Presented::Arrived => self.arrived(news),
+            Presented::Stays | Presented::Renewed => {
+                self.take_slots(news.slots);
                 if !self.stopping.load(Ordering::Relaxed) {
                     self.announce(news.cold);
                 }
@@ -52,9 +52,28 @@
         change
     }
 
+    /// Takes a new run of the backend server, of which nothing is known that
+    /// was learned of the run before, also if its lease has not ended.
+    fn arrived(&self, news: &Announcement) {
+        self.take_slots(news.slots);
+        if self.stopping.load(Ordering::Relaxed) {
+            return;
+        }
+        self.gate.forget(self.slots());
+        self.announce(news.cold);
+        if news.cold {
+            self.gate.restart(self.slots());
+        }
+    }
+
+    fn take_slots(&self, slots: Slots) {
+        self.announced.lock().replace(slots);
+        self.gate.reload(self.slots(), self.protected());
+    }
+
     /// Takes note that a run of the backend server has ended or is about to.
-    pub fn depart(&self, server: &ServerId) {
-        if self.presence.lock().depart(server) {
+    pub fn depart(&self, server: &ServerId, born: Option<Born>) {
+        if self.presence.lock().depart(server, born) {
             self.drain();
             self.shared.announced.notify_one();
         }
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -116,6 +116,11 @@
         self.inner.lock().admission.restart(slots);
     }
 
+    /// Forgets what was learned of the backend server's last run.
+    pub fn forget(&self, slots: Slots) {
+        self.inner.lock().admission.forget(slots);
+    }
+
     /// Takes calls again, for a backend server that has been running.
     pub fn rejoin(&self) {
         self.inner.lock().admission.rejoin();
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,5 +1,6 @@
 //! Newtypes for names, ids, sizes and rates, shared by all modules.
 
+mod born;
 mod id;
 mod instance;
 mod level;
@@ -14,6 +15,7 @@
 mod verdict;
 mod version;
 
+pub use born::Born;
 pub use id::{AttemptId, CallId, RootId};
 pub use instance::{Instance, StartStamp};
 pub use level::Level;
--- a/src/platform/beat.rs
+++ b/src/platform/beat.rs
@@ -11,7 +11,7 @@
 
 use crate::error::Error;
 use crate::guard::Guard;
-use crate::model::{ServerId, ServiceName, Slots};
+use crate::model::{Born, ServerId, ServiceName, Slots};
 use crate::policy::member::{Announcement, Intent, Presented};
 use crate::web::{CallerAnswer, Listening, caller_text, listen};
 
@@ -34,6 +34,15 @@
     #[serde(rename = "coldLeftS", default)]
     cold_left: f64,
     sequence: u64,
+    /// The start of this run, in Unix milliseconds; older servers do not tell.
+    #[serde(default)]
+    born: Option<u64>,
+}
+
+/// What a goodbye may carry; most have no body.
+#[derive(Debug, Deserialize)]
+struct Goodbye {
+    born: u64,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -47,6 +56,7 @@
     fn announcement(&self, server: ServerId) -> Announcement {
         Announcement {
             server,
+            born: self.born.map(Born::from_millis),
             intent: match self.state {
                 BeatState::Ready => Intent::Serve,
                 BeatState::Draining => Intent::Leave,
@@ -81,12 +91,12 @@
         return caller_text(StatusCode::NOT_FOUND, TEXT, "no such resource\n");
     };
     match head.method {
-        Method::PUT => match read(body).await {
-            Ok(beat) => announce(guard, &beat, server),
+        Method::PUT => match read(body, &server).await {
+            Ok((service, news)) => announce(guard, &service, &news),
             Err(cause) => refused(&server, &cause),
         },
         Method::DELETE => {
-            guard.depart(&server);
+            guard.depart(&server, goodbye(body).await);
             spdlog::info!("backend server says goodbye", kv: { server = server.as_str() });
             acknowledged()
         }
@@ -94,25 +104,52 @@
     }
 }
 
-async fn read(body: Incoming) -> Result<Beat, Box<str>> {
+async fn read(body: Incoming, server: &ServerId) -> Result<(ServiceName, Announcement), Box<str>> {
+    read_announcement(&collect(body).await?, server)
+}
+
+/// Reads an announcement of a server and of which service it is.
+///
+/// # Errors
+///
+/// Fails if a field is missing, of another type or not known, as where another
+/// writer made it; it names no server to use then.
+pub fn read_announcement(
+    body: &[u8],
+    server: &ServerId,
+) -> Result<(ServiceName, Announcement), Box<str>> {
+    let beat: Beat = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let news = beat.announcement(server.clone());
+    Ok((beat.upstream, news))
+}
+
+/// Returns which run says goodbye, if its server tells.
+async fn goodbye(body: Incoming) -> Option<Born> {
+    let body = collect(body).await.ok()?;
+    let goodbye: Goodbye = serde_json::from_slice(&body).ok()?;
+    Some(Born::from_millis(goodbye.born))
+}
+
+async fn collect(body: Incoming) -> Result<Bytes, Box<str>> {
     let body = Limited::new(body, MAX_BODY).collect().await;
-    let body: Bytes = body.map_err(|e| e.to_string())?.to_bytes();
-    serde_json::from_slice(&body).map_err(|e| e.to_string().into())
+    Ok(body.map_err(|e| e.to_string())?.to_bytes())
 }
 
-fn announce(guard: &Guard, beat: &Beat, server: ServerId) -> CallerAnswer {
-    if beat.upstream != *guard.service() {
-        return refused(&server, "it is of another service than this VM's");
+fn announce(guard: &Guard, service: &ServiceName, news: &Announcement) -> CallerAnswer {
+    let server = &news.server;
+    if service != guard.service() {
+        return refused(server, "it is of another service than this VM's");
     }
-    let change = guard.hear(&beat.announcement(server.clone()));
+    let change = guard.hear(news);
     let told = match change {
         Presented::Renewed => return acknowledged(),
         Presented::Arrived => "arrived",
+        Presented::Stays => "stays",
         Presented::Leaving => "leaving",
         Presented::Old => "old news",
     };
     spdlog::info!("backend server announced", kv: {
-        server = server.as_str(), change = told, sequence = beat.sequence
+        server = server.as_str(), change = told, sequence = news.sequence
     });
     acknowledged()
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,7 +11,7 @@
 mod rows;
 mod watch;
 
-pub use beat::serve_announcements;
+pub use beat::{read_announcement, serve_announcements};
 pub use document::{Operated, read_document};
 pub use headers::PlatformProtocol;
 pub use ready::serve_readiness;
--- a/src/platform/row.rs
+++ b/src/platform/row.rs
@@ -4,6 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::store::{Condition, Revision, Row, RowChange};
 
@@ -42,9 +43,10 @@
 pub(super) struct Found {
     #[serde(flatten)]
     name: Name,
-    /// The content in base64.
+    /// The content in base64; a writer other than this product may put
+    /// anything here.
     #[serde(default)]
-    value: Option<Box<str>>,
+    value: Option<Value>,
     /// The version of the row, from the store's single counter.
     #[serde(default)]
     ver: u64,
@@ -53,27 +55,41 @@
 }
 
 impl Found {
-    /// Returns the row, unless it is gone.
-    pub(super) fn row(&self) -> Result<Option<Row>, Box<str>> {
-        let Some(value) = self.value.as_ref().filter(|_| !self.deleted) else {
-            return Ok(None);
-        };
-        let content = STANDARD
-            .decode(value.as_bytes())
-            .map_err(|e| format!("content of {}: {e}", self.name.text()))?;
-        Ok(Some(Row {
-            key: self.name.text(),
+    /// Reads a row; one that has no name or version is logged and passed over,
+    /// so that it does not hide the others.
+    fn read(found: &Value) -> Option<Self> {
+        let read = Self::deserialize(found);
+        if let Err(e) = &read {
+            spdlog::warn!("row not understood", kv: { cause = e.to_string().as_str() });
+        }
+        read.ok()
+    }
+
+    /// Returns the row, unless it is gone. A content that cannot be read is
+    /// taken as empty: it says nothing, and can be written over.
+    pub(super) fn row(&self) -> Option<Row> {
+        if self.deleted {
+            return None;
+        }
+        let value = self.value.as_ref()?;
+        let content = value.as_str().and_then(|text| STANDARD.decode(text).ok());
+        let key = self.name.text();
+        if content.is_none() {
+            spdlog::warn!("content of a row not understood", kv: { key = &*key });
+        }
+        Some(Row {
+            key,
             revision: Revision(self.ver),
-            content: Bytes::from(content),
-        }))
+            content: Bytes::from(content.unwrap_or_default()),
+        })
     }
 
     /// Returns what the row has become.
-    pub(super) fn change(&self) -> Result<RowChange, Box<str>> {
-        Ok(RowChange {
+    pub(super) fn change(&self) -> RowChange {
+        RowChange {
             key: self.name.text(),
-            row: self.row()?,
-        })
+            row: self.row(),
+        }
     }
 }
 
@@ -81,7 +97,7 @@
 #[derive(Debug, Deserialize)]
 pub(super) struct Page {
     #[serde(default)]
-    pub(super) rows: Vec<Found>,
+    rows: Vec<Value>,
     #[serde(rename = "morePages", default)]
     pub(super) more: bool,
     /// The newest version of the store.
@@ -89,6 +105,24 @@
     pub(super) ver: u64,
 }
 
+impl Page {
+    /// Returns the rows that can be read.
+    pub(super) fn found(&self) -> impl Iterator<Item = Found> {
+        self.rows.iter().filter_map(Found::read)
+    }
+
+    /// Returns the greatest key that can be read.
+    pub(super) fn last_key(&self) -> Option<&str> {
+        let mut keys = self.rows.iter().rev().map(|row| row.get("key"));
+        keys.find_map(|key| key?.as_str())
+    }
+
+    /// Returns the rows that are there.
+    pub(super) fn rows(&self) -> Vec<Row> {
+        self.found().filter_map(|found| found.row()).collect()
+    }
+}
+
 /// A row and the version that it must have; 0 if it must not exist.
 #[derive(Debug, Serialize)]
 struct Expected {
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -103,10 +103,8 @@
         if answer.status == StatusCode::OK {
             return Ok(Revision(page.ver));
         }
-        let rows = rows(&page).map_err(WriteError::Unknown)?;
-        Err(WriteError::Conflict(
-            rows.into_iter().find(|row| *row.key == *key),
-        ))
+        let mut rows = page.rows().into_iter();
+        Err(WriteError::Conflict(rows.find(|row| *row.key == *key)))
     }
 }
 
@@ -118,13 +116,6 @@
     serde_json::from_slice(&answer.body).map_err(|e| text(&e))
 }
 
-fn rows(page: &Page) -> Result<Vec<Row>, Box<str>> {
-    page.rows
-        .iter()
-        .filter_map(|found| found.row().transpose())
-        .collect()
-}
-
 /// Writes a text as it stands in a query.
 fn quoted(text: &str) -> String {
     text.bytes()
@@ -149,8 +140,8 @@
                 quoted(&format!("{}\0", name.key)),
             );
             let page = self.page(&path).await?;
-            let rows = rows(&page).map_err(ReadError)?;
-            Ok(rows.into_iter().find(|row| *row.key == *key))
+            let mut rows = page.rows().into_iter();
+            Ok(rows.find(|row| *row.key == *key))
         })
     }
 
@@ -189,15 +180,15 @@
                     quoted(&from),
                 );
                 let page = self.page(&path).await?;
-                let found = rows(&page).map_err(ReadError)?;
-                let more = page.more && !found.is_empty();
+                let found = page.rows();
                 let beyond = found.iter().any(|row| !row.key.starts_with(prefix));
                 all.extend(found.into_iter().filter(|row| row.key.starts_with(prefix)));
-                if !more || beyond {
-                    return Ok(all);
+                // Rows that cannot be read end no scan; their keys lead on.
+                let last = page.last_key().filter(|last| **last >= *from);
+                match last {
+                    Some(last) if page.more && !beyond => from = format!("{last}\0"),
+                    _ => return Ok(all),
                 }
-                let last = all.last().map_or(prefix, |row| &row.key);
-                from = format!("{}\0", Name::of(last).key);
             }
         })
     }
@@ -229,11 +220,8 @@
                 status => return Err(FeedError::Failed(format!("status {status}").into())),
             }
             let page: Page = decode(&answer).map_err(FeedError::Failed)?;
-            let changes = page.rows.iter().map(super::row::Found::change);
             Ok(Changes {
-                changes: changes
-                    .collect::<Result<_, _>>()
-                    .map_err(FeedError::Failed)?,
+                changes: page.found().map(|found| found.change()).collect(),
                 at: Revision(page.ver),
             })
         })
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -104,10 +104,16 @@
         self.protected = protected;
     }
 
+    /// Forgets what was learned of the backend server.
+    pub fn forget(&mut self, slots: Slots) {
+        self.limit = Limit::warm(slots);
+        self.faults = Faults::default();
+    }
+
     /// Starts anew with a cold backend server.
     pub fn restart(&mut self, slots: Slots) {
+        self.forget(slots);
         self.limit = Limit::cold(slots);
-        self.faults = Faults::default();
         self.leaving = false;
     }
 
--- a/src/policy/member/presence.rs
+++ b/src/policy/member/presence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::model::{ServerId, Slots};
+use crate::model::{Born, ServerId, Slots};
 
 /// Runs that are remembered as gone, so that late news of them is known to be
 /// old. A VM sees a few runs a day.
@@ -20,8 +20,11 @@
 /// One announcement of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
-    /// The run that announces itself.
+    /// The server that announces itself.
     pub server: ServerId,
+    /// When this run of it started, if it says so; a server may start again
+    /// under its id.
+    pub born: Option<Born>,
     /// Whether it takes calls.
     pub intent: Intent,
     /// Calls that it runs at one time.
@@ -35,8 +38,10 @@
 /// What an announcement changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presented {
-    /// Another run has taken the place, or one that was leaving stays.
+    /// Another run has taken the place.
     Arrived,
+    /// The run that was leaving stays after all.
+    Stays,
     /// The same run is still there.
     Renewed,
     /// The run takes no new calls.
@@ -45,86 +50,150 @@
     Old,
 }
 
+/// One run of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Run {
+    server: ServerId,
+    born: Option<Born>,
+}
+
+impl Run {
+    /// Tells whether this run is of the same server and started later, by what
+    /// both say of their start.
+    fn follows(&self, other: &Self) -> bool {
+        let later = matches!((self.born, other.born), (Some(own), Some(born)) if own > born);
+        later && self.server == other.server
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Present {
-    server: ServerId,
+    run: Run,
     sequence: u64,
     intent: Intent,
 }
 
 /// Orders announcements that may come late, twice or from a run that is gone.
+///
+/// Runs are told apart by the id of the server and, where it says so, by their
+/// start: of two runs with one id the later holds, and the earlier is gone.
 #[derive(Clone, Debug, Default)]
 pub struct Presence {
     present: Option<Present>,
-    gone: VecDeque<ServerId>,
+    gone: VecDeque<Run>,
 }
 
 impl Presence {
-    /// Returns the run that is present.
+    /// Returns the server that is present.
     pub fn server(&self) -> Option<&ServerId> {
-        self.present.as_ref().map(|present| &present.server)
+        self.present.as_ref().map(|present| &present.run.server)
     }
 
     /// Takes an announcement.
     pub fn announce(&mut self, news: &Announcement) -> Presented {
-        if self.gone.contains(&news.server) {
+        let run = Run {
+            server: news.server.clone(),
+            born: news.born,
+        };
+        if self.is_gone(&run) {
             return Presented::Old;
         }
-        let same = self
-            .present
-            .as_ref()
-            .is_some_and(|present| present.server == news.server);
-        let last = self.present.as_ref().filter(|_| same);
-        if last.is_some_and(|last| news.sequence <= last.sequence) {
+        let last = self.present.as_ref();
+        let same = last.filter(|last| last.run.server == run.server && !run.follows(&last.run));
+        if same.is_some_and(|last| last.run.follows(&run) || news.sequence <= last.sequence) {
             return Presented::Old;
         }
-        let before = last.map(|last| last.intent);
-        if !same && let Some(replaced) = self.present.take() {
-            self.bury(replaced.server);
+        let before = same.map(|last| last.intent);
+        if before.is_none()
+            && let Some(replaced) = self.present.take()
+        {
+            self.bury(replaced.run);
         }
         self.present = Some(Present {
-            server: news.server.clone(),
+            run,
             sequence: news.sequence,
             intent: news.intent,
         });
         match (news.intent, before) {
             (Intent::Leave, _) => Presented::Leaving,
             (Intent::Serve, Some(Intent::Serve)) => Presented::Renewed,
-            (Intent::Serve, Some(Intent::Leave) | None) => Presented::Arrived,
+            (Intent::Serve, Some(Intent::Leave)) => Presented::Stays,
+            (Intent::Serve, None) => Presented::Arrived,
         }
     }
 
-    /// Takes note that a run has said goodbye; returns whether it was the one
-    /// that is present.
-    pub fn depart(&mut self, server: &ServerId) -> bool {
-        self.bury(server.clone());
-        self.server() == Some(server)
+    /// Takes note that a server has said goodbye, and of which run if it told;
+    /// returns whether it was the one that is present.
+    pub fn depart(&mut self, server: &ServerId, born: Option<Born>) -> bool {
+        let goodbye = Run {
+            server: server.clone(),
+            born,
+        };
+        let present = self.present.as_ref().map(|present| present.run.clone());
+        match present.filter(|run| run.server == *server) {
+            Some(run) if run.follows(&goodbye) => false,
+            Some(run) => {
+                self.bury(run);
+                true
+            }
+            None => {
+                self.bury_unheard(goodbye);
+                false
+            }
+        }
     }
 
-    /// Takes note that a call meant for `server` met another run at its
+    /// Takes note that a call meant for `server` met another one at its
     /// address, with its id if it told.
     pub fn displaced(&mut self, server: &ServerId, found: Option<&ServerId>) {
         if let Some(found) = found {
-            self.gone.retain(|gone| gone != found);
+            self.gone.retain(|gone| gone.server != *found);
         }
-        if self.server() == Some(server) {
-            self.present = None;
+        match self
+            .present
+            .take_if(|present| present.run.server == *server)
+        {
+            Some(present) => self.bury(present.run),
+            None => self.bury_unheard(Run {
+                server: server.clone(),
+                born: None,
+            }),
         }
-        self.bury(server.clone());
     }
 
     /// Tells whether the run that is present takes calls.
     pub fn serves(&self) -> bool {
         self.present.as_ref().is_some_and(|present| {
-            present.intent == Intent::Serve && !self.gone.contains(&present.server)
+            present.intent == Intent::Serve && !self.gone.contains(&present.run)
         })
     }
 
-    fn bury(&mut self, server: ServerId) {
-        if self.gone.contains(&server) {
+    /// Tells whether a run is gone: one that is buried, or one of a buried
+    /// server that did not start later.
+    fn is_gone(&self, run: &Run) -> bool {
+        let mut same = self.gone.iter().filter(|gone| gone.server == run.server);
+        same.any(|gone| !run.follows(gone))
+    }
+
+    /// Buries a run that is not present. Where its start is not known, it is
+    /// taken to have started before the present one.
+    fn bury_unheard(&mut self, run: Run) {
+        let known = self.gone.iter().any(|gone| gone.server == run.server);
+        if known && run.born.is_none() {
+            return;
+        }
+        let present = self.present.as_ref().and_then(|present| present.run.born);
+        self.bury(Run {
+            born: run.born.or(present),
+            ..run
+        });
+    }
+
+    fn bury(&mut self, run: Run) {
+        if self.gone.contains(&run) {
             return;
         }
-        self.gone.push_back(server);
+        self.gone.push_back(run);
         if self.gone.len() > GONE {
             self.gone.pop_front();
         }
--- a/src/task/row.rs
+++ b/src/task/row.rs
@@ -110,8 +110,11 @@
     {
         let mut view = shared.view.lock();
         for row in rows {
-            if let Ok(member) = serde_json::from_slice::<Member>(&row.content) {
-                changed |= view.merge(now, member);
+            match serde_json::from_slice::<Member>(&row.content) {
+                Ok(member) => changed |= view.merge(now, member),
+                Err(e) => spdlog::warn!("row of a member not understood", kv: {
+                    key = &*row.key, cause = e.to_string().as_str()
+                }),
             }
         }
     }
--- a/tests/platform_daemon.rs
+++ b/tests/platform_daemon.rs
@@ -296,3 +296,50 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(vm.seen.runs.lock().is_empty());
 }
+
+#[tokio::test]
+async fn server_that_starts_again_under_its_id_is_served() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    let beat = |born: u64, cold: u64, sequence: u64| {
+        format!(r#""state":"ready","coldLeftS":{cold},"sequence":{sequence},"born":{born}"#)
+    };
+    vm.wait_ready().await;
+    vm.announce_with(&beat(1_000, 0, 40)).await;
+    let warm = vm.daemon.guard().gate().load().2;
+    // It crashes and is back before its lease has ended.
+    vm.announce_with(&beat(2_000, 2, 1)).await;
+    let cold = vm.daemon.guard().gate().load().2;
+    assert!(cold < warm, "{cold} slots at once, {warm} before");
+    let answer = vm.ask(Method::POST, "/write/1", "r1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    vm.depart().await;
+    let answer = vm.ask(Method::POST, "/write/1", "r2").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    vm.announce_with(&beat(3_000, 0, 1)).await;
+    let answer = vm.ask(Method::POST, "/write/1", "r3").await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[rstest]
+#[case::missing_fields(r#"{"upstream":"svc"}"#)]
+#[case::other_types(r#"{"upstream":"svc","slots":"20","state":"ready","sequence":41}"#)]
+#[case::unknown_state(r#"{"upstream":"svc","slots":20,"state":"paused","sequence":41}"#)]
+#[case::other_service(r#"{"upstream":"other","slots":20,"state":"draining","sequence":41}"#)]
+#[case::start_of_other_type(
+    r#"{"upstream":"svc","slots":20,"state":"draining","sequence":41,"born":"1"}"#
+)]
+#[case::no_json("\u{0}\u{1}{{{")]
+#[tokio::test]
+async fn announcement_of_another_writer_changes_nothing(#[case] body: &'static str) {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 40).await;
+    let answer = vm.announce_raw(body.into()).await;
+    assert!(answer.status.is_client_error(), "{}", answer.status);
+    let answer = vm.ask(Method::POST, "/write/1", "r1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -144,3 +144,56 @@
     let found = store.get("a b").await.expect("a read").expect("an object");
     assert_eq!(&*found, b"one");
 }
+
+#[rstest]
+#[case::no_base64(r#"{"tableName":"member","part":"","key":"5","value":"%%","ver":3}"#)]
+#[case::value_of_other_type(r#"{"tableName":"member","part":"","key":"5","value":7,"ver":3}"#)]
+#[case::no_key(r#"{"tableName":"member","value":"eA==","ver":3}"#)]
+#[case::version_of_other_type(r#"{"tableName":"member","key":"5","value":"eA==","ver":"x"}"#)]
+#[case::no_object("17")]
+#[tokio::test]
+async fn scan_holds_the_other_rows_beside_one_that_cannot_be_read(#[case] row: &str) {
+    let (store, rows, _listening) = store().await;
+    for name in ["member/1", "member/9"] {
+        let wrote = store.write(name, Condition::Absent, "x".into()).await;
+        wrote.expect("a write");
+    }
+    rows.put_raw("member", "5", row);
+    let found = store.scan("member/").await.expect("a scan");
+    let keys: Vec<&str> = found
+        .iter()
+        .filter(|row| *row.content == *b"x")
+        .map(|row| &*row.key)
+        .collect();
+    assert_eq!(keys, ["member/1", "member/9"]);
+}
+
+#[tokio::test]
+async fn changes_hold_the_other_rows_beside_one_that_cannot_be_read() {
+    let (store, rows, _listening) = store().await;
+    rows.put_raw(
+        "op",
+        "bad",
+        r#"{"tableName":"op","key":"bad","value":[],"ver":1}"#,
+    );
+    rows.put("op", "config", "x");
+    let wait = Duration::from_millis(100);
+    let changes = store.changes("op", Revision(0), wait).await;
+    let changes = changes.expect("changes").changes;
+    let config = changes.iter().find(|change| &*change.key == "op/config");
+    let row = config.and_then(|change| change.row.as_ref());
+    assert_eq!(&*row.expect("a row").content, b"x");
+}
+
+#[tokio::test]
+async fn scan_goes_on_behind_a_page_that_cannot_be_read() {
+    let (store, rows, _listening) = store().await;
+    for name in ["1", "2", "3", "4"] {
+        let raw = format!(r#"{{"tableName":"member","key":"{name}","ver":"x"}}"#);
+        rows.put_raw("member", name, &raw);
+    }
+    let wrote = store.write("member/5", Condition::Absent, "x".into());
+    wrote.await.expect("a write");
+    let found = store.scan("member/").await.expect("a scan");
+    assert_eq!(found.len(), 1);
+}
