--- /dev/null
+++ b/examples/soak/backend.rs
@@ -0,0 +1,250 @@
+//! The backend server of one VM: announces itself, runs requests, fails.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramleymount::web::{CallerAnswer, Client, Listening, caller_text, listen};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use rand::Rng;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::estate::{Addresses, SLOTS, service};
+use crate::record::{Record, Run};
+
+/// How often the server announces itself.
+const BEAT: Duration = Duration::from_millis(500);
+/// How long an acknowledgement may take.
+const ACKNOWLEDGED: Duration = Duration::from_secs(1);
+/// Requests of a hundred that are rejected without being run, and that run
+/// long enough for their callers to leave.
+const REJECTED: u32 = 3;
+const LONG: u32 = 5;
+/// How often the port is tried again.
+const BINDS: u32 = 50;
+/// How long those run.
+const LONG_TIME: Duration = Duration::from_millis(1500);
+
+/// What a server tells of itself.
+#[derive(Clone, Debug)]
+struct Told {
+    id: String,
+    born: u64,
+    sequence: u64,
+    leaving: bool,
+}
+
+/// The state that handlers and announcements share.
+#[derive(Debug)]
+struct Shared {
+    vm: usize,
+    record: Arc<Record>,
+    told: Mutex<Told>,
+    /// When it was acknowledged that the server leaves.
+    left: Mutex<Option<Instant>>,
+}
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    listening: Option<Listening>,
+    beats: Option<JoinHandle<()>>,
+}
+
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+impl Backend {
+    pub(crate) fn new(vm: usize, addresses: Addresses, record: Arc<Record>) -> Self {
+        let told = Told {
+            id: format!("i-{vm}-0"),
+            born: 0,
+            sequence: 0,
+            leaving: false,
+        };
+        Self {
+            shared: Arc::new(Shared {
+                vm,
+                record,
+                told: Mutex::new(told),
+                left: Mutex::default(),
+            }),
+            addresses,
+            listening: None,
+            beats: None,
+        }
+    }
+
+    /// Starts a run, with a new id or under the one it had.
+    pub(crate) async fn start(&mut self, same_id: bool) -> eyre::Result<()> {
+        {
+            let mut told = self.shared.told.lock();
+            let born = unix_ms().max(told.born + 1);
+            let id = if same_id {
+                told.id.clone()
+            } else {
+                format!("i-{}-{born}", self.shared.vm)
+            };
+            *told = Told {
+                id,
+                born,
+                sequence: 0,
+                leaving: false,
+            };
+        }
+        *self.shared.left.lock() = None;
+        self.listening = Some(self.listen().await?);
+        let shared = Arc::clone(&self.shared);
+        self.beats = Some(tokio::spawn(announce(shared, self.addresses.announcements)));
+        Ok(())
+    }
+
+    /// Listens; the port may be that of a run whose end is under way.
+    async fn listen(&self) -> eyre::Result<Listening> {
+        let mut tries = 0;
+        loop {
+            let shared = Arc::clone(&self.shared);
+            let served = listen(self.addresses.backend, move |request, _| {
+                handle(Arc::clone(&shared), request)
+            });
+            match served.await {
+                Ok(listening) => return Ok(listening),
+                Err(e) if tries == BINDS => return Err(e.into()),
+                Err(_) => tries += 1,
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Ends at once, as a crash would; connections are closed.
+    pub(crate) fn crash(&mut self) {
+        self.beats.take().inspect(JoinHandle::abort);
+        self.listening = None;
+    }
+
+    /// Says that the server leaves; returns whether that was acknowledged.
+    pub(crate) async fn leave(&self, wait: Duration) -> bool {
+        self.shared.told.lock().leaving = true;
+        let end = Instant::now() + wait;
+        while Instant::now() < end {
+            if self.shared.left.lock().is_some() {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Returns when it was acknowledged that the server leaves.
+    pub(crate) fn left(&self) -> Option<Instant> {
+        *self.shared.left.lock()
+    }
+}
+
+async fn announce(shared: Arc<Shared>, to: SocketAddr) {
+    let client = Client::new(ACKNOWLEDGED, 4096);
+    loop {
+        let told = {
+            let mut told = shared.told.lock();
+            told.sequence += 1;
+            told.clone()
+        };
+        let state = if told.leaving { "draining" } else { "ready" };
+        let body = format!(
+            r#"{{"upstream":"{}","address":"127.0.0.1:1","zone":"z","version":"v1","slots":{SLOTS},
+            "state":"{state}","coldLeftS":0,"sequence":{},"born":{}}}"#,
+            service(shared.vm),
+            told.sequence,
+            told.born
+        );
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = Method::PUT;
+        *request.uri_mut() = format!("http://{to}/instances/{}", told.id)
+            .parse()
+            .expect("a URI");
+        let heard = client.send(request).await;
+        let heard = heard.is_ok_and(|answer| answer.status.is_success());
+        if heard && told.leaving {
+            shared.left.lock().get_or_insert_with(Instant::now);
+        }
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+/// Notes the end of a run, also where its connection closes first.
+struct Working {
+    shared: Arc<Shared>,
+    id: String,
+    place: usize,
+}
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.shared.record.run_ended(&self.id, self.place);
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> CallerAnswer {
+    let (head, body) = request.into_parts();
+    let text = |name: &str| {
+        let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (id, meant) = (text("x-request-id"), text("x-expect-instance"));
+    let own = shared.told.lock().id.clone();
+    let mut answer = caller_text(StatusCode::OK, "text/plain", format!("answer to {id}"));
+    let mut put = |name: &'static str, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            answer.headers_mut().insert(name, value);
+        }
+    };
+    put("x-request-id", &id);
+    if meant != own {
+        put("x-instance-id", &own);
+        *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+        return answer;
+    }
+    let rejected = rand::rng().random_ratio(REJECTED, 100);
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let path = head.uri.path();
+    let sent = crate::caller::body(&id);
+    let run = Run {
+        vm: shared.vm,
+        service: service(shared.vm),
+        origin: text("x-caller-service"),
+        at: Instant::now(),
+        ended: None,
+        rejected,
+        unchanged: head.method == Method::POST
+            && path.ends_with(&id)
+            && body.is_ok_and(|body| *body == *sent.as_bytes()),
+    };
+    let place = shared.record.ran(&id, run);
+    let _working = Working {
+        shared: Arc::clone(&shared),
+        id,
+        place,
+    };
+    if rejected {
+        put("x-not-executed", "1");
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return answer;
+    }
+    put("x-server-signature", "signed");
+    let time = if rand::rng().random_ratio(LONG, 100) {
+        LONG_TIME
+    } else {
+        Duration::from_millis(rand::rng().random_range(2..40))
+    };
+    tokio::time::sleep(time).await;
+    answer
+}
--- /dev/null
+++ b/examples/soak/proxy.rs
@@ -0,0 +1,104 @@
+//! A loopback proxy that delays, silences, cuts one way or resets connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What the proxy does to connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Mode {
+    #[default]
+    Pass,
+    /// Holds each piece back.
+    Delay(Duration),
+    /// Passes nothing on, on connections of before and new ones.
+    Silent,
+    /// Passes requests on, and no answers.
+    OneWay,
+    /// Closes all connections and takes none.
+    Reset,
+}
+
+/// The proxy before one daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct Proxy {
+    mode: Arc<Mutex<Mode>>,
+    resets: watch::Sender<u64>,
+}
+
+impl Proxy {
+    pub(crate) async fn start(address: SocketAddr, target: SocketAddr) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let (resets, told) = watch::channel(0);
+        let proxy = Self {
+            mode: Arc::default(),
+            resets,
+        };
+        let mode = Arc::clone(&proxy.mode);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if *mode.lock() != Mode::Reset {
+                    tokio::spawn(pass(stream, target, Arc::clone(&mode), told.clone()));
+                }
+            }
+        });
+        Ok(proxy)
+    }
+
+    pub(crate) fn set(&self, mode: Mode) {
+        *self.mode.lock() = mode;
+        if mode == Mode::Reset {
+            self.resets.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+async fn pass(
+    inner: TcpStream,
+    target: SocketAddr,
+    mode: Arc<Mutex<Mode>>,
+    mut resets: watch::Receiver<u64>,
+) {
+    resets.mark_unchanged();
+    let Ok(outer) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = (inner.set_nodelay(true), outer.set_nodelay(true));
+    let (inner_read, inner_write) = inner.into_split();
+    let (outer_read, outer_write) = outer.into_split();
+    tokio::select! {
+        () = copy(inner_read, outer_write, Arc::clone(&mode), false) => {}
+        () = copy(outer_read, inner_write, mode, true) => {}
+        _ = resets.changed() => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mode: Arc<Mutex<Mode>>,
+    answers: bool,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    let mut silent = false;
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let now = *mode.lock();
+        match now {
+            Mode::Delay(time) => tokio::time::sleep(time).await,
+            // What has been lost once makes a connection useless for good.
+            Mode::Silent => silent = true,
+            Mode::OneWay => silent |= answers,
+            Mode::Pass | Mode::Reset => {}
+        }
+        if !silent && to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/examples/soak/vm.rs
@@ -0,0 +1,156 @@
+//! The daemon of one VM as a process of its own, and what was done to it.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::estate::Addresses;
+
+/// How long a daemon that was told to stop may take.
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
+
+/// A span of time; one that goes on has no end.
+pub(crate) type Span = (Instant, Option<Instant>);
+
+/// The signals that the soak sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Signal {
+    Term,
+    Kill,
+    Stop,
+    Continue,
+    HangUp,
+}
+
+impl Signal {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Term => "-TERM",
+            Self::Kill => "-KILL",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+            Self::HangUp => "-HUP",
+        }
+    }
+}
+
+/// One VM.
+pub(crate) struct Vm {
+    pub(crate) addresses: Addresses,
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Mutex<Option<Child>>,
+    /// When it was disturbed without a plan: killed, paused, cut, restarted.
+    pub(crate) disturbed: Mutex<Vec<Span>>,
+    /// When its daemon was told to stop, and when it had.
+    pub(crate) stops: Mutex<Vec<Span>>,
+}
+
+impl Vm {
+    pub(crate) fn new(
+        vm: usize,
+        addresses: Addresses,
+        binary: &Path,
+        store: SocketAddr,
+        dir: &Path,
+    ) -> eyre::Result<Self> {
+        let settings = dir.join(format!("vm-{vm}.yaml"));
+        std::fs::write(&settings, addresses.settings(vm, store))?;
+        Ok(Self {
+            addresses,
+            binary: binary.to_owned(),
+            settings,
+            log: dir.join(format!("vm-{vm}.log")),
+            child: Mutex::default(),
+            disturbed: Mutex::default(),
+            stops: Mutex::default(),
+        })
+    }
+
+    /// Starts the daemon; its lines go to a file beside the settings.
+    pub(crate) fn start(&self) -> eyre::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.binary)
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        *self.child.lock() = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the daemon, by the id of the process started here.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let id = self.child.lock().as_ref().map(Child::id);
+        if let Some(id) = id {
+            let sent = Command::new("kill")
+                .args([signal.name(), &id.to_string()])
+                .stderr(Stdio::null())
+                .status();
+            if !sent.is_ok_and(|status| status.success()) {
+                eprintln!("{} was not sent to {id}", signal.name());
+            }
+        }
+    }
+
+    /// Waits until the daemon has ended; returns whether it did in time.
+    pub(crate) async fn wait(&self, longest: Duration) -> bool {
+        let end = Instant::now() + longest;
+        while Instant::now() < end {
+            let ended = match self.child.lock().as_mut() {
+                Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+                None => true,
+            };
+            if ended {
+                *self.child.lock() = None;
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Tells whether the daemon runs.
+    pub(crate) fn runs(&self) -> bool {
+        match self.child.lock().as_mut() {
+            Some(child) => matches!(child.try_wait(), Ok(None)),
+            None => false,
+        }
+    }
+
+    /// Notes that a disturbance begins; returns its place.
+    pub(crate) fn disturb(&self) -> usize {
+        let mut disturbed = self.disturbed.lock();
+        disturbed.push((Instant::now(), None));
+        disturbed.len() - 1
+    }
+
+    /// Notes that a disturbance has ended.
+    pub(crate) fn calm(&self, place: usize) {
+        if let Some(span) = self.disturbed.lock().get_mut(place) {
+            span.1 = Some(Instant::now());
+        }
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(child) = self.child.lock().as_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Tells whether any span touches the time from `from` to `to`.
+pub(crate) fn touches(spans: &[Span], from: Instant, to: Instant) -> bool {
+    let mut spans = spans.iter();
+    spans.any(|(begin, end)| *begin <= to && end.is_none_or(|end| end >= from))
+}
