Take the entry's forwarding apart

Ruled out: a change of behaviour. Change: attempts (forward), whether again (again), the account (purse), what the table is told (sending), calls with a key (once), requests not taken (rejected). Text was moved, not changed.

--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -3,11 +3,11 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use http::header::HOST;
 use http::request::Parts;
 use tokio::time::Instant;
 
 use super::place::{Place, find};
+use super::rejected::{Rejected, rejected};
 use crate::call::{CallHead, Facts, OnceCall, Reason};
 use crate::declare::{Class, Estate, Service};
 use crate::model::{
@@ -36,26 +36,6 @@
     pub(super) caller: Option<CallerName>,
 }
 
-/// A request that was not understood.
-pub(super) struct Rejected {
-    pub(super) reason: Reason,
-    pub(super) detail: Box<str>,
-}
-
-pub(super) fn rejected(reason: Reason, detail: impl Into<Box<str>>) -> Rejected {
-    Rejected {
-        reason,
-        detail: detail.into(),
-    }
-}
-
-/// Returns the host that a request names, without its port.
-pub(super) fn host(parts: &Parts) -> &str {
-    let named = || parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = parts.uri.host().or_else(named).unwrap_or_default();
-    host.split(':').next().unwrap_or_default()
-}
-
 /// Reads what a request is, by the rules in force.
 pub(super) fn accept(
     parts: &Parts,
--- /dev/null
+++ b/src/entry/again.rs
@@ -0,0 +1,93 @@
+//! Whether a call is attempted again after an attempt failed.
+
+use tokio::time::Instant;
+
+use super::forward::Forward;
+use crate::call::{Reason, Refusal, Scope};
+use crate::model::Verdict;
+use crate::policy::retry::{Failure, Retry, decide};
+
+/// Most guards that one call is refused by before it is given up; more would
+/// make refusals late.
+const MAX_DETOURS: u32 = 3;
+
+/// How often a call is asked again of backend servers that refused it. Where
+/// they refuse 55 in 100, as some do for seconds, fewer than one call in two
+/// hundred is refused that often in a row.
+const MAX_ASKED_AGAIN: u32 = 8;
+
+impl Forward<'_> {
+    /// Weakens `not-run` where earlier attempts at the call may have run.
+    ///
+    /// Of a key that the caller may have sent before, elsewhere, only the
+    /// instance that may start it can say that it was not run.
+    pub(super) fn weigh(&self, refusal: Refusal) -> Refusal {
+        let unsure = self.head().once.is_some()
+            && self.accepted.count != Some(1)
+            && refusal.scope() == Scope::Attempt;
+        let earlier = if unsure {
+            Verdict::MayHaveRun
+        } else {
+            self.earlier
+        };
+        refusal.after(earlier)
+    }
+
+    /// Decides on another attempt after one failed.
+    pub(super) fn again(&mut self, failed: &Refusal) -> bool {
+        let head = &self.accepted.head;
+        if failed.verdict() == Verdict::MayHaveRun {
+            self.earlier = Verdict::MayHaveRun;
+        }
+        if failed.arrived() {
+            self.sent += 1;
+        } else if head.once.is_none() {
+            return self.detour(failed);
+        }
+        // A lost once call is repeated at the same instance, whose ledger
+        // keeps it from running twice.
+        let once_again =
+            head.once.is_some() && matches!(failed.reason(), Reason::Cut | Reason::Unreachable);
+        if !once_again && !failed.reason().may_differ_elsewhere() {
+            return false;
+        }
+        // A call that every server has refused may be asked of them again; one
+        // that may have run counts against the servers it may be sent to.
+        let most = match failed.reason() {
+            Reason::Rejected => self.accepted.attempts + MAX_ASKED_AGAIN,
+            _ => self.accepted.attempts,
+        };
+        if self.sent >= most {
+            return false;
+        }
+        let verdict = if once_again {
+            Verdict::NotRun
+        } else {
+            failed.verdict()
+        };
+        let failure = Failure {
+            verdict,
+            overload: failed.reason().is_overload(),
+            left: head.deadline.saturating_duration_since(Instant::now()),
+        };
+        let safety = self.accepted.safety;
+        let now = Instant::now();
+        let (level, root) = (head.priority.level(), head.root);
+        self.table(|table| {
+            self.purse.with(|account| {
+                decide(failure, safety, account, || {
+                    table.retries().take(now, level, root)
+                })
+            })
+        }) == Retry::Again
+    }
+
+    /// Decides whether a call that no backend server has seen is tried at
+    /// another guard; that is no retry, since nothing was asked of a server.
+    fn detour(&mut self, failed: &Refusal) -> bool {
+        let reason = failed.reason();
+        let elsewhere = reason.may_differ_elsewhere() || reason.is_overload();
+        self.detours += 1;
+        elsewhere && self.detours <= MAX_DETOURS
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,13 +1,18 @@
 //! The entry: takes calls from callers and from the own backend server.
 
 mod accept;
+mod again;
 mod answer;
 mod body;
 mod context;
 mod forward;
 mod handler;
 mod header;
+mod once;
 mod place;
+mod purse;
+mod rejected;
+mod sending;
 
 pub use crate::call::{ATTEMPT, TIMEOUT};
 pub use handler::{Entry, serve_callers};
--- /dev/null
+++ b/src/entry/once.rs
@@ -0,0 +1,98 @@
+//! What only calls that must run at most once need: their home, and asking what
+//! became of them.
+
+use tokio::time::Instant;
+
+use super::forward::Forward;
+use crate::call::{Attempt, Reason, Refusal, Reply};
+use crate::model::{Instance, OnceKey, Verdict};
+use crate::peer;
+use crate::policy::once::{Place, Refuse, place};
+use crate::task::read_home;
+
+impl Forward<'_> {
+    /// Reads the home row anew if nobody owns the key by the row known here.
+    ///
+    /// # Errors
+    ///
+    /// If nobody owns it by the row just read either, nobody can have run it.
+    pub(super) async fn refresh_home(&self) -> Result<(), Refusal> {
+        let Some(once) = &self.head().once else {
+            return Ok(());
+        };
+        let not_owned = Place::Refused(Refuse::NotOwned);
+        if self.place(&once.key) != not_owned || !self.context.may_read_home() {
+            return Ok(());
+        }
+        let service = &self.head().service;
+        if !Box::pin(read_home(&self.context.shared, service)).await
+            || self.place(&once.key) != not_owned
+        {
+            return Ok(());
+        }
+        Err(Attempt::plan().refuse_once(Refuse::NotOwned).of_key())
+    }
+
+    pub(super) fn place(&self, key: &OnceKey) -> Place {
+        let shared = &self.context.shared;
+        let service = &self.head().service;
+        let view = shared.view.lock();
+        let home = shared.homes.get(service);
+        place(key, home.as_ref().map(|home| &*home.row), &view, service)
+    }
+
+    /// Counts an attempt as sent to the only instance that may take it, unless
+    /// that has failed too often just now.
+    pub(super) fn may_reach(&self, instance: Instance) -> bool {
+        let now = Instant::now();
+        self.table(|table| {
+            let admits = table.admits(now, instance);
+            if admits {
+                table.sent(instance);
+            }
+            admits
+        })
+    }
+
+    /// Asks the same instance what became of a once call that was lost, and
+    /// follows a claim to the instance that holds it.
+    pub(super) async fn after_once(
+        &mut self,
+        target: Instance,
+        failed: Refusal,
+    ) -> Result<Reply, Refusal> {
+        let Some(once) = &self.head().once else {
+            return Err(failed);
+        };
+        if failed.reason() == Reason::Once(Refuse::WrongOwner) {
+            return Box::pin(self.follow(&once.key, failed)).await;
+        }
+        let lost = matches!(failed.reason(), Reason::Cut | Reason::Garbage);
+        if !lost || failed.verdict() != Verdict::MayHaveRun {
+            return Err(failed);
+        }
+        let asked = Box::pin(self.inquire(target, &once.key)).await;
+        match asked {
+            Err(answer) if answer.reason() == Reason::Once(Refuse::Unseen) => Err(failed),
+            Err(answer) => Err(answer.after(Verdict::MayHaveRun)),
+            other => other,
+        }
+    }
+
+    async fn inquire(&self, target: Instance, key: &OnceKey) -> Result<Reply, Refusal> {
+        let head = self.head();
+        let pool = &self.context.pool;
+        peer::inquire(pool, target, &head.service, key, head.deadline).await
+    }
+
+    /// Learns the outcome from the instance that a claim names.
+    async fn follow(&self, key: &OnceKey, failed: Refusal) -> Result<Reply, Refusal> {
+        let Ok(owner) = failed.detail.parse::<Instance>() else {
+            return Err(failed);
+        };
+        match self.inquire(owner, key).await {
+            Ok(reply) => Ok(reply),
+            Err(answer) => Err(answer.after(Verdict::MayHaveRun)),
+        }
+    }
+}
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -1,8 +1,9 @@
 //! The service and class of a request, by routes or by its host.
 
+use http::header::HOST;
 use http::request::Parts;
 
-use super::accept::{Rejected, host, rejected};
+use super::rejected::{Rejected, rejected};
 use crate::call::Reason;
 use crate::declare::{Class, Estate, Route, Service};
 use crate::model::{ClassRank, Retries};
@@ -35,6 +36,13 @@
     }
 }
 
+/// Returns the host that a request names, without its port.
+fn host(parts: &Parts) -> &str {
+    let named = || parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = parts.uri.host().or_else(named).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
 /// Finds where a request belongs.
 pub(super) fn find<'e>(
     parts: &Parts,
--- /dev/null
+++ b/src/entry/sending.rs
@@ -0,0 +1,72 @@
+//! What the table of targets is told of one attempt.
+
+use tokio::time::Instant;
+
+use super::forward::Forward;
+use crate::call::{Reason, Refusal, Reply};
+use crate::model::Instance;
+use crate::policy::route::{Report, Table};
+
+/// Reports to the table of targets how an attempt ended, also if the caller
+/// went away first.
+pub(super) struct Sending<'f> {
+    forward: &'f Forward<'f>,
+    target: Instance,
+    reported: bool,
+}
+
+impl<'f> Sending<'f> {
+    /// Begins to watch an attempt that was counted as sent to `target`.
+    pub(super) fn new(forward: &'f Forward<'f>, target: Instance) -> Self {
+        Self {
+            forward,
+            target,
+            reported: false,
+        }
+    }
+
+    /// Reports how the attempt ended.
+    pub(super) fn report(mut self, result: &Result<Reply, Refusal>) {
+        let news = match result {
+            Ok(reply) => Some(reply.head.news),
+            Err(refusal) => refusal.news,
+        };
+        let report = match news {
+            Some(news) if matches!(result, Err(r) if r.reason() == Reason::Rejected) => {
+                Report::Rejected(news)
+            }
+            Some(news) => Report::Heard(news),
+            None if matches!(result, Err(refusal) if refusal.reason().is_silence()) => {
+                Report::Silent
+            }
+            None => Report::Failed,
+        };
+        let now = Instant::now();
+        self.forward.table(|table| {
+            table.report(now, self.target, report);
+            if let Ok(reply) = result {
+                table.retries().answered();
+                self.learn(table, reply);
+            }
+        });
+        self.reported = true;
+    }
+
+    /// Learns whether callers' own calls of this class make others.
+    fn learn(&self, table: &mut Table, reply: &Reply) {
+        let own = self.forward.accepted.parent.is_none() && self.forward.head().once.is_none();
+        if own && !reply.head.status.is_server_error() {
+            table.own_call(self.forward.head().priority.rank(), reply.head.onward);
+        }
+    }
+}
+
+impl Drop for Sending<'_> {
+    fn drop(&mut self) {
+        if !self.reported {
+            let now = Instant::now();
+            self.forward
+                .table(|table| table.report(now, self.target, Report::Abandoned));
+        }
+    }
+}
