Judge the test of whole trees by the mean of seeded plays

Its roots were drawn without a seed, and which trees pass depends on them: of 400 plays 7 had 60 or more (mean 48, most 67). Change: roots are drawn from the seed; the mean of 20 plays is judged, and must be below 54, where one play had to be below 60: 54 is four of the mean's own deviations above 48, so it is the stricter bound. Conclusion: a wrong check, replaced by a stricter one.

--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -95,8 +95,8 @@
 /// Plays trees of calls to a service that refuses 55 of 100 calls by itself:
 /// 54 urgent ones a second of eight calls, 110 others of four, one after the
 /// other, 55 ms each.
-fn refusing_service(seconds: usize) -> Passed {
-    let mut rng = StdRng::seed_from_u64(11);
+fn refusing_service(seed: u64, seconds: usize) -> Passed {
+    let mut rng = StdRng::seed_from_u64(seed);
     let mut allowance = Allowance::new(AllowanceSettings::default());
     let start = Instant::now();
     let mut trees: Vec<Tree> = Vec::new();
@@ -112,7 +112,7 @@
             let count = rate as usize + usize::from(rng.random_bool(f64::fract(rate)));
             for _ in 0..count {
                 let rank = ClassRank::new(if urgent { 0 } else { 2 });
-                let root = RootId::random();
+                let root = RootId::new(rng.random());
                 let level = Priority::new(rank, Depth::default(), root).level();
                 trees.push(Tree {
                     root,
@@ -155,13 +155,22 @@
 /// A service whose servers all refuse 55 of 100 calls for some seconds, as
 /// those of the users do on their heavy days. Retries handed out as they are
 /// asked for let two in a hundred of the urgent trees pass.
+///
+/// Which trees pass depends on their roots: of 400 plays the others that pass
+/// have a mean of 48, and 7 have 60 or more. So the mean of some plays is judged.
 #[test]
 fn take_lets_whole_trees_pass() {
-    let passed = refusing_service(8);
-    let urgent = f64::from(passed.urgent) / (54.0 * 8.0);
+    const PLAYS: u64 = 20;
+    let plays: Vec<Passed> = (0..PLAYS).map(|seed| refusing_service(seed, 8)).collect();
+    let mean = |count: fn(&Passed) -> u32| {
+        let sum: u32 = plays.iter().map(count).sum();
+        f64::from(sum) / PLAYS as f64
+    };
+    let urgent = mean(|passed| passed.urgent) / (54.0 * 8.0);
     assert!(urgent > 0.1, "{urgent} of the urgent trees");
     // Four in a hundred of the others pass without any retry.
-    assert!(passed.other < 60, "others {}", passed.other);
+    let others = mean(|passed| passed.other);
+    assert!(others < 54.0, "others {others}");
 }
 
 /// Where few calls are refused nearly each gets its retry.
