Take calls between daemons out of their circle of imports

Ruled out: a change of behaviour. Change: what both ways of a call share (call), connections that carry one plain call (plain), length and digest (measure), ledgers (ledger). Text was moved; DirectClient is PlainClient now.

--- /dev/null
+++ b/src/peer/call.rs
@@ -0,0 +1,29 @@
+//! What both ways of calling another daemon share.
+
+use std::time::Duration;
+
+use crate::call::CallHead;
+use crate::model::Retries;
+use crate::web::Payload;
+
+/// How much longer than the deadline an answer is waited for, so that the
+/// guard's own word on it can arrive.
+pub(super) const SLACK: Duration = Duration::from_millis(20);
+/// How long connecting may take.
+pub(super) const CONNECT: Duration = Duration::from_millis(500);
+/// Largest message, in bytes.
+pub(super) const MAX_MESSAGE: usize = 4 * 1024 * 1024;
+/// The path of plain calls.
+pub(super) const PATH: &str = "/call";
+/// A call on its way to another daemon.
+#[derive(Debug)]
+pub struct Message<'c> {
+    /// What travels with the call, but for its account.
+    pub head: &'c CallHead,
+    /// Retries lent to this attempt.
+    pub account: Retries,
+    /// The body.
+    pub body: Payload,
+    /// Whether the guard asks before it starts the call.
+    pub held: bool,
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -7,22 +7,20 @@
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
-use xxhash_rust::xxh3::Xxh3;
 
+use super::call::{Message, SLACK};
 use super::convert::{call_out, id_bytes, refusal_in, reply_in};
 use super::direct;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
-use super::generated::{AnswerFrame, CallFrame, InquireRequest, Start, Tail};
+use super::generated::{AnswerFrame, CallFrame, InquireRequest, Start};
+use super::measure::Measure;
 use super::pool::Pool;
-use crate::call::{Attempt, CallHead, Planned, Reason, Refusal, Reply, Sent};
-use crate::model::{AttemptId, Instance, OnceKey, Retries, ServiceName};
+use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
+use crate::model::{AttemptId, Instance, OnceKey, ServiceName};
 use crate::policy::admission::Shed;
 use crate::web::{Chunks, Cut, Payload};
 
-/// How much longer than the deadline an answer is waited for, so that the
-/// guard's own word on it can arrive.
-pub(super) const SLACK: Duration = Duration::from_millis(20);
 /// How long the other daemon may take to say that a call has arrived. It does
 /// so at once; a daemon whose share of its core is used up pauses for a tenth
 /// of a second.
@@ -30,19 +28,6 @@
 /// Frames that wait to be sent.
 const WINDOW: usize = 8;
 
-/// A call on its way to another daemon.
-#[derive(Debug)]
-pub struct Message<'c> {
-    /// What travels with the call, but for its account.
-    pub head: &'c CallHead,
-    /// Retries lent to this attempt.
-    pub account: Retries,
-    /// The body.
-    pub body: Payload,
-    /// Whether the guard asks before it starts the call.
-    pub held: bool,
-}
-
 /// Sends a call to the guard of `instance` and waits for the answer.
 ///
 /// A held call is started only after the guard has said that it can, and
@@ -246,32 +231,6 @@
     let _ = to.send(frame(CallPart::Tail(measure.tail()))).await;
 }
 
-/// Length and digest of a body that passes by in chunks.
-#[derive(Default)]
-pub(super) struct Measure {
-    length: u64,
-    hasher: Xxh3,
-}
-
-impl Measure {
-    pub(super) fn add(&mut self, chunk: &[u8]) {
-        self.length += chunk.len() as u64;
-        self.hasher.update(chunk);
-    }
-
-    pub(super) fn tail(&self) -> Tail {
-        Tail {
-            length: self.length,
-            digest: self.hasher.digest(),
-            account: 0,
-        }
-    }
-
-    pub(super) fn fits(&self, tail: &Tail) -> bool {
-        self.length == tail.length && self.hasher.digest() == tail.digest
-    }
-}
-
 async fn first_frame(
     mut frames: Streaming<AnswerFrame>,
 ) -> Result<(Option<AnswerPart>, Streaming<AnswerFrame>), tonic::Status> {
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::client::Message;
+use super::call::Message;
 use super::generated as wire;
 use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Scope, Sent};
 use crate::declare::Estate;
--- a/src/peer/direct.rs
+++ b/src/peer/direct.rs
@@ -5,80 +5,19 @@
 //! trailers, no task that owns the connection for all callers, and no early
 //! word that the call arrived, since the daemon was heard from just before.
 
-use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
-use std::time::Duration;
-
 use bytes::Bytes;
-use http::{Method, Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
-use super::client::SLACK;
+use super::call::SLACK;
 use super::convert::{id_bytes, refusal_in, reply_in};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
-use super::message::{join, take};
-use super::pool::{CONNECT, MAX_MESSAGE, Pool};
+use super::message::join;
+use super::plain::Failed;
+use super::pool::Pool;
 use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::Instance;
-use crate::web::{Chunks, Connections, Cut, Dial, Keep, Payload, RequestError};
-
-/// The path of plain calls.
-pub(super) const PATH: &str = "/call";
-/// Idle connections that are kept to one daemon.
-const MAX_IDLE: usize = 16;
-/// How long a connection may be idle.
-const IDLE: Duration = Duration::from_secs(20);
-/// How long sent bytes may go without an acknowledgement of the other VM; its
-/// daemon may pause, its network stack does not.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(500);
-
-/// Makes plain calls to one daemon.
-#[derive(Clone, Debug)]
-pub(super) struct DirectClient {
-    connections: Arc<Connections<Full<Bytes>>>,
-}
-
-impl DirectClient {
-    /// Makes a client of the daemon at `address` whose connections go out from
-    /// `own`.
-    pub(super) fn new(address: SocketAddr, own: IpAddr) -> Self {
-        let dial = Dial {
-            address,
-            own: Some(own),
-            timeout: CONNECT,
-            unacknowledged: Some(UNACKNOWLEDGED),
-        };
-        let keep = Keep {
-            most: MAX_IDLE,
-            idle: IDLE,
-        };
-        Self {
-            connections: Arc::new(Connections::new(dial, keep)),
-        }
-    }
-
-    /// Sends a request and reads its answer.
-    async fn exchange(self, body: Bytes) -> Result<(Option<AnswerPart>, Payload), Failed> {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(PATH);
-        let answer = self.connections.request(request).await;
-        let answer = answer.map_err(|e| Failed {
-            connected: !matches!(e, RequestError::Connect(_)),
-            cause: e.to_string().into(),
-        })?;
-        read(answer.into_body()).await
-    }
-}
-
-/// Why there is no answer.
-struct Failed {
-    connected: bool,
-    cause: Box<str>,
-}
+use crate::web::Payload;
 
 /// Sends a call that came whole to the guard of `instance` and waits for the
 /// answer.
@@ -96,7 +35,7 @@
 ) -> Result<Reply, Refusal> {
     let whole = join(&head, &body);
     drop((head, body));
-    let client = pool.direct(instance.address);
+    let client = pool.plain(instance.address);
     let attempt = attempt.send();
     match timeout_at(deadline + SLACK, client.exchange(whole)).await {
         Ok(Ok((part, payload))) => answered(attempt, part, payload),
@@ -116,52 +55,6 @@
     }
 }
 
-/// Reads an answer: whole if its length is known, else up to its message.
-async fn read(mut body: Incoming) -> Result<(Option<AnswerPart>, Payload), Failed> {
-    let cut = |e: &dyn std::fmt::Display| Failed {
-        connected: true,
-        cause: e.to_string().into(),
-    };
-    if body.size_hint().exact().is_some() {
-        let whole = Limited::new(body, MAX_MESSAGE).collect().await;
-        let mut whole = whole.map_err(|e| cut(&e))?.to_bytes();
-        let frame: wire::AnswerFrame = take(&mut whole).map_err(|e| cut(&e))?;
-        return Ok((frame.frame, Payload::Whole(whole)));
-    }
-    let first = next_chunk(&mut body).await;
-    let mut first = first.map_err(|e| cut(&e))?.unwrap_or_default();
-    let frame: wire::AnswerFrame = take(&mut first).map_err(|e| cut(&e))?;
-    let (sender, chunks) = Chunks::channel();
-    tokio::spawn(pump_in(body, sender));
-    let length = None;
-    Ok((frame.frame, Payload::Stream { length, chunks }))
-}
-
-async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(chunk) = frame?.into_data()
-            && !chunk.is_empty()
-        {
-            return Ok(Some(chunk));
-        }
-    }
-    Ok(None)
-}
-
-/// Takes a streamed answer in; the end of the chunks says that it is whole.
-async fn pump_in(mut body: Incoming, to: tokio::sync::mpsc::Sender<Result<Bytes, Cut>>) {
-    loop {
-        let item = match next_chunk(&mut body).await {
-            Ok(chunk) => Ok(chunk.unwrap_or_default()),
-            Err(_) => Err(Cut),
-        };
-        let last = !matches!(&item, Ok(chunk) if !chunk.is_empty());
-        if to.send(item).await.is_err() || last {
-            return;
-        }
-    }
-}
-
 fn answered(
     attempt: Attempt<Sent>,
     part: Option<AnswerPart>,
--- /dev/null
+++ b/src/peer/ledger.rs
@@ -0,0 +1,112 @@
+//! Handing of a ledger to another daemon at a planned stop.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+
+use super::convert::headers_out;
+use super::generated as wire;
+use super::pool::Pool;
+use crate::error::Error;
+use crate::model::{Instance, MintTime, OnceKey};
+use crate::policy::once::{Kept, State};
+use crate::tables::Shared;
+
+/// How long the heir may take to answer one message.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Entries sent in one message.
+const BATCH: usize = 256;
+
+/// Hands the ledger of this instance, which has stopped starting keys, over
+/// to `heir`; returns whether it was taken whole.
+pub async fn hand_over(
+    shared: &Shared,
+    pool: &Pool,
+    heir: Instance,
+    entries: Vec<(OnceKey, State, u64)>,
+    forgotten: MintTime,
+) -> bool {
+    let Some(mut client) = pool.get(heir.address) else {
+        return false;
+    };
+    let mut messages: Vec<wire::LedgerEntry> = entries.iter().map(entry_out).collect();
+    loop {
+        let rest = messages.split_off(messages.len().min(BATCH));
+        let request = wire::HandOverRequest {
+            from: shared.instance.to_string(),
+            heir: heir.to_string(),
+            service: shared.config.service.to_string(),
+            entries: messages,
+            last: rest.is_empty(),
+            forgotten_ms: forgotten.as_millis(),
+        };
+        let last = request.last;
+        let taken = match tokio::time::timeout(TIMEOUT, client.hand_over(request)).await {
+            Ok(Ok(answer)) => answer.into_inner().taken,
+            _ => false,
+        };
+        if !taken || last {
+            return taken;
+        }
+        messages = rest;
+    }
+}
+
+fn entry_out((key, state, hash): &(OnceKey, State, u64)) -> wire::LedgerEntry {
+    let mut entry = wire::LedgerEntry {
+        once_key: key.to_string(),
+        body_hash: *hash,
+        ..Default::default()
+    };
+    match state {
+        State::Claimed => entry.state = CLAIMED.into(),
+        State::Running | State::Unknown => entry.state = UNKNOWN.into(),
+        State::Done(kept) => {
+            entry.state = DONE.into();
+            entry.status = u32::from(kept.status);
+            entry.headers = headers_out(&kept_headers(kept));
+            entry.body = kept.body.clone().unwrap_or_default();
+            entry.whole = kept.body.is_some();
+        }
+    }
+    entry
+}
+
+const CLAIMED: &str = "claimed";
+const UNKNOWN: &str = "unknown";
+const DONE: &str = "done";
+
+fn kept_headers(kept: &Kept) -> HeaderMap {
+    kept.headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let name = http::HeaderName::from_bytes(name.as_bytes()).ok()?;
+            let value = http::HeaderValue::from_bytes(value).ok()?;
+            Some((name, value))
+        })
+        .collect()
+}
+
+/// Reads an entry of a ledger that is handed over.
+pub(super) fn entry_in(entry: wire::LedgerEntry) -> Result<(OnceKey, State, u64), Error> {
+    let key = entry.once_key.parse()?;
+    let state = match entry.state.as_str() {
+        // A key that was claimed by the instance that stops cannot be started
+        // here, since the claim row names that instance.
+        CLAIMED | UNKNOWN => State::Unknown,
+        DONE => State::Done(Kept {
+            status: u16::try_from(entry.status).unwrap_or_default(),
+            headers: entry
+                .headers
+                .into_iter()
+                .map(|h| (h.name.into(), h.value))
+                .collect(),
+            body: entry.whole.then_some(entry.body),
+        }),
+        other => {
+            let message = format!("state \"{other}\" is not known");
+            return Err(Error::value("ledger entry", message));
+        }
+    };
+    Ok((key, state, entry.body_hash))
+}
--- a/src/peer/listen.rs
+++ b/src/peer/listen.rs
@@ -19,8 +19,8 @@
 use tokio::task::JoinSet;
 use tonic::body::Body;
 
+use super::call::MAX_MESSAGE;
 use super::generated::peer_server::PeerServer;
-use super::pool::MAX_MESSAGE;
 use super::server::Peers;
 use crate::error::Error;
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! that is one message there and one back goes as a plain HTTP request, which
 //! takes half of the processor time.
 
+mod call;
 mod client;
 mod convert;
 mod direct;
@@ -14,15 +15,20 @@
     reason = "generated from proto/peer.proto"
 )]
 mod generated;
+mod ledger;
 mod listen;
+mod measure;
 mod message;
 mod news;
+mod plain;
 mod pool;
 mod server;
 
-pub use client::{Message, inquire, send};
+pub use call::Message;
+pub use client::{inquire, send};
+pub use ledger::hand_over;
 pub use listen::serve_peers;
-pub use news::{ExchangeError, Exchanged, exchange, hand_over};
+pub use news::{ExchangeError, Exchanged, exchange};
 pub(crate) use news::{known_documents, put_in_force};
 pub use pool::Pool;
 pub use server::Peers;
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -8,17 +8,14 @@
 use tokio::runtime::Handle;
 use tonic::transport::{Channel, Endpoint};
 
-use super::direct::DirectClient;
+use super::call::{CONNECT, MAX_MESSAGE};
 use super::generated::peer_client::PeerClient;
+use super::plain::PlainClient;
 
-/// How long connecting may take.
-pub(super) const CONNECT: Duration = Duration::from_millis(500);
 /// How often a connection with calls out is asked whether it still lives.
 const PING: Duration = Duration::from_millis(500);
 /// How long such a question may go unanswered.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
-/// Largest message, in bytes.
-pub(super) const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 /// Bytes that may be under way on one stream and on one connection.
 const STREAM_WINDOW: u32 = 1024 * 1024;
 const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
@@ -33,7 +30,7 @@
     handle: Handle,
     own: IpAddr,
     clients: Mutex<HashMap<SocketAddr, PeerClient<Channel>>>,
-    direct: Mutex<HashMap<SocketAddr, DirectClient>>,
+    plain: Mutex<HashMap<SocketAddr, PlainClient>>,
 }
 
 impl Pool {
@@ -44,15 +41,15 @@
             handle,
             own,
             clients: Mutex::default(),
-            direct: Mutex::default(),
+            plain: Mutex::default(),
         }
     }
 
     /// Returns the client of plain calls to `address`.
-    pub(super) fn direct(&self, address: SocketAddr) -> DirectClient {
-        let mut direct = self.direct.lock();
-        let made = || DirectClient::new(address, self.own);
-        direct.entry(address).or_insert_with(made).clone()
+    pub(super) fn plain(&self, address: SocketAddr) -> PlainClient {
+        let mut plain = self.plain.lock();
+        let made = || PlainClient::new(address, self.own);
+        plain.entry(address).or_insert_with(made).clone()
     }
 
     /// Returns the connection to `address`, which is made when first used.
@@ -90,13 +87,13 @@
     /// Drops the connections to `address`; the next call makes a new one.
     pub(super) fn replace(&self, address: SocketAddr) {
         self.clients.lock().remove(&address);
-        self.direct.lock().remove(&address);
+        self.plain.lock().remove(&address);
     }
 
     /// Drops the connections to all addresses that `keep` does not know.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.clients.lock().retain(|address, _| keep(address));
-        self.direct.lock().retain(|address, _| keep(address));
+        self.plain.lock().retain(|address, _| keep(address));
     }
 
     /// Returns the number of connections.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,16 +15,16 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::client::Measure;
+use super::call::{MAX_MESSAGE, PATH};
 use super::convert::{attempt_of, call_in, refusal_out, reply_out};
-use super::direct;
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
 use super::generated::peer_server::Peer;
+use super::ledger;
+use super::measure::Measure;
 use super::message::{join, take};
 use super::news;
-use super::pool::MAX_MESSAGE;
 use crate::call::{Attempt, Call, Confirm, Reason, Refusal, Reply};
 use crate::error::Error;
 use crate::guard::Guard;
@@ -69,7 +69,7 @@
 impl Peers {
     /// Answers a plain call.
     pub(super) async fn answer_plain(&self, request: http::Request<Incoming>) -> PlainAnswer {
-        if request.uri().path() != direct::PATH {
+        if request.uri().path() != PATH {
             return plain_status(StatusCode::NOT_FOUND);
         }
         let whole = Limited::new(request.into_body(), MAX_MESSAGE)
@@ -346,7 +346,7 @@
         let message = request.into_inner();
         let fits = self.meant(&message.heir) && message.service == self.guard.service().as_str();
         let entries: Result<Vec<_>, Error> =
-            message.entries.into_iter().map(news::entry_in).collect();
+            message.entries.into_iter().map(ledger::entry_in).collect();
         let entries = entries.map_err(|e| Status::invalid_argument(e.to_string()))?;
         let forgotten = MintTime::from_millis(message.forgotten_ms);
         let taken = fits && self.guard.once().adopt(mint_now(), entries, forgotten);
