--- a/src/web/connections.rs
+++ b/src/web/connections.rs
@@ -6,6 +6,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
@@ -14,7 +15,6 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use std::time::Duration;
 use tokio::time::Instant;
 
 use super::Dial;
