--- a/tests/single_calls.rs
+++ b/tests/single_calls.rs
@@ -13,6 +13,7 @@
 
 use bramleymount::model::{ClassRank, Depth, Level, Priority, RootId, Slots};
 use bramleymount::policy::admission::{Admission, Decision, Event, Settings, Token, Waiting};
+use bramleymount::policy::route::Table;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -196,3 +197,24 @@
     assert!(single < urgent);
     assert!(single.level() < Level::new(ClassRank::new(1), 0));
 }
+
+/// Tells whether a table takes a class's own calls for single ones after they
+/// made others as often as `onward` says.
+fn learned(onward: impl Fn(u32) -> bool) -> bool {
+    let mut table = Table::new("dc-1".parse().expect("a name"));
+    for call in 0..200 {
+        table.own_call(ClassRank::new(RANK), onward(call));
+    }
+    table.is_single(ClassRank::new(RANK))
+}
+
+#[test]
+fn is_single_follows_what_answers_tell() {
+    let rank = ClassRank::new(RANK);
+    let table = Table::new("dc-1".parse().expect("a name"));
+    assert!(!table.is_single(rank), "nothing is known yet");
+    assert!(learned(|_| false));
+    assert!(learned(|call| call == 10), "one long ago");
+    assert!(!learned(|call| call % 4 == 0), "one in four");
+    assert!(!learned(|call| call >= 190), "the last ten");
+}
