--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -108,10 +108,11 @@
         let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::BAD_GATEWAY);
         Reply {
             head: ReplyHead {
-                onward: false,
                 status,
                 headers,
                 account,
+                // Kept answers do not tell, and calls with a key are not judged.
+                onward: false,
                 news: self.gate.news(),
                 kept: again,
             },
--- a/src/peer/call.rs
+++ b/src/peer/call.rs
@@ -15,6 +15,7 @@
 pub(super) const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 /// The path of plain calls.
 pub(super) const PATH: &str = "/call";
+
 /// A call on its way to another daemon.
 #[derive(Debug)]
 pub struct Message<'c> {
--- a/src/policy/admission/share.rs
+++ b/src/policy/admission/share.rs
@@ -7,8 +7,7 @@
 /// Share of a class's calls above which the class depends on the service. A few
 /// calls are of another class than their parent, which has ended before them.
 const MANY: f32 = 0.25;
-
-/// Share below which it hardly ever happens.
+/// Share below which hardly any call of a class makes others.
 const RARE: f32 = 0.05;
 
 /// The share of each class's calls that called one service.
