Tell crashes of the backend server, and what was asked for, in logs

Cause looked for: whether the calls that end with one server are, in part, the same request as those that end with the next. Ids are of one attempt, and an answer that was cut looks the same whether its server crashed or not. Ruled out: nothing yet; this only adds sight. Change: the entry computes a fingerprint of each request whose body is known whole (method, host, target, body; who asks beside it), sends it along and logs it as `asks`. The guard looks, when a call is cut, whether anything still listens at the server's address, once for all calls that are cut at one time; a connection that it makes so is kept for the next call. A crash is one line and the outcome server-crashed in place of answer-cut. Before: lines with ids only.

--- a/src/call/head.rs
+++ b/src/call/head.rs
@@ -5,8 +5,8 @@
 
 use super::Confirm;
 use crate::model::{
-    AttemptId, CallId, CallerName, ClassName, Depth, OnceKey, Priority, Retries, RootId,
-    ServiceName,
+    AttemptId, CallId, CallerName, ClassName, Depth, Fingerprint, OnceKey, Priority, Retries,
+    RootId, ServiceName,
 };
 use crate::web::Payload;
 
@@ -53,6 +53,8 @@
     pub target: Box<str>,
     /// The headers for the backend server.
     pub headers: HeaderMap,
+    /// What it asks for, if its body was known whole before it was sent.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 /// A call with its body.
--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -38,13 +38,15 @@
     Replaced,
     /// The connection was lost before the answer was whole.
     Cut,
+    /// The backend server crashed while it ran the call.
+    Crashed,
     /// The answer made no sense.
     Garbage,
     /// The deadline passed.
     Timeout,
 }
 
-const PLAIN: [Reason; 13] = [
+const PLAIN: [Reason; 14] = [
     Reason::BadRequest,
     Reason::TooLarge,
     Reason::RequestCut,
@@ -56,6 +58,7 @@
     Reason::Rejected,
     Reason::Replaced,
     Reason::Cut,
+    Reason::Crashed,
     Reason::Garbage,
     Reason::Timeout,
 ];
@@ -99,6 +102,7 @@
             Self::Rejected => "server-refused",
             Self::Replaced => "instance-replaced",
             Self::Cut => "answer-cut",
+            Self::Crashed => "server-crashed",
             Self::Garbage => "answer-garbled",
             Self::Timeout => "timeout",
         }
@@ -123,7 +127,7 @@
             Self::NoSuchService => StatusCode::NOT_FOUND,
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
-            Self::Cut | Self::Garbage => StatusCode::BAD_GATEWAY,
+            Self::Cut | Self::Crashed | Self::Garbage => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -155,6 +159,7 @@
                 | Self::Rejected
                 | Self::Replaced
                 | Self::Cut
+                | Self::Crashed
                 | Self::Garbage
                 | Self::NoConfig
         )
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -152,6 +152,7 @@
         method: parts.method.clone(),
         target: target.into(),
         headers: http::HeaderMap::new(),
+        fingerprint: None,
     })
 }
 
--- a/src/entry/again.rs
+++ b/src/entry/again.rs
@@ -46,8 +46,11 @@
         }
         // A lost once call is repeated at the same instance, whose ledger
         // keeps it from running twice.
-        let once_again =
-            head.once.is_some() && matches!(failed.reason(), Reason::Cut | Reason::Unreachable);
+        let once_again = head.once.is_some()
+            && matches!(
+                failed.reason(),
+                Reason::Cut | Reason::Crashed | Reason::Unreachable
+            );
         if !once_again && !failed.reason().may_differ_elsewhere() {
             return false;
         }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::Request;
+use http::request::Parts;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -16,18 +17,19 @@
 use super::body::{BodyError, receive};
 use super::context::Context;
 use super::forward::{Ended, Forward};
+use super::place::host;
 use crate::call::{Attempt, Reason, Refusal};
 use crate::error::Error;
 use crate::guard::Guard;
 use crate::metrics::Ending;
-use crate::model::{CallId, OnceKey, ServiceName};
+use crate::model::{Asked, CallId, CallerName, Fingerprint, OnceKey, ServiceName};
 use crate::peer::Pool;
 use crate::policy::admission::Shed;
 use crate::policy::once::Refuse;
 use crate::policy::retry::Repeats;
 use crate::policy::route::TargetState;
 use crate::tables::{Detail, Shared, Step};
-use crate::web::{CallerAnswer, Listening, listen};
+use crate::web::{CallerAnswer, Listening, Payload, listen};
 
 /// The name in metrics of callers and classes that are not declared.
 const OTHER: &str = "other";
@@ -71,7 +73,7 @@
         let shared = &self.context.shared;
         let (parts, body) = request.into_parts();
         let answering = Answering::new(&*shared.protocol, &parts.headers);
-        let accepted = match self.accept(&parts, from) {
+        let mut accepted = match self.accept(&parts, from) {
             Ok(accepted) => accepted,
             Err(mut refusal) => {
                 self.note_rejected(&refusal);
@@ -82,7 +84,7 @@
         let call = accepted.head.call;
         shared.journal.note(call, Step::Entered, Detail::None);
         let started = Instant::now();
-        let ended = self.run(&accepted, &parts.headers, body).await;
+        let ended = self.run(&mut accepted, &parts, body).await;
         self.record(&accepted, &ended, started.elapsed());
         self.explain_end(answering.id(), &accepted, &ended, started.elapsed());
         match ended.result {
@@ -103,7 +105,7 @@
         }
     }
 
-    fn accept(&self, parts: &http::request::Parts, from: IpAddr) -> Result<Accepted, Refusal> {
+    fn accept(&self, parts: &Parts, from: IpAddr) -> Result<Accepted, Refusal> {
         let attempt = Attempt::plan();
         let shared = &self.context.shared;
         let Some(in_force) = shared.current.get() else {
@@ -123,7 +125,7 @@
         metrics.ended(OTHER, OTHER, Ending::Failed, Duration::ZERO, 0);
     }
 
-    async fn run(&self, accepted: &Accepted, headers: &http::HeaderMap, body: Incoming) -> Ended {
+    async fn run(&self, accepted: &mut Accepted, parts: &Parts, body: Incoming) -> Ended {
         let refused = |reason| Ended {
             result: Err(Attempt::plan().refuse(reason, "")),
             retries: 0,
@@ -131,12 +133,13 @@
         };
         let hold = accepted.head.once.is_some();
         let deadline = accepted.head.deadline;
-        let body = match timeout_at(deadline, receive(headers, body, hold)).await {
+        let body = match timeout_at(deadline, receive(&parts.headers, body, hold)).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => return refused(Reason::TooLarge),
             Ok(Err(BodyError::Cut)) => return refused(Reason::RequestCut),
             Err(_) => return refused(Reason::Shed(Shed::Deadline)),
         };
+        accepted.head.fingerprint = self.fingerprint(accepted, parts, &body);
         self.note_repeat(accepted);
         let latest = accepted.head.deadline + LAST_WORD;
         // Made in place: a future that is named first is kept twice.
@@ -150,6 +153,28 @@
         }
     }
 
+    /// Returns what a request asks for and who asks, unless its body is yet to
+    /// come.
+    fn fingerprint(
+        &self,
+        accepted: &Accepted,
+        parts: &Parts,
+        body: &Payload,
+    ) -> Option<Fingerprint> {
+        let Payload::Whole(body) = body else {
+            return None;
+        };
+        let asked = Asked {
+            method: &parts.method,
+            host: host(parts),
+            target: &accepted.head.target,
+            body,
+        };
+        let origin = &self.context.shared.config.service;
+        let caller = accepted.caller.as_ref().map(CallerName::as_str);
+        Some(Fingerprint::of(asked, caller.unwrap_or(origin.as_str())))
+    }
+
     fn note_repeat(&self, accepted: &Accepted) {
         let key = accepted.head.once.as_ref().map(|once| once.key.hash());
         if self.repeats.lock().check(accepted.count, key) {
@@ -197,6 +222,7 @@
         let left = head.deadline.saturating_duration_since(Instant::now());
         let targets: Vec<String> = ended.targets.iter().map(ToString::to_string).collect();
         let targets = targets.join(" ");
+        let asks = head.fingerprint.map(|asks| asks.to_string());
         spdlog::info!("call failed", kv: {
             request = id,
             call = head.call.to_string().as_str(),
@@ -206,6 +232,7 @@
             outcome,
             verdict,
             detail = &*detail,
+            asks = asks.as_deref().unwrap_or_default(),
             targets = targets.as_str(),
             retries = ended.retries,
             took_ms = took.as_millis() as u64,
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -67,7 +67,10 @@
         if failed.reason() == Reason::Once(Refuse::WrongOwner) {
             return Box::pin(self.follow(&once.key, failed)).await;
         }
-        let lost = matches!(failed.reason(), Reason::Cut | Reason::Garbage);
+        let lost = matches!(
+            failed.reason(),
+            Reason::Cut | Reason::Crashed | Reason::Garbage
+        );
         if !lost || failed.verdict() != Verdict::MayHaveRun {
             return Err(failed);
         }
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -37,7 +37,7 @@
 }
 
 /// Returns the host that a request names, without its port.
-fn host(parts: &Parts) -> &str {
+pub(super) fn host(parts: &Parts) -> &str {
     let named = || parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or_else(named).unwrap_or_default();
     host.split(':').next().unwrap_or_default()
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -1,5 +1,6 @@
 //! The backend server on loopback, met by HTTP.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use tokio_stream::StreamExt;
 
 use crate::call::CallHead;
-use crate::model::ServerId;
+use crate::model::{CrashId, ServerId};
 use crate::web::{Chunks, Connections, Cut, Dial, Keep, Payload, RequestError, SMALL_BODY};
 
 type RequestBody = UnsyncBoxBody<Bytes, Cut>;
@@ -34,6 +35,8 @@
     Connect(Box<str>),
     /// It closed early, or answered too little.
     Cut(Box<str>),
+    /// It crashed while it ran the call.
+    Crashed(CrashId),
     /// Its answer was no HTTP, or none to this call.
     Garbage(Box<str>),
     /// It said itself that it has not run the call.
@@ -46,7 +49,7 @@
     /// Tells whether it speaks against the backend server that stands there.
     pub(super) const fn is_fault(&self) -> bool {
         match self {
-            Self::Cut(_) | Self::Garbage(_) => true,
+            Self::Cut(_) | Self::Crashed(_) | Self::Garbage(_) => true,
             Self::Connect(_) | Self::NotRun | Self::OtherServer(_) => false,
         }
     }
@@ -91,6 +94,17 @@
     }
 }
 
+impl Backend {
+    /// Tells whether nothing listens at its address any more. A connection
+    /// that can be made is kept for the next call.
+    pub(super) async fn is_gone(&self) -> bool {
+        match self.connections.open().await {
+            Err(RequestError::Connect(e)) => e.kind() == ErrorKind::ConnectionRefused,
+            Err(RequestError::Lost(_)) | Ok(()) => false,
+        }
+    }
+}
+
 /// Makes a target without a host, as servers take it.
 fn target(path: &str) -> Result<Uri, BackendError> {
     let wrong = || BackendError::Connect("the target is no valid path".into());
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -2,6 +2,7 @@
 
 mod announced;
 mod backend;
+mod crash;
 mod gate;
 mod lease;
 mod once;
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -161,7 +161,9 @@
                     BackendError::Connect(_)
                     | BackendError::NotRun
                     | BackendError::OtherServer(_) => Change::Release,
-                    BackendError::Cut(_) | BackendError::Garbage(_) => Change::Lose,
+                    BackendError::Cut(_) | BackendError::Crashed(_) | BackendError::Garbage(_) => {
+                        Change::Lose
+                    }
                 };
                 (change, Err(self.failed(attempt, &error, &held)))
             }
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::backend::{AnswerBody, Backend, BackendError, pump, read_small, stream};
+use super::crash::Crashes;
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass};
 use crate::call::{
     Attempt, Call, CallHead, Meaning, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
@@ -36,6 +37,7 @@
     pub(super) lease: Mutex<Lease>,
     pub(super) presence: Mutex<Presence>,
     pub(super) announced: Mutex<Option<Slots>>,
+    pub(super) crashes: Crashes,
     pub(super) stopping: AtomicBool,
     pub(super) handle: Handle,
 }
@@ -60,6 +62,7 @@
             lease: Mutex::default(),
             presence: Mutex::default(),
             announced: Mutex::default(),
+            crashes: Crashes::default(),
             stopping: AtomicBool::new(false),
             shared,
             handle,
@@ -228,11 +231,23 @@
         Ok(self.reply(answered, onward, pass, held))
     }
 
+    /// Asks the backend server; tells a crash from an answer that was cut.
     pub(super) async fn ask(
         &self,
         head: &CallHead,
         body: Payload,
     ) -> Result<Answered, BackendError> {
+        let began = Instant::now();
+        match self.send(head, body).await {
+            Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
+                Some(crash) => Err(BackendError::Crashed(crash)),
+                None => Err(BackendError::Cut(cause)),
+            },
+            result => result,
+        }
+    }
+
+    async fn send(&self, head: &CallHead, body: Payload) -> Result<Answered, BackendError> {
         let protocol = &self.shared.protocol;
         let server = self.server();
         let mut headers = head.headers.clone();
@@ -282,6 +297,7 @@
                 attempt.unsent().refuse(Reason::Replaced, found)
             }
             BackendError::Cut(cause) => attempt.lose(Reason::Cut, cause.clone()),
+            BackendError::Crashed(crash) => attempt.lose(Reason::Crashed, crash.to_string()),
             BackendError::Garbage(cause) => attempt.lose(Reason::Garbage, cause.clone()),
         };
         self.shared
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,6 +1,8 @@
 //! Newtypes for names, ids, sizes and rates, shared by all modules.
 
 mod born;
+mod crash_id;
+mod fingerprint;
 mod id;
 mod instance;
 mod level;
@@ -16,6 +18,8 @@
 mod version;
 
 pub use born::Born;
+pub use crash_id::CrashId;
+pub use fingerprint::{Asked, Fingerprint};
 pub use id::{AttemptId, CallId, RootId};
 pub use instance::{Instance, StartStamp};
 pub use level::Level;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -13,8 +13,8 @@
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
-    AttemptId, CallId, ClassRank, Demand, Depth, GuardNews, Instance, Level, Percent, Priority,
-    RankSet, Retries, RootId, Verdict,
+    AttemptId, CallId, ClassRank, Demand, Depth, Fingerprint, GuardNews, Instance, Level, Percent,
+    Priority, RankSet, Retries, RootId, Verdict,
 };
 use crate::web::Payload;
 
@@ -103,6 +103,10 @@
         rank: u32::from(head.priority.rank().get()),
         held: message.held,
         single: head.single,
+        asked: head
+            .fingerprint
+            .map_or(Bytes::new(), |asks| id_bytes(asks.asked)),
+        asked_by: head.fingerprint.map_or(0, |asks| asks.caller),
     }
 }
 
@@ -123,6 +127,13 @@
         "" => None,
         text => Some(OnceCall { key: text.parse()? }),
     };
+    let fingerprint = match head.asked.len() {
+        0 => None,
+        _ => Some(Fingerprint {
+            asked: id_of(&head.asked)?,
+            caller: head.asked_by,
+        }),
+    };
     let caller = match head.caller.as_str() {
         "" => None,
         text => Some(text.parse()?),
@@ -150,6 +161,7 @@
         method,
         target: head.target.into(),
         headers: headers_in(head.headers)?,
+        fingerprint,
     })
 }
 
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -56,6 +56,12 @@
     /// Whether a caller made it itself and it needs no others.
     #[prost(bool, tag = "20")]
     pub single: bool,
+    /// Digest of what the request asks for; empty if its body comes in chunks.
+    #[prost(bytes = "bytes", tag = "21")]
+    pub asked: ::prost::bytes::Bytes,
+    /// Digest of who asks.
+    #[prost(fixed64, tag = "22")]
+    pub asked_by: u64,
 }
 /// Says that a held call may start now, or lets it start.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/web/connections.rs
+++ b/src/web/connections.rs
@@ -114,6 +114,17 @@
         }
     }
 
+    /// Opens a connection and keeps it for the next request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none can be made.
+    pub async fn open(&self) -> Result<(), RequestError> {
+        let sender = self.connect().await?;
+        self.put_back(sender);
+        Ok(())
+    }
+
     async fn connect(&self) -> Result<SendRequest<B>, RequestError> {
         let stream = self.dial.connect().await.map_err(RequestError::Connect)?;
         let (sender, connection) = handshake(TokioIo::new(stream))
@@ -148,6 +159,11 @@
     /// Gives a connection back, whose answer may still be on its way; it is
     /// not taken before its end.
     fn answered(&self, sender: SendRequest<B>, answer: Response<Incoming>) -> Response<Incoming> {
+        self.put_back(sender);
+        answer
+    }
+
+    fn put_back(&self, sender: SendRequest<B>) {
         let since = Instant::now();
         let mut idle = self.idle.lock();
         idle.push_back(Idle { sender, since });
@@ -155,7 +171,6 @@
         while idle.len() > self.keep.most || idle.front().is_some_and(old) {
             idle.pop_front();
         }
-        answer
     }
 
     /// Returns the number of connections that carry no request, or one that
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -43,6 +43,7 @@
         method: Method::GET,
         target: "/a".into(),
         headers,
+        fingerprint: None,
     }
 }
 
