Reproduce a request that crashes server after server; the test fails

Cause: what is known of a failed attempt ends with that attempt. The entry sends a repeatable call whose server crashed to a second one at once, and a caller that comes again under a new id finds any server open. Ruled out: overload and ends from outside: three servers that crash under one path alone are kept down by one caller that comes twenty times a second, with one to seven calls under way.

--- /dev/null
+++ b/tests/query_of_death.rs
@@ -0,0 +1,240 @@
+//! A request that crashes each backend server that runs it.
+//!
+//! Seen: the servers of one service ended one after the other for a quarter of a
+//! minute, came back after some seconds and ended again, one of them a tenth of
+//! a second after it had announced itself, with five calls of 119 slots under
+//! way. How it came about: one request crashed each server that began to run
+//! it. Its entry sent it to a second server at once, as it does with any call
+//! that may be repeated, and when the caller came again, anywhere, nobody knew
+//! it, so that the next server ran it too. Cause: what is known of a failed
+//! attempt ends with that attempt, and ids are of one attempt. Proof: these
+//! tests, without the operators' platform: servers that crash under one path
+//! alone are kept down by one caller that comes again twenty times a second.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bramleymount::web::{Answer, Listening};
+use http::{Method, StatusCode};
+use support::crashing::CrashingVm;
+use support::eventually;
+use support::hosted::{Vm, document, store, vm_beside};
+use support::rows::RowsStandIn;
+
+/// How long after the third crash a request may still reach servers, as the
+/// operators state it; and how often it may after that.
+const LEARNT: Duration = Duration::from_secs(3);
+const MOST_LATER: usize = 3;
+/// How long a server is away after a crash.
+const AWAY: Duration = Duration::from_millis(600);
+/// How long callers come.
+const PLAY: Duration = Duration::from_secs(8);
+
+/// Three servers of `svc`, and two VMs of other services beside which callers
+/// stand.
+struct Estate {
+    servers: Vec<CrashingVm>,
+    till: Arc<Vm>,
+    logbay: Arc<Vm>,
+    _rows: Arc<RowsStandIn>,
+    _store: Listening,
+}
+
+impl Estate {
+    async fn start() -> Self {
+        let (address, rows, listening) = store().await;
+        rows.put("op", "config", &document(7, "svc", 5.0));
+        let mut servers = Vec::new();
+        for _ in 0..3 {
+            servers.push(CrashingVm::start("svc", address, AWAY).await);
+        }
+        let estate = Self {
+            servers,
+            till: Arc::new(vm_beside("till", address).await),
+            logbay: Arc::new(vm_beside("logbay", address).await),
+            _rows: rows,
+            _store: listening,
+        };
+        estate.wait_known().await;
+        estate
+    }
+
+    async fn wait_known(&self) {
+        for entry in [&self.till, &self.logbay] {
+            entry.wait_ready().await;
+            eventually("all targets", || async {
+                let service = "svc".parse().expect("a name");
+                let table = entry.daemon.shared().routes.table(&service);
+                let known = table.lock().targets().count() == 3;
+                known.then_some(())
+            })
+            .await;
+        }
+    }
+
+    fn crashes(&self) -> Vec<Instant> {
+        let each = self.servers.iter().map(|s| s.server.crashes.lock().clone());
+        let mut crashes: Vec<Instant> = each.flatten().collect();
+        crashes.sort_unstable();
+        crashes
+    }
+
+    /// Returns when requests whose path ends with `path` reached servers.
+    fn runs(&self, path: &str) -> Vec<Instant> {
+        let each = self.servers.iter().map(|s| s.server.runs.lock().clone());
+        let runs = each.flatten().filter(|run| run.path.ends_with(path));
+        runs.map(|run| run.at).collect()
+    }
+
+    /// Checks that after some time the servers are kept from a deadly request.
+    fn check_kept_from(&self, path: &str) {
+        let crashes = self.crashes();
+        assert!(crashes.len() >= 3, "{} crashes", crashes.len());
+        let known = crashes[2] + LEARNT;
+        let later = self.runs(path).iter().filter(|at| **at > known).count();
+        let ended = crashes.len();
+        assert!(
+            later <= MOST_LATER,
+            "reached servers {later} times after three had ended and all could know; {ended} \
+             ended in all"
+        );
+    }
+}
+
+/// Sends the same request again and again, at one entry after the other.
+async fn insist(entries: [Arc<Vm>; 2], path: &'static str, until: Instant) -> Vec<Answer> {
+    let mut asked = Vec::new();
+    let mut count = 0;
+    while Instant::now() < until {
+        let entry = Arc::clone(&entries[count % 2]);
+        let id = format!("insist-{count}");
+        asked.push(tokio::spawn(async move {
+            entry.ask(Method::GET, path, &id).await
+        }));
+        count += 1;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut answers = Vec::new();
+    for asked in asked {
+        answers.push(asked.await.expect("an answer"));
+    }
+    answers
+}
+
+/// How one of the other callers fared, who comes twice more if it must.
+struct Fared {
+    began: Instant,
+    answers: Vec<Answer>,
+}
+
+impl Fared {
+    fn is_served(&self) -> bool {
+        self.answers
+            .last()
+            .is_some_and(|last| last.status == StatusCode::OK)
+    }
+}
+
+async fn ask_as_callers_do(entry: Arc<Vm>, path: String) -> Fared {
+    let began = Instant::now();
+    let mut answers = Vec::new();
+    for attempt in 0..3 {
+        let id = format!("{}-{attempt}", path.replace('/', "-"));
+        let answer = entry.ask(Method::GET, &path, &id).await;
+        let served = answer.status == StatusCode::OK;
+        answers.push(answer);
+        if served {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Fared { began, answers }
+}
+
+/// Sends other requests, each of its own, through both entries.
+async fn others(entries: [Arc<Vm>; 2], until: Instant) -> Vec<Fared> {
+    let mut asked = Vec::new();
+    let mut count = 0;
+    while Instant::now() < until {
+        let path = format!("/read/other-{count}");
+        let entry = Arc::clone(&entries[count % 2]);
+        asked.push(tokio::spawn(ask_as_callers_do(entry, path)));
+        count += 1;
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    let mut fared = Vec::new();
+    for asked in asked {
+        fared.push(asked.await.expect("an end"));
+    }
+    fared
+}
+
+fn both(estate: &Estate) -> [Arc<Vm>; 2] {
+    [Arc::clone(&estate.till), Arc::clone(&estate.logbay)]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deadly_request_is_kept_from_servers_and_no_other_is() {
+    let estate = Estate::start().await;
+    let until = Instant::now() + PLAY;
+    let deadly = insist(both(&estate), "/read/deadly", until);
+    let (answers, fared) = tokio::join!(deadly, others(both(&estate), until));
+    estate.check_kept_from("/deadly");
+    let last = answers.last().expect("answers");
+    assert_eq!(last.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(last.headers.contains_key("retry-after"));
+    let known = estate.crashes()[2] + LEARNT;
+    let later: Vec<&Fared> = fared.iter().filter(|f| f.began > known).collect();
+    assert!(!later.is_empty());
+    for fared in later {
+        assert!(fared.is_served());
+    }
+}
+
+/// A request that only the servers' answer to one caller crashes is kept from
+/// them for that caller alone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deadly_request_of_one_caller_is_served_to_another() {
+    let estate = Estate::start().await;
+    let until = Instant::now() + PLAY;
+    let of = |vm: &Arc<Vm>| [Arc::clone(vm), Arc::clone(vm)];
+    let deadly = insist(of(&estate.till), "/read/partial", until);
+    let harmless = insist(of(&estate.logbay), "/read/partial", until);
+    let (deadly, harmless) = tokio::join!(deadly, harmless);
+    let crashes = estate.crashes();
+    let known = crashes[2] + LEARNT;
+    let later = crashes.iter().filter(|at| **at > known).count();
+    assert!(later <= MOST_LATER, "{later} servers ended later");
+    let status = |answer: Option<&Answer>| answer.map(|answer| answer.status);
+    assert_eq!(status(deadly.last()), Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(status(harmless.last()), Some(StatusCode::OK));
+}
+
+/// Servers that end for another reason under a request speak against it, until
+/// one has answered it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_was_answered_is_served_however_many_servers_end() {
+    let estate = Estate::start().await;
+    for round in 0..6 {
+        let path = "/read/same";
+        let id = format!("r{round}");
+        let asking = estate.till.ask(Method::GET, path, &id);
+        let ending = async {
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            if round % 2 == 0 {
+                for vm in &estate.servers {
+                    vm.server.crash();
+                }
+            }
+        };
+        let (answer, ()) = tokio::join!(asking, ending);
+        if round % 2 == 1 {
+            assert_eq!(answer.status, StatusCode::OK, "round {round}");
+        }
+        tokio::time::sleep(AWAY + Duration::from_millis(200)).await;
+    }
+}
--- /dev/null
+++ b/tests/support/crashing.rs
@@ -0,0 +1,138 @@
+//! Backend servers that crash under some requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bramleymount::web::{CallerAnswer, Listening, caller_text, listen};
+use http::{HeaderValue, Request, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+use super::hosted::{Vm, vm_beside};
+
+/// How long a server works on a request, as users' servers do.
+const WORK: Duration = Duration::from_millis(100);
+/// How long after its start a deadly request crashes its server.
+const FUSE: Duration = Duration::from_millis(40);
+
+/// One run of a request at a server.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at: Instant,
+    pub path: String,
+}
+
+/// A backend server that crashes under each request whose path ends with
+/// `/deadly`, and under those of the caller `till` that end with `/partial`.
+/// It is back after a while as another run.
+pub struct Crashing {
+    address: SocketAddr,
+    listening: Mutex<Option<Listening>>,
+    server: Mutex<String>,
+    /// All that it began to run, in order.
+    pub runs: Mutex<Vec<Run>>,
+    /// When it crashed.
+    pub crashes: Mutex<Vec<Instant>>,
+}
+
+impl Crashing {
+    async fn start(self: &Arc<Self>, run: usize) {
+        *self.server.lock() = format!("i-{}-{run}", self.address.port());
+        let of = Arc::clone(self);
+        let listening = listen(self.address, move |request, _| {
+            Arc::clone(&of).serve(request)
+        });
+        let listening = listening.await.expect("a backend server");
+        self.listening.lock().replace(listening);
+    }
+
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> CallerAnswer {
+        let header = |name: &str| request.headers().get(name).cloned();
+        let path = request.uri().path().to_owned();
+        let mut answer = caller_text(StatusCode::OK, "text/plain", "whole answer");
+        let id = header("x-request-id").expect("an id");
+        answer.headers_mut().insert("x-request-id", id);
+        let meant = header("x-expect-instance");
+        if meant.is_some_and(|meant| meant != self.server.lock().as_str()) {
+            *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return answer;
+        }
+        let run = Run {
+            at: Instant::now(),
+            path: path.clone(),
+        };
+        self.runs.lock().push(run);
+        let caller = header("x-caller-service");
+        let deadly = path.ends_with("/deadly")
+            || path.ends_with("/partial") && caller.is_some_and(|caller| caller == "till");
+        if deadly {
+            tokio::time::sleep(FUSE).await;
+            self.crash();
+        }
+        tokio::time::sleep(WORK).await;
+        let signature = HeaderValue::from_static("signed");
+        answer.headers_mut().insert("x-server-signature", signature);
+        answer
+    }
+
+    /// Ends the server: its port is closed and all its connections are cut.
+    pub fn crash(&self) {
+        if self.listening.lock().take().is_some() {
+            self.crashes.lock().push(Instant::now());
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.listening.lock().is_none()
+    }
+}
+
+/// A VM whose backend server may crash, and is started again `away` after.
+pub struct CrashingVm {
+    pub vm: Arc<Vm>,
+    pub server: Arc<Crashing>,
+    keeper: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for CrashingVm {
+    fn drop(&mut self) {
+        self.keeper.abort();
+    }
+}
+
+impl CrashingVm {
+    pub async fn start(service: &str, store: SocketAddr, away: Duration) -> Self {
+        let vm = Arc::new(vm_beside(service, store).await);
+        let server = Arc::new(Crashing {
+            address: vm.backend,
+            listening: Mutex::default(),
+            server: Mutex::default(),
+            runs: Mutex::default(),
+            crashes: Mutex::default(),
+        });
+        server.start(0).await;
+        announce(&vm, &server, 1).await;
+        let keeper = tokio::spawn(keep_up(Arc::clone(&vm), Arc::clone(&server), away));
+        Self { vm, server, keeper }
+    }
+}
+
+async fn announce(vm: &Vm, server: &Crashing, sequence: u64) {
+    let id = server.server.lock().clone();
+    let answer = vm.announce_as(&id, "ready", sequence).await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+async fn keep_up(vm: Arc<Vm>, server: Arc<Crashing>, away: Duration) {
+    let mut run = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        if server.is_down() {
+            tokio::time::sleep(away).await;
+            run += 1;
+            server.start(run).await;
+            announce(&vm, &server, 1).await;
+        }
+    }
+}
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -79,10 +79,24 @@
     pub seen: Arc<Seen>,
     pub server: String,
     pub service: String,
-    _backend: Listening,
+    /// Where its backend server listens.
+    pub backend: SocketAddr,
+    running: Option<Listening>,
 }
 
+/// Starts a VM with a backend server that answers.
 pub async fn vm(service: &str, store: SocketAddr) -> Vm {
+    let mut vm = vm_beside(service, store).await;
+    let (of, id) = (Arc::clone(&vm.seen), vm.server.clone());
+    let served = listen(vm.backend, move |request, _| {
+        run(Arc::clone(&of), id.clone(), request)
+    });
+    vm.running = Some(served.await.expect("a backend server"));
+    vm
+}
+
+/// Starts the daemon of a VM whose backend server is started elsewhere.
+pub async fn vm_beside(service: &str, store: SocketAddr) -> Vm {
     let port = || free_address().expect("a port");
     let (callers, announcements, readiness, backend) = (port(), port(), port(), port());
     let text = format!(
@@ -94,21 +108,16 @@
     );
     let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
     let config = config.unwrap_or_else(|e| panic!("{e}"));
-    let seen = Arc::new(Seen::default());
-    let server = format!("i-{}", backend.port());
-    let (of, id) = (Arc::clone(&seen), server.clone());
-    let served = listen(backend, move |request, _| {
-        run(Arc::clone(&of), id.clone(), request)
-    });
     Vm {
         daemon: Daemon::start(config).await.expect("a daemon"),
         callers,
         announcements,
         readiness,
-        seen,
-        server,
+        seen: Arc::new(Seen::default()),
+        server: format!("i-{}", backend.port()),
         service: service.into(),
-        _backend: served.await.expect("a backend server"),
+        backend,
+        running: None,
     }
 }
 
@@ -128,6 +137,18 @@
         self.announce_raw(body.into()).await
     }
 
+    /// Announces a run of the server under an id of its own.
+    pub async fn announce_as(&self, server: &str, state: &str, sequence: u64) -> Answer {
+        let body = format!(
+            r#"{{"upstream":"{}","slots":20,"state":"{state}","coldLeftS":0,
+            "sequence":{sequence}}}"#,
+            self.service
+        );
+        let url = format!("http://{}/instances/{server}", self.announcements);
+        let answer = request(Method::PUT, &url, HeaderMap::new(), body.into()).await;
+        answer.expect("an acknowledgement")
+    }
+
     pub async fn announce_raw(&self, body: Bytes) -> Answer {
         let answer = request(Method::PUT, &self.own_url(), HeaderMap::new(), body).await;
         answer.expect("an acknowledgement")
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod crashing;
 pub mod hosted;
 pub mod rows;
 
