Hold requests that crash server after server

Cause: what was learned of a request that crashed its server ended with the attempt. The entry sent it to a second server at once, and when its caller came again, anywhere, each guard let it in like any other call. Ruled out: fewer attempts a call (callers come again all the same); a check by id (ids are of one attempt); holding all that was under way at a crash (some fifty others a crash, who did nothing). Change: each call that is under way when a server crashes becomes a suspect by its fingerprint. Daemons tell each other of suspects with their other news, and calls carry what is known of their own, so that a caller that comes again sooner than news does meets a guard that knows. After one crash a server runs eight suspects at a time, after two one at a time; an answer clears. A request that was under way at three crashes as the only one is held, at every entry and guard: 503, not run, come back in ten minutes; then it gets one run alone. Where one caller was there at all crashes, only that caller's is held. Bounded: 2,048 requests, 12 crashes each; a minute, or twenty where held. Measured: tests/query_of_death.rs, 18 sends later than allowed and 25 servers ended before; 3 ended and none later after.

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -42,11 +42,13 @@
     Crashed,
     /// The answer made no sense.
     Garbage,
+    /// It crashes the backend servers that run it.
+    QueryOfDeath,
     /// The deadline passed.
     Timeout,
 }
 
-const PLAIN: [Reason; 14] = [
+const PLAIN: [Reason; 15] = [
     Reason::BadRequest,
     Reason::TooLarge,
     Reason::RequestCut,
@@ -60,6 +62,7 @@
     Reason::Cut,
     Reason::Crashed,
     Reason::Garbage,
+    Reason::QueryOfDeath,
     Reason::Timeout,
 ];
 
@@ -104,6 +107,7 @@
             Self::Cut => "answer-cut",
             Self::Crashed => "server-crashed",
             Self::Garbage => "answer-garbled",
+            Self::QueryOfDeath => "query-of-death",
             Self::Timeout => "timeout",
         }
     }
@@ -116,7 +120,8 @@
             | Self::NoConfig
             | Self::Unreachable
             | Self::Rejected
-            | Self::Replaced => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Replaced
+            | Self::QueryOfDeath => StatusCode::SERVICE_UNAVAILABLE,
             Self::Once(Refuse::BodyDiffers) => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Once(
                 Refuse::Forgotten | Refuse::OwnerLost | Refuse::OutcomeLost | Refuse::AnswerNotKept,
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Reason;
-use crate::model::{GuardNews, Retries, Verdict};
+use crate::model::{CrashId, GuardNews, Retries, Verdict};
 
 /// What a verdict of `not-run` speaks of, where a call bears a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,8 @@
     pub account: Retries,
     /// What the guard tells of itself, if one was reached.
     pub news: Option<GuardNews>,
+    /// The crash that the call was under way at, if its server crashed.
+    pub crash: Option<CrashId>,
 }
 
 impl Refusal {
@@ -43,6 +45,7 @@
             retry_after: None,
             account: Retries::new(0),
             news: None,
+            crash: None,
         }
     }
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -27,7 +27,7 @@
 use crate::policy::member::{Beat, Member, MemberState, View};
 use crate::store::{Feed, HttpPlatform, Platform};
 use crate::tables::{
-    Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Shared, Splits, unix_ms,
+    Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Shared, Splits, Suspects, unix_ms,
 };
 use crate::task::{Stopping, find_members, gossip, keep_homes, poll, report, stop, watch_lease};
 use crate::web::{Listening, Running, caller_text, listen};
@@ -208,6 +208,7 @@
         splits: Splits::default(),
         protocol,
         calls: Arc::new(Calls::default()),
+        suspects: Suspects::default(),
         journal: Journal::default(),
         decisions: Decisions::default(),
         metrics: Metrics::new(config.metrics)?,
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -11,9 +11,11 @@
 use super::purse::Purse;
 use super::sending::Sending;
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
+use crate::guard::held;
 use crate::model::{AttemptId, Instance, Retries, Verdict};
 use crate::peer::{self, Message};
 use crate::policy::admission::{Met, Shed};
+use crate::policy::crash::{Standing, Suspect};
 use crate::policy::once::{Place, Refuse};
 use crate::policy::retry::{Account, Loan, Safety};
 use crate::policy::route::{Pick, Table, Want};
@@ -147,6 +149,9 @@
         if Instant::now() >= head.deadline {
             return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
         }
+        if let Some(Standing::Held(left)) = self.standing() {
+            return Err(held(attempt, left));
+        }
         if let Some(once) = &head.once {
             return match self.place(&once.key) {
                 Place::At(instance) if self.may_reach(instance) => Ok((attempt, instance)),
@@ -182,6 +187,20 @@
         }
     }
 
+    /// Returns what is known of crashes that the request was under way at. The
+    /// guard that it goes to may not have heard of them yet: a caller comes
+    /// again sooner than news gets around.
+    fn suspect(&self) -> Option<Suspect> {
+        let request = self.head().fingerprint?;
+        self.context.shared.suspects.get(request)
+    }
+
+    /// Returns what may be done with the request by what is known of crashes.
+    fn standing(&self) -> Option<Standing> {
+        let request = self.head().fingerprint?;
+        Some(self.context.shared.suspects.standing(request))
+    }
+
     fn want(&self) -> Want {
         Want {
             level: self.head().priority.level(),
@@ -217,9 +236,15 @@
                 account: loan.retries,
                 body,
                 held: self.holds(target),
+                suspect: self.suspect(),
             };
             peer::send(&self.context.pool, target, attempt, message).await
         };
+        if let Some(crash) = result.as_ref().err().and_then(|refusal| refusal.crash) {
+            self.context
+                .shared
+                .note_crash(self.head().fingerprint, crash);
+        }
         sent.report(&result);
         self.settle(loan, &result);
         result
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -8,9 +8,11 @@
 mod once;
 mod run_once;
 mod serve;
+mod trial;
 
 pub use backend::Backend;
 pub use gate::{Gate, Pass};
 pub use lease::{Lease, LeaseState};
 pub use once::{OnceCalls, body_hash};
 pub use serve::Guard;
+pub(crate) use trial::held;
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -143,6 +143,13 @@
             }
             return self.once.end(&key, lost.change, not_started(refusal));
         }
+        let _leave = match self.leave_to_run(&head).await {
+            Ok(leave) => leave,
+            Err(barred) => {
+                let done = not_started(barred.refuse(attempt).of_key());
+                return self.once.end(&key, Change::Release, done);
+            }
+        };
         let mut pass = match self.enter(&head).await {
             Ok(pass) => pass,
             Err(shed) => {
@@ -150,6 +157,10 @@
                 return self.once.end(&key, Change::Release, done);
             }
         };
+        if let Err(barred) = self.check_held(&head) {
+            let done = not_started(barred.refuse(attempt).of_key());
+            return self.once.end(&key, Change::Release, done);
+        }
         let held = self.shared.calls.hold(head.call, Held::new(&head));
         let attempt = attempt.send();
         let limit = head.deadline + ONCE_WAIT;
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -13,6 +13,7 @@
 
 use super::backend::{AnswerBody, Backend, BackendError, pump, read_small, stream};
 use super::crash::Crashes;
+use super::trial::Trials;
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass};
 use crate::call::{
     Attempt, Call, CallHead, Meaning, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
@@ -38,6 +39,7 @@
     pub(super) presence: Mutex<Presence>,
     pub(super) announced: Mutex<Option<Slots>>,
     pub(super) crashes: Crashes,
+    pub(super) trials: Trials,
     pub(super) stopping: AtomicBool,
     pub(super) handle: Handle,
 }
@@ -63,6 +65,7 @@
             presence: Mutex::default(),
             announced: Mutex::default(),
             crashes: Crashes::default(),
+            trials: Trials::default(),
             stopping: AtomicBool::new(false),
             shared,
             handle,
@@ -203,6 +206,10 @@
             body,
             confirm,
         } = call;
+        let _leave = match self.leave_to_run(&head).await {
+            Ok(leave) => leave,
+            Err(barred) => return Err(self.home(barred.refuse(attempt), head.account)),
+        };
         let mut pass = match self.enter(&head).await {
             Ok(pass) => pass,
             Err(shed) => {
@@ -216,6 +223,9 @@
                 return Err(self.home(refusal, head.account));
             }
         }
+        if let Err(barred) = self.check_held(&head) {
+            return Err(self.home(barred.refuse(attempt), head.account));
+        }
         let held = self.shared.calls.hold(head.call, Held::new(&head));
         let attempt = attempt.send();
         let asked = tokio::time::timeout_at(head.deadline, self.ask(&head, body)).await;
@@ -232,6 +242,10 @@
     }
 
     /// Asks the backend server; tells a crash from an answer that was cut.
+    ///
+    /// What is learned of the request outlives it, since a query of death comes
+    /// again under other ids: held after three crashes, it ends no more servers
+    /// where it ended 25 in eight seconds (`tests/query_of_death.rs`).
     pub(super) async fn ask(
         &self,
         head: &CallHead,
@@ -240,9 +254,16 @@
         let began = Instant::now();
         match self.send(head, body).await {
             Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
-                Some(crash) => Err(BackendError::Crashed(crash)),
+                Some(crash) => {
+                    self.shared.note_crash(head.fingerprint, crash);
+                    Err(BackendError::Crashed(crash))
+                }
                 None => Err(BackendError::Cut(cause)),
             },
+            Ok(answered) if answered.is_final() => {
+                self.shared.note_answer(head.fingerprint);
+                Ok(answered)
+            }
             result => result,
         }
     }
@@ -297,7 +318,11 @@
                 attempt.unsent().refuse(Reason::Replaced, found)
             }
             BackendError::Cut(cause) => attempt.lose(Reason::Cut, cause.clone()),
-            BackendError::Crashed(crash) => attempt.lose(Reason::Crashed, crash.to_string()),
+            BackendError::Crashed(crash) => {
+                let mut refusal = attempt.lose(Reason::Crashed, crash.to_string());
+                refusal.crash = Some(*crash);
+                refusal
+            }
             BackendError::Garbage(cause) => attempt.lose(Reason::Garbage, cause.clone()),
         };
         self.shared
@@ -377,3 +402,11 @@
     pub(super) length: Option<u64>,
     pub(super) body: AnswerBody,
 }
+
+impl Answered {
+    /// Tells whether the backend server went through with the call: it did not
+    /// fail it on the way, and the answer is here whole.
+    fn is_final(&self) -> bool {
+        !self.status.is_server_error() && matches!(self.body, AnswerBody::Whole(_))
+    }
+}
--- a/src/peer/call.rs
+++ b/src/peer/call.rs
@@ -4,6 +4,7 @@
 
 use crate::call::CallHead;
 use crate::model::Retries;
+use crate::policy::crash::Suspect;
 use crate::web::Payload;
 
 /// How much longer than the deadline an answer is waited for, so that the
@@ -27,4 +28,6 @@
     pub body: Payload,
     /// Whether the guard asks before it starts the call.
     pub held: bool,
+    /// What is known of crashes that the request was under way at.
+    pub suspect: Option<Suspect>,
 }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -9,12 +9,13 @@
 
 use super::call::Message;
 use super::generated as wire;
+use super::suspect::suspect_out;
 use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Scope, Sent};
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
-    AttemptId, CallId, ClassRank, Demand, Depth, Fingerprint, GuardNews, Instance, Level, Percent,
-    Priority, RankSet, Retries, RootId, Verdict,
+    AttemptId, CallId, ClassRank, CrashId, Demand, Depth, Fingerprint, GuardNews, Instance, Level,
+    Percent, Priority, RankSet, Retries, RootId, Verdict,
 };
 use crate::web::Payload;
 
@@ -26,7 +27,7 @@
     Bytes::copy_from_slice(&id.to_be_bytes())
 }
 
-fn id_of(bytes: &[u8]) -> Result<u128, Error> {
+pub(super) fn id_of(bytes: &[u8]) -> Result<u128, Error> {
     bytes
         .try_into()
         .map(u128::from_be_bytes)
@@ -107,6 +108,7 @@
             .fingerprint
             .map_or(Bytes::new(), |asks| id_bytes(asks.asked)),
         asked_by: head.fingerprint.map_or(0, |asks| asks.caller),
+        suspect: message.suspect.as_ref().map(|s| suspect_out(s, now)),
     }
 }
 
@@ -237,6 +239,7 @@
         load: news.load,
         faults: u32::from(news.faults.get()),
         leaving: news.leaving,
+        crash: refusal.crash.map_or(0, CrashId::get),
     }
 }
 
@@ -257,6 +260,7 @@
             refusal = refusal.of_key();
         }
         refusal.account = Retries::new(message.account);
+        refusal.crash = (message.crash != 0).then(|| CrashId::new(message.crash));
         refusal.retry_after = match message.retry_after_ms {
             0 => None,
             ms => Some(Duration::from_millis(u64::from(ms))),
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -62,6 +62,9 @@
     /// Digest of who asks.
     #[prost(fixed64, tag = "22")]
     pub asked_by: u64,
+    /// What is known of crashes that the request was under way at.
+    #[prost(message, optional, tag = "23")]
+    pub suspect: ::core::option::Option<Suspect>,
 }
 /// Says that a held call may start now, or lets it start.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -158,6 +161,9 @@
     /// Calls that the backend server fails by itself, in a hundred.
     #[prost(uint32, tag = "13")]
     pub faults: u32,
+    /// The crash that the call was under way at; 0 if its server did not crash.
+    #[prost(fixed64, tag = "14")]
+    pub crash: u64,
 }
 /// Closes a streamed body: its length and digest as a whole.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -204,6 +210,29 @@
     #[prost(uint32, tag = "5")]
     pub wait_ms: u32,
 }
+/// A crash of a backend server that a request of one caller was under way at.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Strike {
+    #[prost(fixed64, tag = "1")]
+    pub crash: u64,
+    #[prost(fixed64, tag = "2")]
+    pub caller: u64,
+}
+/// What is known of a request that was under way at crashes.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Suspect {
+    /// Digest of what is asked for.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub asked: ::prost::bytes::Bytes,
+    #[prost(message, repeated, tag = "2")]
+    pub strikes: ::prost::alloc::vec::Vec<Strike>,
+    /// Callers to whom a server has answered it since.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub answered: ::prost::alloc::vec::Vec<u64>,
+    /// Milliseconds since the last crash.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
 /// What one daemon says of itself; a higher beat replaces a lower one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -258,6 +287,12 @@
     /// Digest of the sender's home rows.
     #[prost(uint64, tag = "8")]
     pub homes_digest: u64,
+    /// Suspects that changed since the last exchange.
+    #[prost(message, repeated, tag = "9")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    /// Up to which change of the receiver's suspects the sender has been told.
+    #[prost(uint64, tag = "10")]
+    pub suspects_seen: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeReply {
@@ -283,6 +318,11 @@
     pub homes: ::prost::alloc::vec::Vec<HomeRow>,
     #[prost(uint64, tag = "9")]
     pub homes_change: u64,
+    /// Suspects that changed since `suspects_seen`.
+    #[prost(message, repeated, tag = "10")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    #[prost(uint64, tag = "11")]
+    pub suspects_change: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HomeRow {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -23,6 +23,7 @@
 mod plain;
 mod pool;
 mod server;
+mod suspect;
 
 pub use call::Message;
 pub use client::{inquire, send};
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -9,6 +9,7 @@
 
 use super::generated as wire;
 use super::pool::Pool;
+use super::suspect::{suspects_in, suspects_out};
 use crate::declare::{Document, DocumentName, Manifest};
 use crate::error::Error;
 use crate::model::{Instance, ServiceName, Slots, Version};
@@ -52,7 +53,7 @@
     address: SocketAddr,
     told: Told,
 ) -> Result<Exchanged, ExchangeError> {
-    let (request, ours) = request(shared, told);
+    let (request, sent) = request(shared, told);
     let answer = ask(pool, address, request).await?;
     let instance: Instance = answer
         .from
@@ -60,13 +61,20 @@
         .map_err(|e: Error| ExchangeError(e.to_string().into()))?;
     let same = take_members(shared, &answer.members, answer.digest);
     take_homes(shared, &answer.homes);
+    shared.take_suspects(&suspects_in(&answer.suspects));
     if shared.current.offer(Version::new(answer.version)) == Offer::Take {
         fetch(shared, pool, address, &answer).await?;
     }
     let told = Told {
-        ours: Some(ours),
+        ours: Some(sent.members),
         theirs: Change(answer.change),
         homes: Change(answer.homes_change),
+        // Another run of the daemon knows nothing of what was told before.
+        suspects: match told.of {
+            Some(of) if of != instance => Change::default(),
+            _ => sent.suspects,
+        },
+        suspects_of: Change(answer.suspects_change),
         of: Some(instance),
     };
     Ok(Exchanged {
@@ -97,7 +105,14 @@
     }
 }
 
-fn request(shared: &Shared, told: Told) -> (wire::ExchangeRequest, Change) {
+/// Up to which changes a request tells.
+struct Sent {
+    members: Change,
+    suspects: Change,
+}
+
+fn request(shared: &Shared, told: Told) -> (wire::ExchangeRequest, Sent) {
+    let (suspects, suspects_change) = shared.suspects.changed(told.suspects);
     let homes_digest = shared.homes.digest();
     let version = shared.current.version().get();
     let view = shared.view.lock();
@@ -114,8 +129,14 @@
         homes_seen: told.homes.0,
         seen_of: told.of.map_or(String::new(), |of| of.to_string()),
         homes_digest,
+        suspects: suspects_out(&suspects),
+        suspects_seen: told.suspects_of.0,
+    };
+    let sent = Sent {
+        members: view.change(),
+        suspects: suspects_change,
     };
-    (request, view.change())
+    (request, sent)
 }
 
 /// Merges members; returns whether the digest is that of the own view.
@@ -168,6 +189,7 @@
             version: shared.current.version().get(),
             seen: u64::MAX,
             homes_seen: u64::MAX,
+            suspects_seen: u64::MAX,
             seen_of: answer.from.clone(),
             want,
             ..Default::default()
@@ -222,6 +244,7 @@
     request: &wire::ExchangeRequest,
 ) -> (wire::ExchangeReply, bool) {
     take_members(shared, &request.members, 0);
+    shared.take_suspects(&suspects_in(&request.suspects));
     let in_force = shared.current.get();
     let version = shared.current.version();
     let sender = Version::new(request.version);
@@ -234,6 +257,7 @@
         }
     };
     let (homes, homes_change) = shared.homes.changed(since(request.homes_seen));
+    let (suspects, suspects_change) = shared.suspects.changed(since(request.suspects_seen));
     let view = shared.view.lock();
     let changed = known.then(|| view.changed(Change(request.seen))).flatten();
     let members = match changed {
@@ -253,6 +277,8 @@
         documents: wanted(in_force.as_deref(), &request.want),
         homes: homes.iter().map(home_out).collect(),
         homes_change: homes_change.0,
+        suspects: suspects_out(&suspects),
+        suspects_change: suspects_change.0,
     };
     drop(view);
     let asks = request.want.is_empty();
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -25,6 +25,7 @@
 use super::measure::Measure;
 use super::message::{join, take};
 use super::news;
+use super::suspect::suspects_in;
 use crate::call::{Attempt, Call, Confirm, Reason, Refusal, Reply};
 use crate::error::Error;
 use crate::guard::Guard;
@@ -60,6 +61,10 @@
         if !self.meant(&head.instance) {
             return Err(Reason::Replaced);
         }
+        if let Some(suspect) = &head.suspect {
+            let told = suspects_in(std::slice::from_ref(suspect));
+            self.shared.take_suspects(&told);
+        }
         let in_force = self.shared.current.get();
         let estate = in_force.as_ref().map(|in_force| &in_force.estate);
         call_in(head, estate, Instant::now()).map_err(|_| Reason::BadRequest)
--- a/src/policy/member/link.rs
+++ b/src/policy/member/link.rs
@@ -33,6 +33,10 @@
     pub theirs: Change,
     /// The same of its home rows.
     pub homes: Change,
+    /// Up to which change of the own suspects the neighbour has been told.
+    pub suspects: Change,
+    /// Up to which change of its suspects it has told us.
+    pub suspects_of: Change,
     /// The instance that the counts belong to.
     pub of: Option<Instance>,
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Pure decisions: time and random numbers are passed in, nothing is sent.
 
 pub mod admission;
+pub mod crash;
 pub mod member;
 pub mod once;
 pub mod retry;
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -11,7 +11,8 @@
 //! 6. `Calls` (held calls), then one account
 //! 7. `Gate` (admission)
 //! 8. `Ledger` (once calls)
-//! 9. `Journal` and histograms
+//! 9. `Suspects` (requests under way at crashes)
+//! 10. `Journal` and histograms
 
 mod calls;
 mod current;
@@ -22,6 +23,7 @@
 mod routes;
 mod shared;
 mod splits;
+mod suspects;
 
 pub use calls::{Calls, Held, HeldCall};
 pub use current::{Current, InForce};
@@ -32,3 +34,4 @@
 pub use routes::Routes;
 pub use shared::{Shared, mint_now, unix_ms};
 pub use splits::Splits;
+pub use suspects::Suspects;
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -8,11 +8,12 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Splits};
+use super::{Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Splits, Suspects};
 use crate::call::Protocol;
 use crate::config::Config;
 use crate::metrics::Metrics;
-use crate::model::{Instance, MintTime, Version};
+use crate::model::{CrashId, Fingerprint, Instance, MintTime, Version};
+use crate::policy::crash::Suspect;
 use crate::policy::member::View;
 use crate::store::Platform;
 
@@ -36,6 +37,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// Calls that the backend server works on.
     pub calls: Arc<Calls>,
+    /// Requests that were under way at crashes.
+    pub suspects: Suspects,
     /// Recent decisions.
     pub journal: Journal,
     /// Leave for log lines on single calls.
@@ -70,6 +73,28 @@
         self.readiness.is_open() && self.current.version() > Version::NONE
     }
 
+    /// Takes note that a request was under way at a crash, and passes it on.
+    pub fn note_crash(&self, request: Option<Fingerprint>, crash: CrashId) {
+        if request.is_some_and(|request| self.suspects.crashed(request, crash)) {
+            self.wake();
+        }
+    }
+
+    /// Takes note that a server answered a request, and passes it on where it
+    /// was suspected.
+    pub fn note_answer(&self, request: Option<Fingerprint>) {
+        if request.is_some_and(|request| self.suspects.answered(request)) {
+            self.wake();
+        }
+    }
+
+    /// Takes what another daemon knows of suspects, and passes it on.
+    pub fn take_suspects(&self, news: &[Suspect]) {
+        if self.suspects.merge(news) {
+            self.wake();
+        }
+    }
+
     /// Tells the task that news is there to pass on.
     pub fn wake(&self) {
         self.news.notify_one();
--- a/src/task/gossip.rs
+++ b/src/task/gossip.rs
@@ -31,6 +31,7 @@
         round(&shared, &pool, &mut links).await;
         if Instant::now() >= forget {
             shared.view.lock().forget(Instant::now());
+            shared.suspects.forget();
             forget = Instant::now() + FORGET;
         }
     }
