Soak: requests that crash each server that runs them

Cause: the soak knew crashes of servers as faults from outside only, so what brought down an estate for a quarter of a minute did not happen in it. Change: one caller beside each VM sends a request again and again that crashes each server that begins to run it, and every twelve seconds another one, until the last fault. Checked: how often it reaches servers later than three seconds after it has crashed the third (three times at most, sent by VMs that nothing touched); and that no other request is held like it. What was served leaves deadly requests out.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -11,10 +11,12 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::estate::{Addresses, SLOTS, service};
+use crate::caller::DEADLY_BODY;
+use crate::estate::{Addresses, SLOTS, deadly_of, service};
 use crate::record::{Record, Run};
 
 /// How often the server announces itself.
@@ -25,6 +27,8 @@
 /// long enough for their callers to leave.
 const REJECTED: u32 = 3;
 const LONG: u32 = 5;
+/// How long after its start a deadly request crashes its server.
+const FUSE: Duration = Duration::from_millis(30);
 /// How often the port is tried again.
 const BINDS: u32 = 50;
 /// How long those run.
@@ -47,6 +51,22 @@
     told: Mutex<Told>,
     /// When it was acknowledged that the server leaves.
     left: Mutex<Option<Instant>>,
+    running: Mutex<Option<Running>>,
+    /// Told when a request has crashed the server.
+    crashed: Notify,
+}
+
+/// What ends with a run of the server.
+#[derive(Debug)]
+struct Running {
+    _listening: Listening,
+    beats: JoinHandle<()>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.beats.abort();
+    }
 }
 
 /// One backend server.
@@ -54,8 +74,22 @@
 pub(crate) struct Backend {
     shared: Arc<Shared>,
     addresses: Addresses,
-    listening: Option<Listening>,
-    beats: Option<JoinHandle<()>>,
+}
+
+impl Shared {
+    /// Ends the run of the server; returns whether there was one.
+    fn end(&self) -> bool {
+        self.running.lock().take().is_some()
+    }
+
+    /// Crashes the server under a deadly request.
+    async fn crash_under(&self, deadly: u64) {
+        tokio::time::sleep(FUSE).await;
+        if self.end() {
+            self.record.crashed(deadly);
+            self.crashed.notify_one();
+        }
+    }
 }
 
 fn unix_ms() -> u64 {
@@ -77,10 +111,10 @@
                 record,
                 told: Mutex::new(told),
                 left: Mutex::default(),
+                running: Mutex::default(),
+                crashed: Notify::new(),
             }),
             addresses,
-            listening: None,
-            beats: None,
         }
     }
 
@@ -102,9 +136,13 @@
             };
         }
         *self.shared.left.lock() = None;
-        self.listening = Some(self.listen().await?);
+        let listening = self.listen().await?;
         let shared = Arc::clone(&self.shared);
-        self.beats = Some(tokio::spawn(announce(shared, self.addresses.announcements)));
+        let running = Running {
+            _listening: listening,
+            beats: tokio::spawn(announce(shared, self.addresses.announcements)),
+        };
+        *self.shared.running.lock() = Some(running);
         Ok(())
     }
 
@@ -127,8 +165,18 @@
 
     /// Ends at once, as a crash would; connections are closed.
     pub(crate) fn crash(&mut self) {
-        self.beats.take().inspect(JoinHandle::abort);
-        self.listening = None;
+        self.shared.end();
+    }
+
+    /// Tells whether the server is down.
+    pub(crate) fn is_down(&self) -> bool {
+        self.shared.running.lock().is_none()
+    }
+
+    /// Returns what waits until a request has crashed the server.
+    pub(crate) fn crashes(&self) -> impl Future<Output = ()> + use<> {
+        let shared = Arc::clone(&self.shared);
+        async move { shared.crashed.notified().await }
     }
 
     /// Says that the server leaves; returns whether that was acknowledged.
@@ -213,10 +261,14 @@
         *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST;
         return answer;
     }
-    let rejected = rand::rng().random_ratio(REJECTED, 100);
-    let body = body.collect().await.map(|body| body.to_bytes());
     let path = head.uri.path();
-    let sent = crate::caller::body(&id);
+    let deadly = deadly_of(path);
+    let rejected = deadly.is_none() && rand::rng().random_ratio(REJECTED, 100);
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let sent = match deadly {
+        Some(_) => DEADLY_BODY.to_owned(),
+        None => crate::caller::body(&id),
+    };
     let run = Run {
         vm: shared.vm,
         service: service(shared.vm),
@@ -225,7 +277,7 @@
         ended: None,
         rejected,
         unchanged: head.method == Method::POST
-            && path.ends_with(&id)
+            && (path.ends_with(&id) || deadly.is_some())
             && body.is_ok_and(|body| *body == *sent.as_bytes()),
     };
     let place = shared.record.ran(&id, run);
@@ -239,6 +291,9 @@
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return answer;
     }
+    if let Some(deadly) = deadly {
+        shared.crash_under(deadly).await;
+    }
     put("x-server-signature", "signed");
     let time = if rand::rng().random_ratio(LONG, 100) {
         LONG_TIME
--- a/examples/soak/caller.rs
+++ b/examples/soak/caller.rs
@@ -6,13 +6,14 @@
 
 use bramleymount::web::{Connections, Dial, Keep, RequestError};
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request};
+use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::{BodyExt, Full};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-use crate::estate::{Addresses, MOVED, READ, WRITE};
+use crate::estate::{Addresses, DEADLY, MOVED, READ, WRITE, deadly_of};
 use crate::record::{End, Record};
 
 /// How long a caller waits for an answer.
@@ -23,6 +24,22 @@
 const LEFT: u32 = 4;
 const LEFT_AFTER: Duration = Duration::from_millis(150);
 
+/// The body of all deadly requests.
+pub(crate) const DEADLY_BODY: &str = "deadly";
+/// Pause between two sends of the same deadly request.
+const INSIST: Duration = Duration::from_millis(300);
+/// How long one deadly request is sent before another is.
+const ANOTHER: Duration = Duration::from_secs(12);
+/// A refusal that asks to stay away for longer is one of a deadly request;
+/// under overload callers are asked to stay away for a second or two.
+const HELD: f64 = 60.0;
+
+/// Returns for how many seconds an answer asks to stay away.
+fn held_for(headers: &HeaderMap) -> f64 {
+    let told = headers.get("retry-after").and_then(|at| at.to_str().ok());
+    told.and_then(|at| at.parse().ok()).unwrap_or_default()
+}
+
 /// Returns the body of a request.
 pub(crate) fn body(id: &str) -> String {
     format!("body of {id}")
@@ -77,8 +94,11 @@
             };
             let leaves = path == READ && self.rng.random_ratio(LEFT, 100);
             let wait = if leaves { LEFT_AFTER } else { DEADLINE };
-            self.record.sent(&id, self.vm, path);
-            let end = match tokio::time::timeout(wait, self.ask(&id, path)).await {
+            self.record.sent(&id, self.vm, path, None);
+            let target = format!("{path}{id}");
+            let body = body(&id);
+            let asked = self.ask(&id, &target, &body);
+            let end = match tokio::time::timeout(wait, asked).await {
                 Ok(end) => end,
                 Err(_) if leaves => End::Left,
                 Err(_) => End::Cut,
@@ -88,10 +108,29 @@
         }
     }
 
-    async fn ask(&self, id: &str, path: &str) -> End {
-        let mut request = Request::new(Full::new(Bytes::from(body(id))));
+    /// Sends the same request again and again, and after some time another one
+    /// that crashes servers, until `stop` is told; no other one after `end`,
+    /// since that would be a fault.
+    pub(crate) async fn insist(mut self, stop: watch::Receiver<bool>, end: Instant) {
+        let (start, mut count) = (Instant::now(), 0);
+        while !*stop.borrow() {
+            count += 1;
+            let elapsed = Instant::now().min(end).saturating_duration_since(start);
+            let deadly = elapsed.as_secs() / ANOTHER.as_secs();
+            let id = format!("{}d{count}", self.name);
+            let target = format!("{DEADLY}{deadly}");
+            self.record.sent(&id, self.vm, DEADLY, Some(deadly));
+            let asked = self.ask(&id, &target, DEADLY_BODY);
+            let end = tokio::time::timeout(DEADLINE, asked).await;
+            self.record.ended(&id, end.unwrap_or(End::Cut));
+            tokio::time::sleep(INSIST.mul_f64(self.rng.random_range(0.5..1.5))).await;
+        }
+    }
+
+    async fn ask(&self, id: &str, target: &str, body: &str) -> End {
+        let mut request = Request::new(Full::new(Bytes::copy_from_slice(body.as_bytes())));
         *request.method_mut() = Method::POST;
-        *request.uri_mut() = format!("{path}{id}").parse().expect("a path");
+        *request.uri_mut() = target.parse().expect("a path");
         let headers = request.headers_mut();
         headers.insert("host", HeaderValue::from_static("a.example"));
         headers.insert("x-caller-service", HeaderValue::from_static("forged"));
@@ -115,6 +154,9 @@
             .and_then(|of| of.to_str().ok());
         let signed = head.headers.contains_key("x-server-signature");
         let whole = *body.to_bytes() == *format!("answer to {id}").as_bytes();
+        if held_for(&head.headers) > HELD && deadly_of(target).is_none() {
+            self.record.held.lock().push(id.to_owned());
+        }
         // A refusal of the daemon itself may leave the id out.
         let own = of.is_none_or(|of| of == id);
         End::Answered {
--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -23,6 +23,10 @@
 const ENDED: Duration = Duration::from_millis(500);
 /// The window in which repeats are counted.
 const WINDOW: Duration = Duration::from_secs(10);
+/// Crashes of one request that are allowed, and how often it may reach servers
+/// after all can know of them.
+const CRASHES: usize = 3;
+const MOST_LATER: usize = 3;
 /// Time of the process that watches, which may be late itself.
 const LATE: Duration = Duration::from_millis(100);
 
@@ -62,6 +66,13 @@
     }
     broken.extend(gone(world, sent.values()));
     broken.extend(budget(sent.values()));
+    broken.extend(deadly(world, record, sent.values()));
+    broken.extend(record.held.lock().iter().map(|id| Broken {
+        rule: "HELD",
+        id: id.clone(),
+        at: sent.get(id).map_or_else(Instant::now, |sent| sent.at),
+        what: "it was held like a request that crashes servers".into(),
+    }));
     let now = Instant::now();
     broken.extend(record.unasked.lock().iter().map(|id| Broken {
         rule: "UNASKED",
@@ -264,6 +275,46 @@
     None
 }
 
+/// Deadly requests that reach servers more often than allowed once all can know
+/// that they crashed three.
+fn deadly<'s>(world: &World, record: &Record, all: impl Iterator<Item = &'s Sent>) -> Vec<Broken> {
+    let mut crashes: BTreeMap<u64, Vec<Instant>> = BTreeMap::new();
+    for (deadly, at) in record.crashes.lock().iter() {
+        crashes.entry(*deadly).or_default().push(*at);
+    }
+    let mut later: BTreeMap<u64, Vec<Instant>> = BTreeMap::new();
+    for sent in all {
+        let third = sent.deadly.and_then(|deadly| {
+            let crashes = crashes.get(&deadly)?;
+            Some((deadly, *crashes.get(CRASHES - 1)?))
+        });
+        let Some((deadly, third)) = third else {
+            continue;
+        };
+        let late = sent.runs.iter().filter(|run| {
+            run.at > third + CONTACT + LATE && in_touch(world, sent.vm, sent.at, run.at)
+        });
+        later
+            .entry(deadly)
+            .or_default()
+            .extend(late.map(|run| run.at));
+    }
+    let many = later
+        .into_iter()
+        .filter(|(_, runs)| runs.len() > MOST_LATER);
+    many.map(|(deadly, runs)| Broken {
+        rule: "BUDGET",
+        id: String::new(),
+        at: runs[0],
+        what: format!(
+            "deadly request {deadly} reached servers {} times too late; {} ended in all",
+            runs.len(),
+            crashes[&deadly].len()
+        ),
+    })
+    .collect()
+}
+
 /// Returns how often requests sent in a time ended in each way.
 pub(crate) fn ends(record: &Record, from: Instant, to: Instant) -> BTreeMap<String, usize> {
     let mut ends = BTreeMap::new();
@@ -286,7 +337,7 @@
 pub(crate) fn served(record: &Record, from: Instant, to: Instant) -> (usize, usize) {
     let sent = record.sent.lock();
     let ended = sent.values().filter(|s| s.at >= from && s.at < to);
-    let judged = ended.filter(|s| !matches!(s.end, Some((_, End::Left))));
+    let judged = ended.filter(|s| s.deadly.is_none() && !matches!(s.end, Some((_, End::Left))));
     let mut counts = (0, 0);
     for one in judged {
         counts.1 += 1;
--- a/examples/soak/estate.rs
+++ b/examples/soak/estate.rs
@@ -21,6 +21,15 @@
 pub(crate) const WRITE: &str = "/write/";
 pub(crate) const MOVED: &str = "/moved/";
 
+/// How the paths of requests begin that crash each server that runs them; the
+/// number of one such request follows.
+pub(crate) const DEADLY: &str = "/read/deadly-";
+
+/// Returns the number of a deadly request.
+pub(crate) fn deadly_of(path: &str) -> Option<u64> {
+    path.strip_prefix(DEADLY)?.parse().ok()
+}
+
 /// The addresses of one VM.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Addresses {
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -21,6 +21,9 @@
 /// Until a server that leaves may end: the platform's bound, and a little more.
 const LEAVING: Duration = Duration::from_millis(2500);
 
+/// How long a server is away that a request has crashed.
+const CRASHED: Duration = Duration::from_secs(1);
+
 /// The kinds of faults and of planned work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -192,6 +195,21 @@
         self.vms[vm].calm(place);
     }
 
+    /// Starts the server of a VM again whenever a request has crashed it.
+    pub(crate) async fn keep_up(&self, vm: usize) {
+        loop {
+            let crashes = self.backends[vm].lock().await.crashes();
+            crashes.await;
+            let place = self.vms[vm].disturb();
+            tokio::time::sleep(CRASHED).await;
+            let mut backend = self.backends[vm].lock().await;
+            if backend.is_down() {
+                self.restart(vm, &mut backend, false).await;
+            }
+            self.vms[vm].calm(place);
+        }
+    }
+
     async fn replace(&self, vm: usize) {
         let mut backend = self.backends[vm].lock().await;
         if backend.leave(LEAVING).await {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -133,6 +133,14 @@
         }
     }
     let end = Instant::now() + Duration::from_secs_f64(args.minutes * 60.0);
+    let mut keepers = JoinSet::new();
+    for vm in 0..world.vms.len() {
+        let (world, record) = (Arc::clone(&world), Arc::clone(&record));
+        let addresses = world.vms[vm].addresses;
+        let insists = Caller::new(vm, CALLERS, args.seed, &addresses, record);
+        callers.spawn(insists.insist(stopped.clone(), end));
+        keepers.spawn(async move { world.keep_up(vm).await });
+    }
     play(&world, args.seed, end).await;
     tokio::time::sleep(SETTLE).await;
     let calm = Instant::now();
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -46,6 +46,8 @@
     /// The VM of the caller.
     pub(crate) vm: usize,
     pub(crate) path: &'static str,
+    /// The number of the request, if it is deadly.
+    pub(crate) deadly: Option<u64>,
     pub(crate) at: Instant,
     pub(crate) end: Option<(Instant, End)>,
     pub(crate) runs: Vec<Run>,
@@ -55,15 +57,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct Record {
     pub(crate) sent: Mutex<HashMap<String, Sent>>,
+    /// The crashes of servers under deadly requests, by the request's number.
+    pub(crate) crashes: Mutex<Vec<(u64, Instant)>>,
+    /// Ids of requests that were not deadly, and were held like one.
+    pub(crate) held: Mutex<Vec<String>>,
     /// Runs of requests that nobody sent.
     pub(crate) unasked: Mutex<Vec<String>>,
 }
 
 impl Record {
-    pub(crate) fn sent(&self, id: &str, vm: usize, path: &'static str) {
+    pub(crate) fn sent(&self, id: &str, vm: usize, path: &'static str, deadly: Option<u64>) {
         let sent = Sent {
             vm,
             path,
+            deadly,
             at: Instant::now(),
             end: None,
             runs: Vec::new(),
@@ -77,6 +84,10 @@
         }
     }
 
+    pub(crate) fn crashed(&self, deadly: u64) {
+        self.crashes.lock().push((deadly, Instant::now()));
+    }
+
     /// Notes a run; returns its place among those of the request.
     pub(crate) fn ran(&self, id: &str, run: Run) -> usize {
         match self.sent.lock().get_mut(id) {
