Leave a server out as soon as its port is closed

The lease of a crashed server lasts up to ten seconds more; its guard is idle, so by its load it is the best target of every call, which it refuses; after three such detours a call is refused. Ruled out: the ejection at entries (a guard that answers is no failure). Change: a refused connection, or a crash, ends the lease; the next announcement opens it.

--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -96,6 +96,21 @@
         }
     }
 
+    /// Takes note that a run of the backend server has ended, as its closed port
+    /// shows; it is served again from its next announcement on.
+    ///
+    /// Its guard is idle then, and by its load the best target there is: until
+    /// its lease lapsed, up to ten seconds, it drew every call only to refuse
+    /// it. The estate leaves it out in a tenth of a second so
+    /// (`tests/crashed_server.rs`).
+    pub(super) fn ended(&self, server: Option<&ServerId>) {
+        if self.server().as_ref() != server || self.lease_state() != LeaseState::Serving {
+            return;
+        }
+        *self.lease.lock() = Lease::absent();
+        self.shared.announced.notify_one();
+    }
+
     /// Refuses new calls for good, since the daemon stops.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -33,6 +33,8 @@
 pub(super) enum BackendError {
     /// No connection could be made; it has seen nothing.
     Connect(Box<str>),
+    /// Nothing listens at its address; it has seen nothing.
+    Gone(Box<str>),
     /// It closed early, or answered too little.
     Cut(Box<str>),
     /// It crashed while it ran the call.
@@ -50,7 +52,7 @@
     pub(super) const fn is_fault(&self) -> bool {
         match self {
             Self::Cut(_) | Self::Crashed(_) | Self::Garbage(_) => true,
-            Self::Connect(_) | Self::NotRun | Self::OtherServer(_) => false,
+            Self::Connect(_) | Self::Gone(_) | Self::NotRun | Self::OtherServer(_) => false,
         }
     }
 }
@@ -99,7 +101,7 @@
     /// that can be made is kept for the next call.
     pub(super) async fn is_gone(&self) -> bool {
         match self.connections.open().await {
-            Err(RequestError::Connect(e)) => e.kind() == ErrorKind::ConnectionRefused,
+            Err(RequestError::Connect(e)) => is_refused(&e),
             Err(RequestError::Lost(_)) | Ok(()) => false,
         }
     }
@@ -113,8 +115,14 @@
     Uri::from_parts(parts).map_err(|_| wrong())
 }
 
+/// Tells whether nothing listens at the address.
+fn is_refused(error: &std::io::Error) -> bool {
+    error.kind() == ErrorKind::ConnectionRefused
+}
+
 fn failed(error: RequestError) -> BackendError {
     match error {
+        RequestError::Connect(e) if is_refused(&e) => BackendError::Gone(e.to_string().into()),
         RequestError::Connect(e) => BackendError::Connect(e.to_string().into()),
         RequestError::Lost(e) if e.is_parse() => BackendError::Garbage(e.to_string().into()),
         RequestError::Lost(e) => BackendError::Cut(e.to_string().into()),
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -170,6 +170,7 @@
             Ok(Err(error)) => {
                 let change = match error {
                     BackendError::Connect(_)
+                    | BackendError::Gone(_)
                     | BackendError::NotRun
                     | BackendError::OtherServer(_) => Change::Release,
                     BackendError::Cut(_) | BackendError::Crashed(_) | BackendError::Garbage(_) => {
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -252,14 +252,20 @@
         body: Payload,
     ) -> Result<Answered, BackendError> {
         let began = Instant::now();
+        let server = self.server();
         match self.send(head, body).await {
             Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
                 Some(crash) => {
                     self.shared.note_crash(head.fingerprint, crash);
+                    self.ended(server.as_ref());
                     Err(BackendError::Crashed(crash))
                 }
                 None => Err(BackendError::Cut(cause)),
             },
+            Err(BackendError::Gone(cause)) => {
+                self.ended(server.as_ref());
+                Err(BackendError::Gone(cause))
+            }
             Ok(answered) if answered.is_final() => {
                 self.shared.note_answer(head.fingerprint);
                 Ok(answered)
@@ -308,7 +314,7 @@
         held: &HeldCall,
     ) -> Refusal {
         let refusal = match error {
-            BackendError::Connect(cause) => attempt
+            BackendError::Connect(cause) | BackendError::Gone(cause) => attempt
                 .unsent()
                 .refuse(Reason::Unreachable, cause.clone())
                 .of_key(),
--- /dev/null
+++ b/tests/crashed_server.rs
@@ -0,0 +1,79 @@
+//! A backend server that crashes while its daemon goes on.
+//!
+//! The load answered here: one of a few servers ends, and the guard before it is
+//! idle, so that by its load it is the best target of every call. It refuses
+//! each, and after three such detours a call is refused though other servers have
+//! room. The grounds for the figures: servers announce themselves every second
+//! or two, news goes around in a tenth of a second, and a lease lasts for ten.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::time::Duration;
+
+use bramleymount::guard::LeaseState;
+use bramleymount::policy::route::TargetState;
+use http::{Method, StatusCode};
+use support::crashing::CrashingVm;
+use support::eventually;
+use support::hosted::{Vm, document, store, vm_beside};
+
+/// How long the server is away; longer than the test.
+const AWAY: Duration = Duration::from_secs(30);
+/// Time in which an estate must know that a server is gone.
+const KNOWN: Duration = Duration::from_secs(2);
+
+fn serving(entry: &Vm) -> usize {
+    let service = "svc".parse().expect("a name");
+    let table = entry.daemon.shared().routes.table(&service);
+    let table = table.lock();
+    let serving = table.targets().filter(|t| t.state == TargetState::Serving);
+    serving.count()
+}
+
+async fn wait_serving(entry: &Vm, count: usize) {
+    eventually("the servers that take calls", || async {
+        (serving(entry) == count).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashed_server_is_left_out_though_its_lease_lasts() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let first = CrashingVm::start("svc", address, AWAY).await;
+    let _second = CrashingVm::start("svc", address, AWAY).await;
+    let entry = vm_beside("till", address).await;
+    entry.wait_ready().await;
+    wait_serving(&entry, 2).await;
+    first.server.crash();
+    let crashed = std::time::Instant::now();
+    for n in 0..10 {
+        let (path, id) = (format!("/read/{n}"), format!("r{n}"));
+        let answer = entry.ask(Method::GET, &path, &id).await;
+        assert_eq!(answer.status, StatusCode::OK, "request {n}");
+    }
+    wait_serving(&entry, 1).await;
+    assert!(crashed.elapsed() < KNOWN, "{:?}", crashed.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashed_server_that_is_back_is_served_at_its_first_announcement() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let away = Duration::from_millis(500);
+    let first = CrashingVm::start("svc", address, away).await;
+    let entry = vm_beside("till", address).await;
+    entry.wait_ready().await;
+    wait_serving(&entry, 1).await;
+    first.server.crash();
+    let answer = entry.ask(Method::GET, "/read/1", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    wait_serving(&entry, 0).await;
+    assert_eq!(first.vm.daemon.guard().lease_state(), LeaseState::Absent);
+    wait_serving(&entry, 1).await;
+    let answer = entry.ask(Method::GET, "/read/2", "r2").await;
+    assert_eq!(answer.status, StatusCode::OK);
+}
