Take the guard's serving and the exchange of news apart

Change: moves only. guard/ask.rs asks the backend server and learns from its answer, guard/answer.rs says what a call's end means for its entry; peer/ask.rs asks a neighbour, peer/rollout.rs carries the configuration, peer/member.rs members and home rows in messages. No module of peer/ imports one that imports it. Measured: same tests pass.

--- /dev/null
+++ b/src/guard/answer.rs
@@ -0,0 +1,120 @@
+//! What a call's end at the backend server means for its entry.
+
+use bytes::Bytes;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use super::ask::Answered;
+use super::backend::{AnswerBody, BackendError, pump, stream};
+use super::{Guard, Pass};
+use crate::call::{Attempt, Reason, Refusal, Reply, ReplyHead, Sent};
+use crate::model::{GuardNews, Retries};
+use crate::policy::admission::Outcome;
+use crate::tables::{Held, HeldCall};
+use crate::web::{Chunks, Payload};
+
+impl Guard {
+    pub(super) fn give_up(&self, mut refusal: Refusal, held: &HeldCall) -> Refusal {
+        refusal.account = held.close();
+        refusal
+    }
+
+    pub(super) fn failed(
+        &self,
+        attempt: Attempt<Sent>,
+        error: &BackendError,
+        held: &HeldCall,
+    ) -> Refusal {
+        let refusal = match error {
+            BackendError::Connect(cause) | BackendError::Gone(cause) => attempt
+                .unsent()
+                .refuse(Reason::Unreachable, cause.clone())
+                .of_key(),
+            BackendError::NotRun => attempt.unsent().refuse(Reason::Rejected, ""),
+            BackendError::OtherServer(found) => {
+                let found = found.as_ref().map_or("", |server| server.as_str());
+                attempt.unsent().refuse(Reason::Replaced, found)
+            }
+            BackendError::Cut(cause) => attempt.lose(Reason::Cut, cause.clone()),
+            BackendError::Crashed(crash) => {
+                let mut refusal = attempt.lose(Reason::Crashed, crash.to_string());
+                refusal.crash = Some(*crash);
+                refusal
+            }
+            BackendError::Garbage(cause) => attempt.lose(Reason::Garbage, cause.clone()),
+        };
+        self.shared
+            .metrics
+            .count_reason("backend_failed", refusal.reason().as_str());
+        self.give_up(refusal, held)
+    }
+
+    /// Takes note of how a call ended; returns whether calls were made onwards
+    /// for it.
+    pub(super) fn note_end(&self, pass: &mut Pass, held: &Held, status: StatusCode) -> bool {
+        let refused_here =
+            status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
+        let met = held.take_met();
+        let answered = !status.is_server_error();
+        let refused = met.iter().any(|met| met.refused);
+        if status != StatusCode::GATEWAY_TIMEOUT {
+            let excused = met.iter().any(|met| met.failed);
+            pass.judge(!answered && !excused);
+        }
+        pass.met_below(&met, answered);
+        let outcome = match (refused, answered) {
+            (true, false) => Outcome::Failed,
+            _ if refused_here => Outcome::Refused,
+            _ => Outcome::Answered,
+        };
+        pass.ended(outcome);
+        !met.is_empty()
+    }
+
+    /// Makes the reply; a large body is passed on by a task that keeps the
+    /// slot until its end.
+    pub(super) fn reply(
+        &self,
+        answered: Answered,
+        onward: bool,
+        pass: Pass,
+        held: HeldCall,
+    ) -> Reply {
+        let mut head = ReplyHead {
+            status: answered.status,
+            headers: answered.headers,
+            account: Retries::new(0),
+            news: GuardNews::default(),
+            onward,
+            kept: false,
+        };
+        let body = match answered.body {
+            AnswerBody::Whole(bytes) => {
+                head.account = held.close();
+                drop(pass);
+                Payload::Whole(bytes)
+            }
+            AnswerBody::Large(first, rest) => {
+                head.account = held.close();
+                self.pass_on(answered.length, first, rest, (pass, held))
+            }
+        };
+        head.news = self.gate.news();
+        Reply { head, body }
+    }
+
+    fn pass_on(
+        &self,
+        length: Option<u64>,
+        first: Bytes,
+        rest: Incoming,
+        kept: (Pass, HeldCall),
+    ) -> Payload {
+        let (sender, chunks) = Chunks::channel();
+        self.handle.spawn(async move {
+            let _kept = kept;
+            pump(first, rest, &sender).await;
+        });
+        stream(length, chunks)
+    }
+}
--- /dev/null
+++ b/src/guard/ask.rs
@@ -0,0 +1,89 @@
+//! One question to the backend server, and what it says of the server.
+
+use http::{HeaderMap, StatusCode};
+use hyper::body::Body;
+use tokio::time::Instant;
+
+use super::Guard;
+use super::backend::{AnswerBody, BackendError, read_small};
+use crate::call::{CallHead, Meaning, end_to_end};
+use crate::web::Payload;
+
+/// The backend server's answer, its body read so far as it is small.
+pub(super) struct Answered {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) length: Option<u64>,
+    pub(super) body: AnswerBody,
+}
+
+impl Answered {
+    /// Tells whether the backend server went through with the call: it did not
+    /// fail it on the way, and the answer is here whole.
+    fn is_final(&self) -> bool {
+        !self.status.is_server_error() && matches!(self.body, AnswerBody::Whole(_))
+    }
+}
+
+impl Guard {
+    /// Asks the backend server; tells a crash from an answer that was cut.
+    ///
+    /// What is learned of the request outlives it, since a query of death comes
+    /// again under other ids: held after three crashes, it ends no more servers
+    /// where it ended 25 in eight seconds (`tests/query_of_death.rs`).
+    pub(super) async fn ask(
+        &self,
+        head: &CallHead,
+        body: Payload,
+    ) -> Result<Answered, BackendError> {
+        let began = Instant::now();
+        let server = self.server();
+        match self.send(head, body).await {
+            Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
+                Some(crash) => {
+                    self.shared.note_crash(head.fingerprint, crash);
+                    self.ended(server.as_ref());
+                    Err(BackendError::Crashed(crash))
+                }
+                None => Err(BackendError::Cut(cause)),
+            },
+            Err(BackendError::Gone(cause)) => {
+                self.ended(server.as_ref());
+                Err(BackendError::Gone(cause))
+            }
+            Ok(answered) if answered.is_final() => {
+                self.shared.note_answer(head.fingerprint);
+                Ok(answered)
+            }
+            result => result,
+        }
+    }
+
+    async fn send(&self, head: &CallHead, body: Payload) -> Result<Answered, BackendError> {
+        let protocol = &self.shared.protocol;
+        let server = self.server();
+        let mut headers = head.headers.clone();
+        protocol.address(&mut headers, head, Instant::now(), server.as_ref());
+        let answer = self.backend.send(head, headers, body).await?;
+        let (parts, body) = answer.into_parts();
+        match protocol.meaning(head, parts.status, &parts.headers) {
+            Meaning::Answer => {}
+            Meaning::NotRun => return Err(BackendError::NotRun),
+            Meaning::OtherServer(found) => {
+                self.displaced(server.as_ref(), found.as_ref());
+                return Err(BackendError::OtherServer(found));
+            }
+            Meaning::Garbage => {
+                let cause = "the answer is to another call, or no server's";
+                return Err(BackendError::Garbage(cause.into()));
+            }
+        }
+        let length = body.size_hint().exact();
+        Ok(Answered {
+            status: parts.status,
+            headers: end_to_end(&parts.headers),
+            length,
+            body: read_small(body).await?,
+        })
+    }
+}
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -1,6 +1,8 @@
 //! The guard: stands before the one backend server of its VM.
 
 mod announced;
+mod answer;
+mod ask;
 mod backend;
 mod crash;
 mod gate;
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
+use super::ask::Answered;
 use super::backend::{AnswerBody, BackendError, read_whole};
 use super::once::{Change, Done, Entered};
-use super::serve::Answered;
 use super::{Guard, body_hash};
 use crate::call::{Attempt, CallHead, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead};
 use crate::model::{Instance, OnceKey, Retries};
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -4,27 +4,20 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
-use hyper::body::{Body, Incoming};
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
-use tokio::time::Instant;
 
-use super::backend::{AnswerBody, Backend, BackendError, pump, read_small, stream};
+use super::backend::Backend;
 use super::crash::Crashes;
 use super::trial::Trials;
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass};
-use crate::call::{
-    Attempt, Call, CallHead, Meaning, OnceCall, Planned, Reason, Refusal, Reply, ReplyHead, Sent,
-    end_to_end,
-};
-use crate::model::{ClassRank, Depth, GuardNews, Retries, ServiceName, Slots};
-use crate::policy::admission::{Outcome, Settings, Shed, usable};
+use crate::call::{Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply};
+use crate::model::{ClassRank, Depth, Retries, ServiceName, Slots};
+use crate::policy::admission::{Settings, Shed, usable};
 use crate::policy::member::Presence;
 use crate::policy::once::LedgerLimits;
-use crate::tables::{Detail, Held, HeldCall, Shared, Step};
-use crate::web::{Chunks, Payload};
+use crate::tables::{Detail, Held, Shared, Step};
+use crate::web::Payload;
 
 /// Slots of a backend server whose service is not declared yet.
 const UNKNOWN_SLOTS: Slots = Slots::new(1);
@@ -240,179 +233,4 @@
         let onward = self.note_end(&mut pass, &held, answered.status);
         Ok(self.reply(answered, onward, pass, held))
     }
-
-    /// Asks the backend server; tells a crash from an answer that was cut.
-    ///
-    /// What is learned of the request outlives it, since a query of death comes
-    /// again under other ids: held after three crashes, it ends no more servers
-    /// where it ended 25 in eight seconds (`tests/query_of_death.rs`).
-    pub(super) async fn ask(
-        &self,
-        head: &CallHead,
-        body: Payload,
-    ) -> Result<Answered, BackendError> {
-        let began = Instant::now();
-        let server = self.server();
-        match self.send(head, body).await {
-            Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
-                Some(crash) => {
-                    self.shared.note_crash(head.fingerprint, crash);
-                    self.ended(server.as_ref());
-                    Err(BackendError::Crashed(crash))
-                }
-                None => Err(BackendError::Cut(cause)),
-            },
-            Err(BackendError::Gone(cause)) => {
-                self.ended(server.as_ref());
-                Err(BackendError::Gone(cause))
-            }
-            Ok(answered) if answered.is_final() => {
-                self.shared.note_answer(head.fingerprint);
-                Ok(answered)
-            }
-            result => result,
-        }
-    }
-
-    async fn send(&self, head: &CallHead, body: Payload) -> Result<Answered, BackendError> {
-        let protocol = &self.shared.protocol;
-        let server = self.server();
-        let mut headers = head.headers.clone();
-        protocol.address(&mut headers, head, Instant::now(), server.as_ref());
-        let answer = self.backend.send(head, headers, body).await?;
-        let (parts, body) = answer.into_parts();
-        match protocol.meaning(head, parts.status, &parts.headers) {
-            Meaning::Answer => {}
-            Meaning::NotRun => return Err(BackendError::NotRun),
-            Meaning::OtherServer(found) => {
-                self.displaced(server.as_ref(), found.as_ref());
-                return Err(BackendError::OtherServer(found));
-            }
-            Meaning::Garbage => {
-                let cause = "the answer is to another call, or no server's";
-                return Err(BackendError::Garbage(cause.into()));
-            }
-        }
-        let length = body.size_hint().exact();
-        Ok(Answered {
-            status: parts.status,
-            headers: end_to_end(&parts.headers),
-            length,
-            body: read_small(body).await?,
-        })
-    }
-
-    fn give_up(&self, mut refusal: Refusal, held: &HeldCall) -> Refusal {
-        refusal.account = held.close();
-        refusal
-    }
-
-    pub(super) fn failed(
-        &self,
-        attempt: Attempt<Sent>,
-        error: &BackendError,
-        held: &HeldCall,
-    ) -> Refusal {
-        let refusal = match error {
-            BackendError::Connect(cause) | BackendError::Gone(cause) => attempt
-                .unsent()
-                .refuse(Reason::Unreachable, cause.clone())
-                .of_key(),
-            BackendError::NotRun => attempt.unsent().refuse(Reason::Rejected, ""),
-            BackendError::OtherServer(found) => {
-                let found = found.as_ref().map_or("", |server| server.as_str());
-                attempt.unsent().refuse(Reason::Replaced, found)
-            }
-            BackendError::Cut(cause) => attempt.lose(Reason::Cut, cause.clone()),
-            BackendError::Crashed(crash) => {
-                let mut refusal = attempt.lose(Reason::Crashed, crash.to_string());
-                refusal.crash = Some(*crash);
-                refusal
-            }
-            BackendError::Garbage(cause) => attempt.lose(Reason::Garbage, cause.clone()),
-        };
-        self.shared
-            .metrics
-            .count_reason("backend_failed", refusal.reason().as_str());
-        self.give_up(refusal, held)
-    }
-
-    /// Takes note of how a call ended; returns whether calls were made onwards
-    /// for it.
-    pub(super) fn note_end(&self, pass: &mut Pass, held: &Held, status: StatusCode) -> bool {
-        let refused_here =
-            status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
-        let met = held.take_met();
-        let answered = !status.is_server_error();
-        let refused = met.iter().any(|met| met.refused);
-        if status != StatusCode::GATEWAY_TIMEOUT {
-            let excused = met.iter().any(|met| met.failed);
-            pass.judge(!answered && !excused);
-        }
-        pass.met_below(&met, answered);
-        let outcome = match (refused, answered) {
-            (true, false) => Outcome::Failed,
-            _ if refused_here => Outcome::Refused,
-            _ => Outcome::Answered,
-        };
-        pass.ended(outcome);
-        !met.is_empty()
-    }
-
-    /// Makes the reply; a large body is passed on by a task that keeps the
-    /// slot until its end.
-    fn reply(&self, answered: Answered, onward: bool, pass: Pass, held: HeldCall) -> Reply {
-        let mut head = ReplyHead {
-            status: answered.status,
-            headers: answered.headers,
-            account: Retries::new(0),
-            news: GuardNews::default(),
-            onward,
-            kept: false,
-        };
-        let body = match answered.body {
-            AnswerBody::Whole(bytes) => {
-                head.account = held.close();
-                drop(pass);
-                Payload::Whole(bytes)
-            }
-            AnswerBody::Large(first, rest) => {
-                head.account = held.close();
-                self.pass_on(answered.length, first, rest, (pass, held))
-            }
-        };
-        head.news = self.gate.news();
-        Reply { head, body }
-    }
-
-    fn pass_on(
-        &self,
-        length: Option<u64>,
-        first: Bytes,
-        rest: Incoming,
-        kept: (Pass, HeldCall),
-    ) -> Payload {
-        let (sender, chunks) = Chunks::channel();
-        self.handle.spawn(async move {
-            let _kept = kept;
-            pump(first, rest, &sender).await;
-        });
-        stream(length, chunks)
-    }
-}
-
-/// The backend server's answer, its body read so far as it is small.
-pub(super) struct Answered {
-    pub(super) status: StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) length: Option<u64>,
-    pub(super) body: AnswerBody,
-}
-
-impl Answered {
-    /// Tells whether the backend server went through with the call: it did not
-    /// fail it on the way, and the answer is here whole.
-    fn is_final(&self) -> bool {
-        !self.status.is_server_error() && matches!(self.body, AnswerBody::Whole(_))
-    }
 }
--- /dev/null
+++ b/src/peer/member.rs
@@ -0,0 +1,44 @@
+//! Members and home rows in the peer protocol.
+
+use super::generated as wire;
+use crate::error::Error;
+use crate::model::{ServiceName, Slots};
+use crate::policy::member::{Beat, Member};
+use crate::tables::Home;
+
+/// Writes a home row.
+pub(super) fn home_out((service, home): &(ServiceName, Home)) -> wire::HomeRow {
+    wire::HomeRow {
+        key: service.to_string(),
+        revision: home.revision.0,
+        content: home.row.encode().into(),
+    }
+}
+
+/// Writes what is known of a member.
+pub(super) fn member_out(member: &Member) -> wire::Member {
+    wire::Member {
+        instance: member.instance.to_string(),
+        centre: member.centre.to_string(),
+        service: member.service.to_string(),
+        beat: member.beat.0,
+        state: member.state.to_string(),
+        slots: member.slots.map_or(0, |slots| slots.get()),
+    }
+}
+
+/// Reads what another daemon knows of a member.
+///
+/// # Errors
+///
+/// Fails if a field has no valid value.
+pub(super) fn member_in(member: &wire::Member) -> Result<Member, Error> {
+    Ok(Member {
+        instance: member.instance.parse()?,
+        centre: member.centre.parse()?,
+        service: member.service.parse()?,
+        beat: Beat(member.beat),
+        state: member.state.parse()?,
+        slots: (member.slots > 0).then(|| Slots::new(member.slots)),
+    })
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! that is one message there and one back goes as a plain HTTP request, which
 //! takes half of the processor time.
 
+mod ask;
 mod call;
 mod client;
 mod convert;
@@ -18,18 +19,21 @@
 mod ledger;
 mod listen;
 mod measure;
+mod member;
 mod message;
 mod news;
 mod plain;
 mod pool;
+mod rollout;
 mod server;
 mod suspect;
 
+pub use ask::ExchangeError;
 pub use call::Message;
 pub use client::{inquire, send};
 pub use ledger::hand_over;
 pub use listen::serve_peers;
-pub use news::{ExchangeError, Exchanged, exchange, version_of};
-pub(crate) use news::{known_documents, put_in_force};
+pub use news::{Exchanged, exchange, version_of};
 pub use pool::Pool;
+pub(crate) use rollout::{known_documents, put_in_force};
 pub use server::Peers;
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -1,35 +1,21 @@
 //! Exchange of membership, configuration and home rows with neighbours.
 
-use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 
+use super::ask::{ExchangeError, TIMEOUT, ask};
 use super::generated as wire;
+use super::member::{home_out, member_in, member_out};
 use super::pool::Pool;
+use super::rollout::{fetch, wanted};
 use super::suspect::{suspects_in, suspects_out};
-use crate::declare::{Document, DocumentName, Manifest};
 use crate::error::Error;
-use crate::model::{Instance, ServiceName, Slots, Version};
-use crate::policy::member::{Beat, Change, Member, Offer, Told};
+use crate::model::{Instance, ServiceName, Version};
+use crate::policy::member::{Change, Offer, Told};
 use crate::policy::once::HomeRow;
 use crate::store::Revision;
-use crate::tables::{Home, InForce, Shared};
-
-/// How long a neighbour may take to answer.
-const TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Why an exchange gave nothing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ExchangeError(pub Box<str>);
-
-impl fmt::Display for ExchangeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
+use crate::tables::Shared;
 
 /// What an exchange brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,27 +90,6 @@
     (answer.from == instance.to_string()).then(|| Version::new(answer.version))
 }
 
-async fn ask(
-    pool: &Pool,
-    address: SocketAddr,
-    request: wire::ExchangeRequest,
-) -> Result<wire::ExchangeReply, ExchangeError> {
-    let mut client = pool
-        .get(address)
-        .ok_or_else(|| ExchangeError("no valid address".into()))?;
-    match tokio::time::timeout(TIMEOUT, client.exchange(request)).await {
-        Ok(Ok(answer)) => Ok(answer.into_inner()),
-        Ok(Err(status)) => {
-            pool.replace(address);
-            Err(ExchangeError(status.message().into()))
-        }
-        Err(_) => {
-            pool.replace(address);
-            Err(ExchangeError("no answer in time".into()))
-        }
-    }
-}
-
 /// Up to which changes a request tells.
 struct Sent {
     members: Change,
@@ -186,75 +151,6 @@
     }
 }
 
-/// Fetches a later version of the configuration from a neighbour.
-async fn fetch(
-    shared: &Shared,
-    pool: &Pool,
-    address: SocketAddr,
-    answer: &wire::ExchangeReply,
-) -> Result<(), ExchangeError> {
-    let wrong = |e: Error| ExchangeError(e.to_string().into());
-    let manifest = Manifest::decode(&answer.manifest).map_err(wrong)?;
-    let known = shared.current.get();
-    let mut documents = known_documents(known.as_deref(), &manifest);
-    let want: Vec<String> = manifest
-        .documents
-        .iter()
-        .filter(|(name, _)| !documents.contains_key(*name))
-        .map(|(_, hash)| hash.to_string())
-        .collect();
-    if !want.is_empty() {
-        let request = wire::ExchangeRequest {
-            from: shared.instance.to_string(),
-            version: shared.current.version().get(),
-            seen: u64::MAX,
-            homes_seen: u64::MAX,
-            suspects_seen: u64::MAX,
-            seen_of: answer.from.clone(),
-            want,
-            ..Default::default()
-        };
-        for document in ask(pool, address, request).await?.documents {
-            let document = document_in(document);
-            documents.insert(document.name.clone(), document);
-        }
-    }
-    put_in_force(shared, manifest, documents.into_values().collect()).map_err(wrong)
-}
-
-/// Returns the documents of a manifest that are in force already.
-pub(crate) fn known_documents(
-    known: Option<&InForce>,
-    manifest: &Manifest,
-) -> BTreeMap<DocumentName, Document> {
-    let Some(known) = known else {
-        return BTreeMap::new();
-    };
-    manifest
-        .documents
-        .iter()
-        .filter(|(name, hash)| known.manifest.documents.get(*name) == Some(*hash))
-        .filter_map(|(name, _)| known.documents.get(name))
-        .map(|document| (document.name.clone(), document.clone()))
-        .collect()
-}
-
-/// Puts a version in force and tells the rest of the daemon.
-pub(crate) fn put_in_force(
-    shared: &Shared,
-    manifest: Manifest,
-    documents: Vec<Document>,
-) -> Result<(), Error> {
-    let version = manifest.version;
-    if !shared.current.take(manifest, documents)? {
-        return Ok(());
-    }
-    spdlog::info!("configuration in force", kv: { version = version.get() });
-    shared.refresh_routes();
-    shared.wake();
-    Ok(())
-}
-
 /// Answers an exchange; returns also whether the sender knows something that
 /// is worth asking it for.
 pub(super) fn reply(
@@ -303,60 +199,3 @@
     let worth = sender > version || request.homes_digest != shared.homes.digest();
     (reply, asks && worth)
 }
-
-fn wanted(in_force: Option<&InForce>, want: &[String]) -> Vec<wire::Document> {
-    let Some(in_force) = in_force else {
-        return Vec::new();
-    };
-    // The manifest names the hashes; each exchange comes by here, and computing
-    // them anew would go through all routes.
-    in_force
-        .manifest
-        .documents
-        .iter()
-        .filter(|(_, hash)| want.iter().any(|w| w == hash.as_str()))
-        .filter_map(|(name, hash)| Some((in_force.documents.get(name)?, hash)))
-        .map(|(document, hash)| wire::Document {
-            name: document.name.to_string(),
-            hash: hash.to_string(),
-            content: Bytes::copy_from_slice(document.content.as_bytes()),
-        })
-        .collect()
-}
-
-fn home_out((service, home): &(ServiceName, Home)) -> wire::HomeRow {
-    wire::HomeRow {
-        key: service.to_string(),
-        revision: home.revision.0,
-        content: home.row.encode().into(),
-    }
-}
-
-fn member_out(member: &Member) -> wire::Member {
-    wire::Member {
-        instance: member.instance.to_string(),
-        centre: member.centre.to_string(),
-        service: member.service.to_string(),
-        beat: member.beat.0,
-        state: member.state.to_string(),
-        slots: member.slots.map_or(0, |slots| slots.get()),
-    }
-}
-
-fn member_in(member: &wire::Member) -> Result<Member, Error> {
-    Ok(Member {
-        instance: member.instance.parse()?,
-        centre: member.centre.parse()?,
-        service: member.service.parse()?,
-        beat: Beat(member.beat),
-        state: member.state.parse()?,
-        slots: (member.slots > 0).then(|| Slots::new(member.slots)),
-    })
-}
-
-fn document_in(document: wire::Document) -> Document {
-    Document {
-        name: DocumentName::from_text(&document.name),
-        content: String::from_utf8_lossy(&document.content).into(),
-    }
-}
--- /dev/null
+++ b/src/peer/rollout.rs
@@ -0,0 +1,110 @@
+//! Configuration on its way between daemons.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+use super::ask::{ExchangeError, ask};
+use super::generated as wire;
+use super::pool::Pool;
+use crate::declare::{Document, DocumentName, Manifest};
+use crate::error::Error;
+use crate::tables::{InForce, Shared};
+
+/// Fetches a later version of the configuration from a neighbour.
+pub(super) async fn fetch(
+    shared: &Shared,
+    pool: &Pool,
+    address: SocketAddr,
+    answer: &wire::ExchangeReply,
+) -> Result<(), ExchangeError> {
+    let wrong = |e: Error| ExchangeError(e.to_string().into());
+    let manifest = Manifest::decode(&answer.manifest).map_err(wrong)?;
+    let known = shared.current.get();
+    let mut documents = known_documents(known.as_deref(), &manifest);
+    let want: Vec<String> = manifest
+        .documents
+        .iter()
+        .filter(|(name, _)| !documents.contains_key(*name))
+        .map(|(_, hash)| hash.to_string())
+        .collect();
+    if !want.is_empty() {
+        let request = wire::ExchangeRequest {
+            from: shared.instance.to_string(),
+            version: shared.current.version().get(),
+            seen: u64::MAX,
+            homes_seen: u64::MAX,
+            suspects_seen: u64::MAX,
+            seen_of: answer.from.clone(),
+            want,
+            ..Default::default()
+        };
+        for document in ask(pool, address, request).await?.documents {
+            let document = document_in(document);
+            documents.insert(document.name.clone(), document);
+        }
+    }
+    put_in_force(shared, manifest, documents.into_values().collect()).map_err(wrong)
+}
+
+/// Returns the documents of a manifest that are in force already.
+pub(crate) fn known_documents(
+    known: Option<&InForce>,
+    manifest: &Manifest,
+) -> BTreeMap<DocumentName, Document> {
+    let Some(known) = known else {
+        return BTreeMap::new();
+    };
+    manifest
+        .documents
+        .iter()
+        .filter(|(name, hash)| known.manifest.documents.get(*name) == Some(*hash))
+        .filter_map(|(name, _)| known.documents.get(name))
+        .map(|document| (document.name.clone(), document.clone()))
+        .collect()
+}
+
+/// Puts a version in force and tells the rest of the daemon.
+pub(crate) fn put_in_force(
+    shared: &Shared,
+    manifest: Manifest,
+    documents: Vec<Document>,
+) -> Result<(), Error> {
+    let version = manifest.version;
+    if !shared.current.take(manifest, documents)? {
+        return Ok(());
+    }
+    spdlog::info!("configuration in force", kv: { version = version.get() });
+    shared.refresh_routes();
+    shared.wake();
+    Ok(())
+}
+
+/// Returns the documents that a neighbour asked for.
+pub(super) fn wanted(in_force: Option<&InForce>, want: &[String]) -> Vec<wire::Document> {
+    let Some(in_force) = in_force else {
+        return Vec::new();
+    };
+    // The manifest names the hashes; each exchange comes by here, and computing
+    // them anew would go through all routes.
+    in_force
+        .manifest
+        .documents
+        .iter()
+        .filter(|(_, hash)| want.iter().any(|w| w == hash.as_str()))
+        .filter_map(|(name, hash)| Some((in_force.documents.get(name)?, hash)))
+        .map(|(document, hash)| wire::Document {
+            name: document.name.to_string(),
+            hash: hash.to_string(),
+            content: Bytes::copy_from_slice(document.content.as_bytes()),
+        })
+        .collect()
+}
+
+fn document_in(document: wire::Document) -> Document {
+    Document {
+        name: DocumentName::from_text(&document.name),
+        content: String::from_utf8_lossy(&document.content).into(),
+    }
+}
