Take ids out of the peer protocol's conversions

Change: peer/id.rs; moves only. A script that follows the imports finds no circle in peer/ now (entry/ still has forward and sending).

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -9,11 +9,12 @@
 use tonic::Streaming;
 
 use super::call::{Message, SLACK};
-use super::convert::{call_out, id_bytes, refusal_in, reply_in};
+use super::convert::{call_out, refusal_in, reply_in};
 use super::direct;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
 use super::generated::{AnswerFrame, CallFrame, InquireRequest, Start};
+use super::id::id_bytes;
 use super::measure::Measure;
 use super::pool::Pool;
 use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -9,6 +9,7 @@
 
 use super::call::Message;
 use super::generated as wire;
+use super::id::{attempt_of, id_bytes, id_of};
 use super::suspect::suspect_out;
 use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Scope, Sent};
 use crate::declare::Estate;
@@ -22,23 +23,6 @@
 /// Most headers of a message.
 const MAX_HEADERS: usize = 128;
 
-/// Returns the bytes of an id as they stand in a message.
-pub(super) fn id_bytes(id: u128) -> Bytes {
-    Bytes::copy_from_slice(&id.to_be_bytes())
-}
-
-pub(super) fn id_of(bytes: &[u8]) -> Result<u128, Error> {
-    bytes
-        .try_into()
-        .map(u128::from_be_bytes)
-        .map_err(|_| Error::value("id", "it must have 16 bytes"))
-}
-
-/// Reads an attempt id.
-pub(super) fn attempt_of(bytes: &[u8]) -> Result<AttemptId, Error> {
-    id_of(bytes).map(AttemptId::new)
-}
-
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/peer/direct.rs
+++ b/src/peer/direct.rs
@@ -9,9 +9,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::call::SLACK;
-use super::convert::{id_bytes, refusal_in, reply_in};
+use super::convert::{refusal_in, reply_in};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
+use super::id::id_bytes;
 use super::message::join;
 use super::plain::Failed;
 use super::pool::Pool;
--- /dev/null
+++ b/src/peer/id.rs
@@ -0,0 +1,24 @@
+//! Ids in the peer protocol.
+
+use bytes::Bytes;
+
+use crate::error::Error;
+use crate::model::AttemptId;
+
+/// Returns the bytes of an id as they stand in a message.
+pub(super) fn id_bytes(id: u128) -> Bytes {
+    Bytes::copy_from_slice(&id.to_be_bytes())
+}
+
+/// Reads an id.
+pub(super) fn id_of(bytes: &[u8]) -> Result<u128, Error> {
+    bytes
+        .try_into()
+        .map(u128::from_be_bytes)
+        .map_err(|_| Error::value("id", "it must have 16 bytes"))
+}
+
+/// Reads an attempt id.
+pub(super) fn attempt_of(bytes: &[u8]) -> Result<AttemptId, Error> {
+    id_of(bytes).map(AttemptId::new)
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,6 +16,7 @@
     reason = "generated from proto/peer.proto"
 )]
 mod generated;
+mod id;
 mod ledger;
 mod listen;
 mod measure;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -16,11 +16,12 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::call::{MAX_MESSAGE, PATH};
-use super::convert::{attempt_of, call_in, refusal_out, reply_out};
+use super::convert::{call_in, refusal_out, reply_out};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
 use super::generated::peer_server::Peer;
+use super::id::attempt_of;
 use super::ledger;
 use super::measure::Measure;
 use super::message::{join, take};
--- a/src/peer/suspect.rs
+++ b/src/peer/suspect.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::Instant;
 
-use super::convert::{id_bytes, id_of};
 use super::generated as wire;
+use super::id::{id_bytes, id_of};
 use crate::error::Error;
 use crate::model::CrashId;
 use crate::policy::crash::{Strike, Suspect};
