Keep held requests where an estate that loses all daemons finds them

Ruled out: neighbours (all are gone); the daemon's disk (there is none). Change: one row of the table service for each request that is held, written by the daemons whose servers it crashed, read once at a daemon's start, removed by one that finds its time over. A store that is away is tried again. Measured: tests/query_of_death.rs, a request that was held is sent to the daemons that start after all were lost: 502 and servers crashed before, 503 and no server reached after.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -29,7 +29,9 @@
 use crate::tables::{
     Calls, Current, Decisions, Homes, Journal, Readiness, Routes, Shared, Splits, Suspects, unix_ms,
 };
-use crate::task::{Stopping, find_members, gossip, keep_homes, poll, report, stop, watch_lease};
+use crate::task::{
+    Stopping, find_members, gossip, keep_homes, keep_suspects, poll, report, stop, watch_lease,
+};
 use crate::web::{Listening, Running, caller_text, listen};
 
 /// How long the platform may take for one request.
@@ -106,6 +108,7 @@
         tasks.spawn(watch_lease(Arc::clone(&shared), Arc::clone(&guard)));
         tasks.spawn(report(Arc::clone(&shared), Arc::clone(&guard)));
         tasks.spawn(find_members(Arc::clone(&shared)));
+        tasks.spawn(keep_suspects(Arc::clone(&shared)));
         match feed {
             Some(feed) => {
                 let (shared, guard) = (Arc::clone(&shared), Arc::clone(&guard));
@@ -214,6 +217,7 @@
         platform,
         announced: Notify::new(),
         news: Notify::new(),
+        grave: Notify::new(),
         readiness: Readiness::default(),
         asks: Mutex::new(BTreeSet::new()),
         config,
--- a/src/guard/ask.rs
+++ b/src/guard/ask.rs
@@ -41,7 +41,7 @@
         match self.send(head, body).await {
             Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
                 Some(crash) => {
-                    self.shared.note_crash(head.fingerprint, crash);
+                    self.shared.note_own_crash(head.fingerprint, crash);
                     self.ended(server.as_ref());
                     Err(BackendError::Crashed(crash))
                 }
--- a/src/policy/crash/suspect.rs
+++ b/src/policy/crash/suspect.rs
@@ -130,7 +130,7 @@
     }
 
     /// Tells whether nothing is worth remembering any more.
-    pub(super) fn is_over(&self, now: Instant) -> bool {
+    pub fn is_over(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.latest);
         let kept = match self.crashes() {
             HELD_AT.. => HELD + HELD,
@@ -141,7 +141,7 @@
 
     /// Tells whether it was under way at enough crashes to be the cause of
     /// them, if no other request was.
-    pub(super) fn is_grave(&self) -> bool {
+    pub fn is_grave(&self) -> bool {
         self.crashes() >= HELD_AT
     }
 
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -51,6 +51,8 @@
     pub announced: Notify,
     /// Wakes the task that passes news on to neighbours.
     pub news: Notify,
+    /// Wakes the task that keeps requests that are held.
+    pub grave: Notify,
     /// Whether the daemon takes callers.
     pub readiness: Readiness,
     /// Daemons that know something worth asking for.
@@ -73,10 +75,26 @@
         self.readiness.is_open() && self.current.version() > Version::NONE
     }
 
-    /// Takes note that a request was under way at a crash, and passes it on.
+    /// Takes note that a request was under way at a crash of the own server,
+    /// and passes it on.
+    pub fn note_own_crash(&self, request: Option<Fingerprint>, crash: CrashId) {
+        if request.is_some_and(|request| self.suspects.crashed_here(request, crash)) {
+            self.tell_suspects();
+        }
+    }
+
+    /// Takes note that a request was under way at a crash that a guard told of,
+    /// and passes it on.
     pub fn note_crash(&self, request: Option<Fingerprint>, crash: CrashId) {
         if request.is_some_and(|request| self.suspects.crashed(request, crash)) {
-            self.wake();
+            self.tell_suspects();
+        }
+    }
+
+    fn tell_suspects(&self) {
+        self.wake();
+        if self.suspects.has_grave() {
+            self.grave.notify_one();
         }
     }
 
@@ -91,7 +109,7 @@
     /// Takes what another daemon knows of suspects, and passes it on.
     pub fn take_suspects(&self, news: &[Suspect]) {
         if self.suspects.merge(news) {
-            self.wake();
+            self.tell_suspects();
         }
     }
 
--- a/src/tables/suspects.rs
+++ b/src/tables/suspects.rs
@@ -1,5 +1,7 @@
 //! Requests that were under way at crashes, as this daemon knows them.
 
+use std::collections::VecDeque;
+
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -7,10 +9,50 @@
 use crate::policy::crash::{self, Standing, Suspect};
 use crate::policy::member::Change;
 
+/// Crashes of the own server, and requests told of, that are remembered.
+const REMEMBERED: usize = 64;
+
+/// What is to be kept of requests that are held for crashes of the own server.
+#[derive(Debug, Default)]
+struct Grave {
+    /// The crashes of the own server.
+    own: VecDeque<CrashId>,
+    /// Requests that were told of.
+    told: VecDeque<u128>,
+    /// Requests to tell of.
+    waiting: Vec<Suspect>,
+}
+
+impl Grave {
+    fn crashed(&mut self, crash: CrashId) {
+        if !self.own.contains(&crash) {
+            remember(&mut self.own, crash);
+        }
+    }
+
+    /// Looks whether a suspect of which something new is known is to be kept.
+    fn look(&mut self, suspect: &Suspect) {
+        let own = suspect.strikes.iter().any(|s| self.own.contains(&s.crash));
+        if !own || !suspect.is_grave() || self.told.contains(&suspect.asked) {
+            return;
+        }
+        remember(&mut self.told, suspect.asked);
+        self.waiting.push(suspect.clone());
+    }
+}
+
+fn remember<T>(list: &mut VecDeque<T>, item: T) {
+    list.push_back(item);
+    if list.len() > REMEMBERED {
+        list.pop_front();
+    }
+}
+
 /// The requests that were under way at crashes.
 #[derive(Debug, Default)]
 pub struct Suspects {
     known: Mutex<crash::Suspects>,
+    grave: Mutex<Grave>,
 }
 
 impl Suspects {
@@ -29,6 +71,29 @@
         self.change(request, |known, now| known.crashed(now, request, crash))
     }
 
+    /// Takes note that a request was under way at a crash of the own server;
+    /// returns whether that is new.
+    pub fn crashed_here(&self, request: Fingerprint, crash: CrashId) -> bool {
+        self.grave.lock().crashed(crash);
+        self.crashed(request, crash)
+    }
+
+    /// Takes out a request that is held for a crash of the own server, to be
+    /// kept where daemons that start find it.
+    pub fn take_grave(&self) -> Option<Suspect> {
+        self.grave.lock().waiting.pop()
+    }
+
+    /// Puts back a request that could not be kept yet.
+    pub fn put_back(&self, suspect: Suspect) {
+        self.grave.lock().waiting.push(suspect);
+    }
+
+    /// Tells whether there is a request to be kept.
+    pub fn has_grave(&self) -> bool {
+        !self.grave.lock().waiting.is_empty()
+    }
+
     /// Takes note that a server answered a request; returns whether it was
     /// suspected.
     pub fn answered(&self, request: Fingerprint) -> bool {
@@ -45,7 +110,10 @@
         let mut known = self.known.lock();
         let mut more = false;
         for suspect in news {
-            more |= known.merge(now, suspect);
+            if known.merge(now, suspect) {
+                more = true;
+                self.look(known.get(now, suspect.asked));
+            }
         }
         more
     }
@@ -66,6 +134,12 @@
         self.known.lock().forget(Instant::now());
     }
 
+    fn look(&self, suspect: Option<&Suspect>) {
+        if let Some(suspect) = suspect {
+            self.grave.lock().look(suspect);
+        }
+    }
+
     /// Changes what is known of a request, and logs where that leads to
     /// another decision.
     fn change(
@@ -78,7 +152,11 @@
         let before = known.standing(now, request);
         let new = change(&mut known, now);
         let after = known.standing(now, request);
-        let crashes = known.get(now, request.asked).map_or(0, Suspect::crashes);
+        let suspect = known.get(now, request.asked);
+        let crashes = suspect.map_or(0, Suspect::crashes);
+        if new {
+            self.look(suspect);
+        }
         drop(known);
         if let (Standing::Held(left), false) = (after, matches!(before, Standing::Held(_))) {
             spdlog::warn!("request held, since it crashes servers", kv: {
--- a/src/task/mod.rs
+++ b/src/task/mod.rs
@@ -8,6 +8,7 @@
 mod report;
 mod row;
 mod stop;
+mod suspects;
 
 pub use follow::{Followed, follow};
 pub use gossip::gossip;
@@ -17,3 +18,4 @@
 pub use report::report;
 pub use row::find_members;
 pub use stop::{Stopping, stop};
+pub use suspects::keep_suspects;
--- /dev/null
+++ b/src/task/suspects.rs
@@ -0,0 +1,167 @@
+//! Held requests in the platform's table service.
+//!
+//! Daemons tell each other of requests that crash servers and keep nothing on a
+//! disk. A row for each that is held lets an estate whose daemons were all lost
+//! at once know it again, where it would cost three servers more to learn it.
+//! That takes one read a daemon's start, and at most three writes a request.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::model::CrashId;
+use crate::policy::crash::{Strike, Suspect};
+use crate::policy::member::Budget;
+use crate::store::{Condition, Row, Settled, settle};
+use crate::tables::{Shared, unix_ms};
+
+/// What the names of the rows begin with; what is asked for follows.
+const PREFIX: &str = "suspect/";
+/// Pause between two looks whether the platform may be asked again.
+const LOOK: Duration = Duration::from_millis(200);
+/// Requests a second and at once that one daemon may make.
+const RATE: f64 = 1.0;
+const BURST: f64 = 4.0;
+/// Most that failures in a row make the next request wait.
+const MAX_BACK_OFF: Duration = Duration::from_secs(1);
+
+/// The content of a row.
+#[derive(Debug, Serialize, Deserialize)]
+struct Content {
+    strikes: Vec<StrikeRow>,
+    /// When the last crash was, by the system clock.
+    unix_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct StrikeRow {
+    crash: u64,
+    caller: u64,
+}
+
+impl Content {
+    fn of(suspect: &Suspect, now: Instant) -> Self {
+        let age = now.saturating_duration_since(suspect.latest);
+        let strike = |strike: &Strike| StrikeRow {
+            crash: strike.crash.get(),
+            caller: strike.caller,
+        };
+        Self {
+            strikes: suspect.strikes.iter().map(strike).collect(),
+            unix_ms: unix_ms().saturating_sub(u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+
+    fn suspect(&self, asked: u128, now: Instant) -> Suspect {
+        let age = Duration::from_millis(unix_ms().saturating_sub(self.unix_ms));
+        let strike = |row: &StrikeRow| Strike {
+            crash: CrashId::new(row.crash),
+            caller: row.caller,
+        };
+        Suspect {
+            asked,
+            strikes: self.strikes.iter().map(strike).collect(),
+            answered: BTreeSet::new(),
+            latest: now.checked_sub(age).unwrap_or(now),
+        }
+    }
+}
+
+/// Reads the rows of held requests once, then writes those that are held for
+/// crashes of this VM's server, for ever.
+pub async fn keep_suspects(shared: Arc<Shared>) {
+    let mut budget = Budget::capped(Instant::now(), RATE, BURST, MAX_BACK_OFF);
+    let mut read = false;
+    loop {
+        if !read {
+            let _ = tokio::time::timeout(LOOK, shared.grave.notified()).await;
+        } else {
+            shared.grave.notified().await;
+        }
+        if !read && budget.take(Instant::now()) {
+            read = read_rows(&shared).await;
+            note(&mut budget, read);
+        }
+        write_rows(&shared, &mut budget).await;
+    }
+}
+
+fn note(budget: &mut Budget, answered: bool) {
+    if answered {
+        budget.answered();
+    } else {
+        budget.failed(Instant::now(), &mut rand::rng());
+    }
+}
+
+/// Reads all rows, and removes those whose time is over; returns whether the
+/// platform answered.
+async fn read_rows(shared: &Shared) -> bool {
+    let rows = match shared.platform.scan(PREFIX).await {
+        Ok(rows) => rows,
+        Err(e) => {
+            spdlog::warn!("held requests not read", kv: { cause = e.to_string().as_str() });
+            return false;
+        }
+    };
+    let now = Instant::now();
+    let mut known = Vec::new();
+    for row in &rows {
+        match suspect_of(row, now) {
+            Some(suspect) if suspect.is_over(now) => remove(shared, row).await,
+            Some(suspect) => known.push(suspect),
+            None => spdlog::warn!("row of a held request not understood", kv: { key = &*row.key }),
+        }
+    }
+    shared.take_suspects(&known);
+    true
+}
+
+fn suspect_of(row: &Row, now: Instant) -> Option<Suspect> {
+    let asked = u128::from_str_radix(row.key.strip_prefix(PREFIX)?, 16).ok()?;
+    let content: Content = serde_json::from_slice(&row.content).ok()?;
+    Some(content.suspect(asked, now))
+}
+
+async fn remove(shared: &Shared, row: &Row) {
+    if let Err(e) = shared.platform.delete(&row.key, row.revision).await {
+        // Whoever starts next tries again.
+        spdlog::debug!("old row of a held request not removed", kv: {
+            key = &*row.key, cause = e.to_string().as_str()
+        });
+    }
+}
+
+/// Writes a row for each request that is held for a crash of this VM's server.
+async fn write_rows(shared: &Shared, budget: &mut Budget) {
+    while let Some(suspect) = shared.suspects.take_grave() {
+        while !budget.take(Instant::now()) {
+            tokio::time::sleep(LOOK).await;
+        }
+        let written = write_row(shared, &suspect).await;
+        note(budget, written);
+        if !written && !suspect.is_over(Instant::now()) {
+            shared.suspects.put_back(suspect);
+        }
+    }
+}
+
+/// Writes one row; returns whether it stands. One that another daemon has
+/// written is enough.
+async fn write_row(shared: &Shared, suspect: &Suspect) -> bool {
+    let key = format!("{PREFIX}{:032x}", suspect.asked);
+    let content = Content::of(suspect, Instant::now());
+    let content = serde_json::to_vec(&content).unwrap_or_default();
+    let table = shared.platform.as_ref();
+    let (outcome, stands) = match settle(table, &key, Condition::Absent, content.into()).await {
+        Settled::Written(_) => ("written", true),
+        Settled::Lost(_) => ("there already", true),
+        Settled::NotSent(_) => ("not sent", false),
+        Settled::Unsettled(_) => ("not known", false),
+    };
+    spdlog::info!("row of a held request", kv: { key = key.as_str(), outcome });
+    stands
+}
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -15,6 +15,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,14 +41,37 @@
     servers: Vec<CrashingVm>,
     till: Arc<Vm>,
     logbay: Arc<Vm>,
+    _platform: Platform,
+}
+
+/// The platform, which lasts.
+#[derive(Clone)]
+struct Platform {
+    address: SocketAddr,
     _rows: Arc<RowsStandIn>,
-    _store: Listening,
+    _store: Arc<Listening>,
 }
 
-impl Estate {
+impl Platform {
     async fn start() -> Self {
         let (address, rows, listening) = store().await;
         rows.put("op", "config", &document(7, "svc", 5.0));
+        Self {
+            address,
+            _rows: rows,
+            _store: Arc::new(listening),
+        }
+    }
+}
+
+impl Estate {
+    async fn start() -> Self {
+        let platform = Platform::start().await;
+        Self::start_on(&platform).await
+    }
+
+    async fn start_on(platform: &Platform) -> Self {
+        let address = platform.address;
         let mut servers = Vec::new();
         for _ in 0..3 {
             servers.push(CrashingVm::start("svc", address, AWAY).await);
@@ -56,8 +80,7 @@
             servers,
             till: Arc::new(vm_beside("till", address).await),
             logbay: Arc::new(vm_beside("logbay", address).await),
-            _rows: rows,
-            _store: listening,
+            _platform: platform.clone(),
         };
         estate.wait_known().await;
         estate
@@ -69,13 +92,28 @@
             eventually("all targets", || async {
                 let service = "svc".parse().expect("a name");
                 let table = entry.daemon.shared().routes.table(&service);
-                let known = table.lock().targets().count() == 3;
-                known.then_some(())
+                let table = table.lock();
+                let own = |server: &CrashingVm| server.vm.daemon.shared().instance;
+                let known = |server| table.targets().any(|t| t.instance == own(server));
+                self.servers.iter().all(known).then_some(())
             })
             .await;
         }
     }
 
+    /// Loses all daemons at once; what is on the platform stays.
+    async fn lose(self) {
+        let servers = self.servers.iter().map(|server| Arc::clone(&server.vm));
+        let vms: Vec<Arc<Vm>> = servers.chain([self.till, self.logbay]).collect();
+        drop(self.servers);
+        for mut vm in vms {
+            while let Err(shared) = Arc::try_unwrap(vm).map(|vm| vm.daemon.kill()) {
+                vm = shared;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
     fn crashes(&self) -> Vec<Instant> {
         let each = self.servers.iter().map(|s| s.server.crashes.lock().clone());
         let mut crashes: Vec<Instant> = each.flatten().collect();
@@ -238,3 +276,25 @@
         tokio::time::sleep(AWAY + Duration::from_millis(200)).await;
     }
 }
+
+/// All daemons may be lost at once, and with them all that they know of requests
+/// that crash servers; the caller comes again to those that start in their place.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deadly_request_stays_held_when_all_daemons_were_lost() {
+    let platform = Platform::start().await;
+    let estate = Estate::start_on(&platform).await;
+    let until = Instant::now() + Duration::from_secs(3);
+    let answers = insist(both(&estate), "/read/deadly", until).await;
+    let last = answers.last().expect("answers");
+    assert_eq!(last.status, StatusCode::SERVICE_UNAVAILABLE);
+    estate.lose().await;
+    let estate = Estate::start_on(&platform).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for entry in both(&estate) {
+        let answer = entry.ask(Method::GET, "/read/deadly", "again").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        let answer = entry.ask(Method::GET, "/read/other", "other").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert!(estate.runs("/deadly").is_empty());
+}
