Tell a neighbour nothing of members that it has just told

Part of the news of members is sent to whom it came from: an answer repeats what the question told, and the next question tells what the answer brought. Ruled out: versions (no longer told). Change: an answer leaves out the members that the question told just so; what an answer brought counts as known to the neighbour, unless something else changed meanwhile.

--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use super::ask::{ExchangeError, TIMEOUT, ask};
 use super::generated as wire;
@@ -12,7 +13,7 @@
 use super::suspect::{suspects_in, suspects_out};
 use crate::error::Error;
 use crate::model::{Instance, ServiceName, Version};
-use crate::policy::member::{Change, Offer, Told};
+use crate::policy::member::{Change, Member, Offer, Told, View};
 use crate::policy::once::HomeRow;
 use crate::store::Revision;
 use crate::tables::Shared;
@@ -45,14 +46,18 @@
         .from
         .parse()
         .map_err(|e: Error| ExchangeError(e.to_string().into()))?;
-    let same = take_members(shared, &answer.members, answer.digest);
+    let members = read_members(&answer.members);
+    let known = take_members(shared, |view, now| {
+        view.merge_told(now, members.into_iter(), sent.members)
+    });
+    let same = shared.view.lock().digest() == answer.digest;
     take_homes(shared, &answer.homes);
     shared.take_suspects(&suspects_in(&answer.suspects));
     if shared.current.offer(Version::new(answer.version)) == Offer::Take {
         fetch(shared, pool, address, &answer).await?;
     }
     let told = Told {
-        ours: Some(sent.members),
+        ours: Some(known),
         theirs: Change(answer.change),
         homes: Change(answer.homes_change),
         // Another run of the daemon knows nothing of what was told before.
@@ -124,22 +129,24 @@
     (request, sent)
 }
 
-/// Merges members; returns whether the digest is that of the own view.
-fn take_members(shared: &Shared, members: &[wire::Member], digest: u64) -> bool {
-    let now = tokio::time::Instant::now();
-    let (changed, same) = {
+/// Reads members; those that cannot be read are passed over.
+fn read_members(members: &[wire::Member]) -> Vec<Member> {
+    members.iter().filter_map(|m| member_in(m).ok()).collect()
+}
+
+/// Takes news of members, and passes on what is new.
+fn take_members<T>(shared: &Shared, take: impl FnOnce(&mut View, Instant) -> T) -> T {
+    let (taken, changed) = {
         let mut view = shared.view.lock();
-        let mut changed = false;
-        for member in members.iter().filter_map(|m| member_in(m).ok()) {
-            changed |= view.merge(now, member);
-        }
-        (changed, view.digest() == digest)
+        let before = view.change();
+        let taken = take(&mut view, Instant::now());
+        (taken, view.change() != before)
     };
     if changed {
         shared.refresh_routes();
         shared.wake();
     }
-    same
+    taken
 }
 
 fn take_homes(shared: &Shared, homes: &[wire::HomeRow]) {
@@ -157,7 +164,10 @@
     shared: &Shared,
     request: &wire::ExchangeRequest,
 ) -> (wire::ExchangeReply, bool) {
-    take_members(shared, &request.members, 0);
+    let told = read_members(&request.members);
+    take_members(shared, |view, now| {
+        view.merge_all(now, told.iter().cloned())
+    });
     shared.take_suspects(&suspects_in(&request.suspects));
     let in_force = shared.current.get();
     let version = shared.current.version();
@@ -173,15 +183,12 @@
     let (homes, homes_change) = shared.homes.changed(since(request.homes_seen));
     let (suspects, suspects_change) = shared.suspects.changed(since(request.suspects_seen));
     let view = shared.view.lock();
-    let changed = known.then(|| view.changed(Change(request.seen))).flatten();
-    let members = match changed {
-        Some(members) => members.iter().map(member_out).collect(),
-        None => view.members().map(member_out).collect(),
-    };
+    let seen = known.then_some(Change(request.seen));
+    let members = view.beyond(seen, &told);
     let reply = wire::ExchangeReply {
         from: shared.instance.to_string(),
         digest: view.digest(),
-        members,
+        members: members.iter().map(member_out).collect(),
         change: view.change().0,
         version: version.get(),
         manifest: match &in_force {
--- a/src/policy/member/view.rs
+++ b/src/policy/member/view.rs
@@ -1,6 +1,6 @@
 //! All members as one daemon knows them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -90,6 +90,28 @@
         newer
     }
 
+    /// Takes news of several members; returns whether it changed the view.
+    pub fn merge_all(&mut self, now: Instant, news: impl Iterator<Item = Member>) -> bool {
+        let mut changed = false;
+        for member in news {
+            changed |= self.merge(now, member);
+        }
+        changed
+    }
+
+    /// Takes what a neighbour answered to what it was told up to the change
+    /// `sent`; returns up to which change it knows the view now.
+    pub fn merge_told(
+        &mut self,
+        now: Instant,
+        news: impl Iterator<Item = Member>,
+        sent: Change,
+    ) -> Change {
+        let nothing_else = self.change == sent;
+        self.merge_all(now, news);
+        if nothing_else { self.change } else { sent }
+    }
+
     fn refute(&mut self, now: Instant, news: &Member) -> bool {
         if !news.overrides(&self.own) {
             return false;
@@ -181,6 +203,17 @@
         )
     }
 
+    /// Returns the members changed after `since`, or all, but for those that the
+    /// other side has `told` just so. Two daemons that tell each other their
+    /// whole views, as after a start, send most entries once in place of twice.
+    pub fn beyond(&self, since: Option<Change>, told: &[Member]) -> Vec<Member> {
+        let told: HashMap<Instance, &Member> = told.iter().map(|m| (m.instance, m)).collect();
+        let changed = since.and_then(|since| self.changed(since));
+        let mut members = changed.unwrap_or_else(|| self.members().cloned().collect());
+        members.retain(|member| told.get(&member.instance) != Some(&member));
+        members
+    }
+
     /// Returns all members, this daemon among them.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values().map(|seen| &seen.member)
