Take checks of inventory and rules apart, and a ledger's entry from the ledger

Ruled out: any change of behaviour; text only moved, visibility widened to the module.

Change: check_inventory.rs and check_rules.rs beside check_workspaces.rs; once/entry.rs and once/begin.rs.

--- a/src/declare/mod.rs
+++ b/src/declare/mod.rs
@@ -1,6 +1,8 @@
 //! Declarations kept in version control: inventory and rules.
 
 mod check;
+mod check_inventory;
+mod check_rules;
 mod check_workspaces;
 mod diff;
 mod document;
