Repeat downloads like other reads

Routes of kind download fell under kinds that are not known, so a download was never sent to a second server, though the platform's pages call it idempotent.

The kind has its own name now and is idempotent. The new test fails without it (case large_answers; the other two kinds pass before and after).

--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -107,6 +107,8 @@
 #[serde(rename_all = "snake_case")]
 enum RouteKind {
     Idempotent,
+    /// Large answers.
+    Download,
     NonIdempotent,
     Upload,
     /// Kinds that are not known here are never repeated.
@@ -121,6 +123,13 @@
     connections: u32,
 }
 
+impl RouteKind {
+    /// Tells whether a request may run twice without harm.
+    const fn is_idempotent(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Download)
+    }
+}
+
 /// Parts into which a weight is divided, so that fractions keep their share.
 const WEIGHT_PARTS: f64 = 100.0;
 
@@ -273,7 +282,7 @@
         path: entry.prefix.clone(),
         shares,
         class: ranks.of_route(entry.priority),
-        idempotent: entry.kind == RouteKind::Idempotent,
+        idempotent: entry.kind.is_idempotent(),
         timeout: span("timeout", entry.timeout)?,
         objective: span("objective", entry.objective)?,
         attempts: entry.attempts.max(1),
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -240,6 +240,18 @@
     assert_eq!(route.expect("a route").idempotent, idempotent);
 }
 
+#[rstest]
+#[case::large_answers("download", true)]
+#[case::large_bodies("upload", false)]
+#[case::not_known("stream", false)]
+fn read_document_repeats_by_kind(#[case] kind: &str, #[case] idempotent: bool) {
+    let document = DOCUMENT.replace("upload", kind);
+    let operated = read_document(document.as_bytes()).expect("a document");
+    let mut routes = operated.estate.routes.iter();
+    let route = routes.find(|route| route.name.as_str() == "r-c");
+    assert_eq!(route.expect("a route").idempotent, idempotent);
+}
+
 #[rstest]
 #[case::cut_short(&DOCUMENT[..300])]
 #[case::no_version(r#"{"routes":{}}"#)]
