Begin reads of callers that pipeline at once

Ruled out: a server of our own (framing and closing would be ours); closing at the first answer after a stop, which would cut requests that a server is at work on.

An IO type hands hyper one message at a time and reads on. Plain GET and HEAD on routes that may run twice are begun at once, up to callers.ahead a connection, and hyper's service takes the work over in its turn; unsafe requests wait, and what is behind them waits for their answer. Deadlines count from the read that completed the head. A stop begins nothing and answers what was begun, the last one with Connection: close.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -17,6 +17,7 @@
 
 use crate::caller::DEADLY_BODY;
 use crate::estate::{Addresses, SLOTS, deadly_of, service};
+use crate::pipeliner::is_pipelined;
 use crate::record::{Record, Run};
 
 /// How often the server announces itself.
@@ -265,9 +266,10 @@
     let deadly = deadly_of(path);
     let rejected = deadly.is_none() && rand::rng().random_ratio(REJECTED, 100);
     let body = body.collect().await.map(|body| body.to_bytes());
-    let sent = match deadly {
-        Some(_) => DEADLY_BODY.to_owned(),
-        None => crate::caller::body(&id),
+    let (method, sent) = match deadly {
+        Some(_) => (Method::POST, DEADLY_BODY.to_owned()),
+        None if is_pipelined(&id) => (Method::GET, String::new()),
+        None => (Method::POST, crate::caller::body(&id)),
     };
     let run = Run {
         vm: shared.vm,
@@ -276,7 +278,7 @@
         at: Instant::now(),
         ended: None,
         rejected,
-        unchanged: head.method == Method::POST
+        unchanged: head.method == method
             && (path.ends_with(&id) || deadly.is_some())
             && body.is_ok_and(|body| *body == *sent.as_bytes()),
     };
--- a/examples/soak/caller.rs
+++ b/examples/soak/caller.rs
@@ -17,7 +17,7 @@
 use crate::record::{End, Record};
 
 /// How long a caller waits for an answer.
-const DEADLINE: Duration = Duration::from_secs(3);
+pub(crate) const DEADLINE: Duration = Duration::from_secs(3);
 /// Pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Requests of a hundred that their callers leave, and after which time.
--- a/examples/soak/estate.rs
+++ b/examples/soak/estate.rs
@@ -67,7 +67,7 @@
             "data_centre: dc-{centre}\nhall: dc-{centre}\nservice: {}\nlisten:\n  callers: {}\n  \
              peers: {}\n  advertised: {}\n  operators: {}\nbackend: {}\nplatform: {store}\n\
              hosting:\n  announcements: {}\n  readiness: {}\n  \
-             repeats: {{share: {RETRY_SHARE}, window: 10s}}\ngrace: {grace}s\n\
+             repeats: {{share: {RETRY_SHARE}, window: 10s}}\ncallers: {{ahead: 4}}\ngrace: {grace}s\n\
              log: {{level: info, format: json}}\n",
             service(vm),
             self.callers,
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -10,6 +10,7 @@
 mod check;
 mod estate;
 mod faults;
+mod pipeliner;
 mod proxy;
 mod record;
 #[allow(dead_code, missing_docs, unreachable_pub)]
@@ -35,6 +36,7 @@
 use check::{Broken, ends, judge, served};
 use estate::{Addresses, CENTRES, PER_CENTRE};
 use faults::{World, play};
+use pipeliner::pipeline;
 use proxy::Proxy;
 use record::Record;
 use rows::RowsStandIn;
@@ -131,6 +133,8 @@
             let caller = Caller::new(vm, place, args.seed, &daemon.addresses, record);
             callers.spawn(caller.run(stopped.clone()));
         }
+        let place = (vm, daemon.addresses.callers);
+        callers.spawn(pipeline(place, Arc::clone(&record), stopped.clone()));
     }
     let end = Instant::now() + Duration::from_secs_f64(args.minutes * 60.0);
     let mut keepers = JoinSet::new();
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -17,6 +17,8 @@
 const MAX_NEIGHBOURS: usize = 64;
 /// Largest number of worker threads.
 const MAX_WORKERS: usize = 64;
+/// Largest number of requests under way on one connection.
+const MAX_AHEAD: usize = 64;
 
 /// The addresses on which a daemon listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +71,9 @@
     pub metrics: Option<SocketAddr>,
     /// Threads that take calls from callers.
     pub workers: usize,
+    /// Requests of one connection of a caller that may be under way; with one
+    /// or none each waits for the answer to the one in front of it.
+    pub ahead: usize,
     /// How long a planned stop waits for calls in flight.
     pub grace: Span,
     /// Whether the operators' interface may listen beyond loopback.
@@ -97,6 +102,8 @@
     #[serde(default)]
     workers: Option<Spanned<usize>>,
     #[serde(default)]
+    callers: CallersEntry,
+    #[serde(default)]
     grace: Option<Span>,
     #[serde(default)]
     log: LogEntry,
@@ -114,6 +121,13 @@
     operators_beyond_loopback: bool,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallersEntry {
+    #[serde(default)]
+    ahead: Option<Spanned<usize>>,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct HostingEntry {
@@ -205,6 +219,7 @@
             Some(count) => count.value,
             None => 1,
         };
+        let ahead = check_ahead(path, file.callers, &mut errors);
         let hosting = file.hosting.map(|entry| Hosting {
             announcements: entry.announcements,
             readiness: entry.readiness,
@@ -228,6 +243,7 @@
             hosting,
             metrics: file.metrics,
             workers,
+            ahead,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
             open: file.listen.operators_beyond_loopback,
             level: file.log.level,
@@ -236,6 +252,17 @@
     }
 }
 
+fn check_ahead(path: &Path, entry: CallersEntry, errors: &mut Errors) -> usize {
+    let Some(ahead) = entry.ahead else {
+        return 1;
+    };
+    if ahead.value > MAX_AHEAD {
+        let message = format!("ahead must be from 0 to {MAX_AHEAD} requests, such as 8");
+        errors.at(path, &ahead, message);
+    }
+    ahead.value
+}
+
 fn check_repeats(
     path: &Path,
     entry: Option<RepeatsEntry>,
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -213,6 +213,7 @@
             hosting: None,
             metrics: None,
             workers: 1,
+            ahead: 1,
             grace: Span::from_millis(10_000),
             open: false,
             level: LogLevel::Warn,
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -46,9 +46,10 @@
     pub(super) limit: Option<Limit>,
 }
 
-/// Reads what a request is, by the rules in force.
+/// Reads what a request is, by the rules in force; its head had come at `came`.
 pub(super) fn accept(
     parts: &Parts,
+    came: Instant,
     from: IpAddr,
     estate: &Estate,
     shared: &Shared,
@@ -90,7 +91,14 @@
     } else {
         Safety::Idempotent
     };
-    let head = head(parts, &facts, &place, (rank, class), parent.as_deref())?;
+    let head = head(
+        parts,
+        came,
+        &facts,
+        &place,
+        (rank, class),
+        parent.as_deref(),
+    )?;
     let single = parent.is_none() && is_single(shared, &head.service, rank);
     Ok(Accepted {
         head: CallHead {
@@ -165,19 +173,19 @@
 
 fn head(
     parts: &Parts,
+    came: Instant,
     facts: &Facts,
     place: &Place<'_>,
     (rank, class): (ClassRank, &Class),
     parent: Option<&Held>,
 ) -> Result<CallHead, Rejected> {
-    let now = Instant::now();
     let longest = place.route.map_or(class.deadline, |route| route.timeout);
     let timeout = match (facts.timeout, place.route) {
         (Some(timeout), Some(_)) => timeout.min(longest.get()),
         (Some(timeout), None) => timeout,
         (None, _) => longest.get(),
     };
-    let own = now + timeout;
+    let own = came + timeout;
     let root = match parent {
         Some(held) => held.root,
         None => facts.root.unwrap_or_else(RootId::random),
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -25,9 +25,12 @@
 /// Reads a body: whole if it is small or must be held, else as a stream.
 pub(super) async fn receive(
     headers: &HeaderMap,
-    mut body: Incoming,
+    body: Option<Incoming>,
     hold: bool,
 ) -> Result<Payload, BodyError> {
+    let Some(mut body) = body else {
+        return Ok(Payload::empty());
+    };
     let length = content_length(headers);
     if length.is_some_and(|n| n > MAX_BODY) {
         return Err(BodyError::TooLarge);
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -1,11 +1,10 @@
 //! The entry of one daemon.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use http::Request;
 use http::request::Parts;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -14,12 +13,12 @@
 
 use super::accept::{Accepted, accept};
 use super::answer::Answering;
+use super::arrival::Arrival;
 use super::body::{BodyError, receive};
 use super::context::Context;
 use super::forward::{Ended, Forward};
 use super::place::host;
 use crate::call::{Attempt, Reason, Refusal};
-use crate::error::Error;
 use crate::guard::Guard;
 use crate::metrics::Ending;
 use crate::model::{Asked, CallId, CallerName, Fingerprint, OnceKey, ServiceName, Verdict};
@@ -29,7 +28,7 @@
 use crate::policy::retry::Repeats;
 use crate::policy::route::TargetState;
 use crate::tables::{Detail, Shared, Step};
-use crate::web::{CallerAnswer, Listening, Payload, listen};
+use crate::web::{CallerAnswer, Payload};
 
 /// The name in metrics of callers and classes that are not declared.
 const OTHER: &str = "other";
@@ -40,7 +39,7 @@
 
 /// Takes calls and brings back their answers.
 pub struct Entry {
-    context: Context,
+    pub(super) context: Context,
     repeats: Mutex<Repeats>,
     in_flight: AtomicUsize,
     closed: AtomicBool,
@@ -68,12 +67,18 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
-    async fn handle(self: Arc<Self>, request: Request<Incoming>, from: IpAddr) -> CallerAnswer {
+    /// Tells whether new calls of callers are refused.
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    /// Serves a request; it is dropped when the caller leaves.
+    pub(super) async fn handle(self: Arc<Self>, arrival: Arrival, from: IpAddr) -> CallerAnswer {
         let _counted = Counted::new(&self.in_flight);
         let shared = &self.context.shared;
-        let (parts, body) = request.into_parts();
+        let Arrival { parts, body, came } = arrival;
         let answering = Answering::new(&*shared.protocol, &parts.headers);
-        let mut accepted = match self.accept(&parts, from) {
+        let mut accepted = match self.accept(&parts, came, from) {
             Ok(accepted) => accepted,
             Err(mut refusal) => {
                 self.note_rejected(answering.id(), &refusal);
@@ -83,10 +88,9 @@
         };
         let call = accepted.head.call;
         shared.journal.note(call, Step::Entered, Detail::None);
-        let started = Instant::now();
         let ended = self.run_paid(&mut accepted, &parts, body).await;
-        self.record(&accepted, &ended, started.elapsed());
-        self.explain_end(answering.id(), &accepted, &ended, started.elapsed());
+        self.record(&accepted, &ended, came.elapsed());
+        self.explain_end(answering.id(), &accepted, &ended, came.elapsed());
         match ended.result {
             Ok(reply) => {
                 shared
@@ -105,15 +109,15 @@
         }
     }
 
-    fn accept(&self, parts: &Parts, from: IpAddr) -> Result<Accepted, Refusal> {
+    fn accept(&self, parts: &Parts, came: Instant, from: IpAddr) -> Result<Accepted, Refusal> {
         let attempt = Attempt::plan();
         let shared = &self.context.shared;
         let Some(in_force) = shared.current.get() else {
             return Err(attempt.refuse(Reason::NoConfig, "no configuration was applied yet"));
         };
-        let accepted = accept(parts, from, &in_force.estate, shared)
+        let accepted = accept(parts, came, from, &in_force.estate, shared)
             .map_err(|rejected| Attempt::plan().refuse(rejected.reason, rejected.detail))?;
-        if self.closed.load(Ordering::SeqCst) && accepted.parent.is_none() {
+        if self.is_closed() && accepted.parent.is_none() {
             return Err(attempt.refuse(Reason::Shed(Shed::Leaving), "this daemon stops"));
         }
         Ok(accepted)
@@ -137,7 +141,12 @@
     }
 
     /// Runs a request within the rate of its workspace.
-    async fn run_paid(&self, accepted: &mut Accepted, parts: &Parts, body: Incoming) -> Ended {
+    async fn run_paid(
+        &self,
+        accepted: &mut Accepted,
+        parts: &Parts,
+        body: Option<Incoming>,
+    ) -> Ended {
         let paid = match self.context.pay(accepted).await {
             Ok(paid) => paid,
             Err(refusal) => {
@@ -159,7 +168,7 @@
         ended
     }
 
-    async fn run(&self, accepted: &mut Accepted, parts: &Parts, body: Incoming) -> Ended {
+    async fn run(&self, accepted: &mut Accepted, parts: &Parts, body: Option<Incoming>) -> Ended {
         let refused = |reason| Ended {
             result: Err(Attempt::plan().refuse(reason, "")),
             retries: 0,
@@ -327,16 +336,3 @@
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
-
-/// Serves callers by HTTP.
-///
-/// # Errors
-///
-/// Fails if the address cannot be bound.
-pub async fn serve_callers(entry: Arc<Entry>) -> Result<Listening, Error> {
-    let address = entry.context.shared.config.listen.callers;
-    listen(address, move |request, from: SocketAddr| {
-        Arc::clone(&entry).handle(request, from.ip())
-    })
-    .await
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod again;
 mod answer;
+mod arrival;
 mod body;
 mod context;
 mod forward;
@@ -14,7 +15,9 @@
 mod rate;
 mod rejected;
 mod sending;
+mod serve;
 
 pub use crate::call::{ATTEMPT, TIMEOUT};
-pub use handler::{Entry, serve_callers};
+pub use handler::Entry;
 pub use header::{REASON, TICKET, VERDICT};
+pub use serve::serve_callers;
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// Tells whether a safe request may run twice without harm.
+pub(super) fn may_repeat(parts: &Parts, estate: &Estate) -> bool {
+    if !estate.routes.is_empty() {
+        let route = estate.route(host(parts), parts.uri.path());
+        return route.is_some_and(|route| route.idempotent);
+    }
+    by_host(parts, estate).is_ok_and(|place| place.class.once_key.is_none())
+}
+
 /// Finds the service by the first label of the host.
 fn by_host<'e>(parts: &Parts, estate: &'e Estate) -> Result<Place<'e>, Rejected> {
     let host = host(parts);
--- /dev/null
+++ b/src/web/ahead.rs
@@ -0,0 +1,135 @@
+//! A connection whose next requests are read, and begun, ahead of their turn.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::Serve;
+use super::begun::Begun;
+use super::connection::Connection;
+use super::pipeline::Pipeline;
+
+/// The side of a connection that the server reads: one request at a time,
+/// however many have come.
+pub(super) struct Ahead<S> {
+    stream: TcpStream,
+    connection: Connection<S>,
+}
+
+impl<S: Serve> Ahead<S> {
+    /// Reads from `stream`.
+    pub(super) const fn new(stream: TcpStream, connection: Connection<S>) -> Self {
+        Self { stream, connection }
+    }
+
+    /// Returns the connection itself.
+    pub(super) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Begins the requests that have come, as far as they may be.
+    fn begin(&self, pipeline: &mut Pipeline) {
+        let Connection {
+            from,
+            handler,
+            closing,
+            ..
+        } = &self.connection;
+        while !*closing.borrow()
+            && let Some(next) = pipeline.next()
+        {
+            let what = (next.head.method.clone(), next.head.uri.clone());
+            let work = handler.begin(next.head, next.came, *from);
+            let begun = work.map(|work| Begun::new(next.start, what, tokio::spawn(work)));
+            pipeline.began(next.start, begun);
+        }
+    }
+
+    /// Reads what comes while the request in hand is under way; `buf` is left
+    /// as it is, unless the connection ends.
+    fn read_ahead(
+        &mut self,
+        pipeline: &mut Pipeline,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        self.begin(pipeline);
+        while pipeline.has_room() {
+            let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, buf) else {
+                break;
+            };
+            if read.is_err() || buf.filled().len() == before {
+                pipeline.end_here();
+                return Poll::Ready(read);
+            }
+            pipeline.hold(&buf.filled()[before..], Instant::now());
+            buf.set_filled(before);
+            self.begin(pipeline);
+        }
+        pipeline.wake_later(cx);
+        Poll::Pending
+    }
+}
+
+/// Nothing of it is pinned in place.
+impl<S> Unpin for Ahead<S> {}
+
+impl<S: Serve> AsyncRead for Ahead<S> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let shared = Arc::clone(&this.connection.pipeline);
+        let mut pipeline = shared.lock();
+        if pipeline.reads_ahead() {
+            return this.read_ahead(&mut pipeline, cx, buf);
+        }
+        if pipeline.has_held() {
+            buf.put_slice(&pipeline.give(buf.remaining()));
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        let count = pipeline.pass(&buf.filled()[before..], Instant::now());
+        buf.set_filled(before + count);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: Serve> AsyncWrite for Ahead<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/web/in_turn.rs
@@ -0,0 +1,52 @@
+//! The body of an answer in its turn.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use parking_lot::Mutex;
+
+use super::pipeline::Pipeline;
+use super::{CallerBody, Cut};
+
+/// The body of an answer; once it is dropped, the next request has its turn.
+#[derive(Debug)]
+pub(super) struct InTurn {
+    body: CallerBody,
+    pipeline: Arc<Mutex<Pipeline>>,
+}
+
+impl InTurn {
+    /// Makes the body of the answer to the request in hand.
+    pub(super) fn new(body: CallerBody, pipeline: Arc<Mutex<Pipeline>>) -> Self {
+        Self { body, pipeline }
+    }
+}
+
+impl Body for InTurn {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for InTurn {
+    fn drop(&mut self) {
+        self.pipeline.lock().answered();
+    }
+}
--- /dev/null
+++ b/tests/pipelined_callers.rs
@@ -0,0 +1,415 @@
+//! Callers that send further requests before the first is answered.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bramleymount::emulator::free_address;
+use bramleymount::web::{CallerAnswer, Listening, Serve, Work, caller_text, listen_ahead};
+use http::request::Parts;
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use rstest::rstest;
+use support::eventually;
+use support::hosted::{Vm, document, store, vm_with};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Long enough for a request on loopback to be begun, if it is.
+const QUIET: Duration = Duration::from_millis(150);
+/// Until the work for a caller that left has ended.
+const ENDED: Duration = Duration::from_millis(500);
+/// The path of requests that the handler doesn't begin.
+const OWN_TURN: &str = "/own-turn";
+
+/// Holds each request until its path is released.
+#[derive(Clone)]
+struct Held(Arc<State>);
+
+struct State {
+    released: watch::Sender<BTreeSet<String>>,
+    /// Path, arrival and body of each request that was begun.
+    begun: Mutex<Vec<(String, Instant, String)>>,
+    running: AtomicUsize,
+}
+
+struct Running(Arc<State>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Held {
+    fn new() -> Self {
+        Self(Arc::new(State {
+            released: watch::Sender::default(),
+            begun: Mutex::default(),
+            running: AtomicUsize::new(0),
+        }))
+    }
+
+    fn release(&self, paths: &[&str]) {
+        let paths = paths.iter().map(ToString::to_string);
+        self.0
+            .released
+            .send_modify(|released| released.extend(paths));
+    }
+
+    fn begun(&self) -> Vec<String> {
+        let begun = self.0.begun.lock();
+        begun.iter().map(|(path, ..)| path.clone()).collect()
+    }
+
+    async fn wait_begun(&self, paths: &[&str]) {
+        eventually("the begin of requests", || async {
+            (self.begun() == paths).then_some(())
+        })
+        .await;
+    }
+
+    fn running(&self) -> usize {
+        self.0.running.load(Ordering::SeqCst)
+    }
+
+    async fn run(self, parts: Parts, body: Option<Incoming>, came: Instant) -> CallerAnswer {
+        self.0.running.fetch_add(1, Ordering::SeqCst);
+        let _running = Running(Arc::clone(&self.0));
+        let path = parts.uri.path().to_owned();
+        let body = match body {
+            Some(body) => body.collect().await.expect("a body").to_bytes(),
+            None => bytes::Bytes::new(),
+        };
+        let text = String::from_utf8_lossy(&body).into_owned();
+        self.0.begun.lock().push((path.clone(), came, text));
+        let mut released = self.0.released.subscribe();
+        let is_released = released.wait_for(|paths| paths.contains(&path)).await;
+        drop(is_released.expect("a sender"));
+        caller_text(StatusCode::OK, "text/plain", format!("answer to {path}"))
+    }
+}
+
+impl Serve for Held {
+    fn serve(&self, request: Request<Incoming>, came: Instant, _: SocketAddr) -> Work {
+        let (parts, body) = request.into_parts();
+        Box::pin(self.clone().run(parts, Some(body), came))
+    }
+
+    fn begin(&self, head: Parts, came: Instant, _: SocketAddr) -> Option<Work> {
+        let waits = head.uri.path() == OWN_TURN;
+        (!waits).then(|| Box::pin(self.clone().run(head, None, came)) as Work)
+    }
+}
+
+/// A connection of a caller.
+struct Caller {
+    stream: TcpStream,
+    read: Vec<u8>,
+}
+
+impl Caller {
+    async fn new(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        Self {
+            stream,
+            read: Vec::new(),
+        }
+    }
+
+    async fn send(&mut self, text: &str) {
+        let sent = self.stream.write_all(text.as_bytes()).await;
+        sent.expect("bytes sent");
+    }
+
+    /// Reads one answer, its length told; `None` if the connection ends first.
+    async fn answer(&mut self) -> Option<(String, String)> {
+        loop {
+            let text = String::from_utf8_lossy(&self.read).into_owned();
+            if let Some((head, rest)) = text.split_once("\r\n\r\n") {
+                let head = head.to_ascii_lowercase();
+                let length = head.split("content-length: ").nth(1);
+                let length = length.and_then(|text| text.lines().next()?.parse().ok());
+                let length: usize = length.unwrap_or_default();
+                if rest.len() >= length {
+                    let body = rest[..length].to_owned();
+                    self.read.drain(..head.len() + 4 + length);
+                    return Some((head, body));
+                }
+            }
+            if self.stream.read_buf(&mut self.read).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
+    async fn expect(&mut self, path: &str) -> String {
+        let (head, body) = self.answer().await.expect("an answer");
+        assert_eq!(body, format!("answer to {path}"));
+        head
+    }
+}
+
+async fn serve(limit: usize) -> (Held, Listening, Caller) {
+    let held = Held::new();
+    let address = free_address().expect("a port");
+    let listening = listen_ahead(address, limit, held.clone()).await;
+    let caller = Caller::new(address).await;
+    (held, listening.expect("a listener"), caller)
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a.example\r\n\r\n")
+}
+
+#[rstest]
+#[case::at_once(&["GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n"])]
+#[case::one_by_one(&["GET /1 HTTP/1.1\r\nhost: a\r\n\r\n", "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n"])]
+#[case::head_in_parts(&["GET /1 HTTP/1.1\r\nho", "st: a\r\n\r", "\nGET /2 HT", "TP/1.1\r\n\r\n"])]
+#[case::empty_lines(&["\r\nGET /1 HTTP/1.1\r\n\r\n\r\n", "\nGET /2 HTTP/1.1\r\n\r\n"])]
+#[case::bare_line_feeds(&["GET /1 HTTP/1.1\nhost: a\n\nGET /2 HTTP/1.1\nhost: a\n\n"])]
+#[case::length_of_none(&["GET /1 HTTP/1.1\r\n\r\nHEAD /2 HTTP/1.1\r\ncontent-length: 0\r\nconnection: keep-alive\r\n\r\n"])]
+#[tokio::test]
+async fn reads_run_side_by_side(#[case] parts: &[&str]) {
+    let (held, _listening, mut caller) = serve(8).await;
+    for part in parts {
+        caller.send(part).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    held.wait_begun(&["/1", "/2"]).await;
+}
+
+#[tokio::test]
+async fn answers_keep_the_order_of_requests() {
+    let (held, _listening, mut caller) = serve(8).await;
+    caller.send(&(get("/1") + &get("/2") + &get("/3"))).await;
+    held.wait_begun(&["/1", "/2", "/3"]).await;
+    held.release(&["/3", "/2"]);
+    let early = timeout(QUIET, caller.answer()).await;
+    assert!(early.is_err(), "an answer out of turn: {early:?}");
+    held.release(&["/1"]);
+    for path in ["/1", "/2", "/3"] {
+        caller.expect(path).await;
+    }
+    caller.send(&get("/4")).await;
+    held.wait_begun(&["/1", "/2", "/3", "/4"]).await;
+    held.release(&["/4"]);
+    caller.expect("/4").await;
+}
+
+#[rstest]
+#[case::with_length("POST /2 HTTP/1.1\r\ncontent-length: 5\r\n\r\nhello", "hello")]
+#[case::empty("POST /2 HTTP/1.1\r\ncontent-length: 0\r\n\r\n", "")]
+#[case::in_chunks(
+    "POST /2 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    "hello"
+)]
+#[tokio::test]
+async fn unsafe_request_waits_and_those_behind_wait_for_it(
+    #[case] second: &str,
+    #[case] body: &str,
+) {
+    let (held, _listening, mut caller) = serve(8).await;
+    caller.send(&(get("/1") + second + &get("/3"))).await;
+    held.wait_begun(&["/1"]).await;
+    sleep(QUIET).await;
+    assert_eq!(held.begun(), ["/1"]);
+    held.release(&["/1"]);
+    caller.expect("/1").await;
+    held.wait_begun(&["/1", "/2"]).await;
+    sleep(QUIET).await;
+    assert_eq!(held.begun(), ["/1", "/2"]);
+    held.release(&["/2", "/3"]);
+    caller.expect("/2").await;
+    caller.expect("/3").await;
+    assert_eq!(held.0.begun.lock()[1].2, body);
+}
+
+#[rstest]
+#[case::with_body("/2", "content-length: 5\r\n\r\nhello")]
+#[case::in_chunks("/2", "transfer-encoding: chunked\r\n\r\n0\r\n\r\n")]
+#[case::expects("/2", "expect: 100-continue\r\n\r\n")]
+#[case::handler_says_so(OWN_TURN, "\r\n")]
+#[tokio::test]
+async fn read_that_is_not_plain_waits_for_its_turn(#[case] path: &str, #[case] rest: &str) {
+    let (held, _listening, mut caller) = serve(8).await;
+    let second = format!("GET {path} HTTP/1.1\r\n{rest}");
+    caller.send(&(get("/1") + &second + &get("/3"))).await;
+    held.wait_begun(&["/1"]).await;
+    sleep(QUIET).await;
+    assert_eq!(held.begun(), ["/1"]);
+    held.release(&["/1", path, "/3"]);
+    for path in ["/1", path, "/3"] {
+        caller.expect(path).await;
+    }
+}
+
+#[rstest]
+#[case::begun("GET /2 HTTP/1.1\r\n\r\n")]
+#[case::waits("POST /2 HTTP/1.1\r\ncontent-length: 1\r\n\r\nx")]
+#[tokio::test]
+async fn arrival_is_when_the_head_had_come(#[case] second: &str) {
+    let (held, _listening, mut caller) = serve(8).await;
+    caller.send(&get("/1")).await;
+    held.wait_begun(&["/1"]).await;
+    caller.send(second).await;
+    sleep(QUIET).await;
+    let before = Instant::now();
+    held.release(&["/1", "/2"]);
+    caller.expect("/1").await;
+    caller.expect("/2").await;
+    let came = held.0.begun.lock()[1].1;
+    assert!(came < before, "{:?} late", came - before);
+}
+
+#[rstest]
+#[case::none(0, 1)]
+#[case::one(1, 1)]
+#[case::two(2, 2)]
+#[case::five(5, 5)]
+#[tokio::test]
+async fn no_more_run_than_the_limit(#[case] limit: usize, #[case] most: usize) {
+    let (held, _listening, mut caller) = serve(limit).await;
+    let paths: Vec<String> = (0..10).map(|place| format!("/{place}")).collect();
+    let sent: String = paths.iter().map(|path| get(path)).collect();
+    caller.send(&sent).await;
+    for place in 0..paths.len() {
+        let run = paths.len().min(place + most);
+        let begun: Vec<&str> = paths[..run].iter().map(String::as_str).collect();
+        held.wait_begun(&begun).await;
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(held.begun(), begun);
+        held.release(&[&paths[place]]);
+        caller.expect(&paths[place]).await;
+    }
+}
+
+#[tokio::test]
+async fn caller_is_not_read_without_end() {
+    let (held, _listening, mut caller) = serve(8).await;
+    caller.send(&get("/1")).await;
+    held.wait_begun(&["/1"]).await;
+    let much = get("/own-turn").repeat(400_000);
+    let sent = timeout(Duration::from_secs(2), caller.send(&much)).await;
+    assert!(sent.is_err(), "{} bytes were read", much.len());
+}
+
+#[tokio::test]
+async fn caller_that_leaves_ends_all_its_work() {
+    let (held, _listening, mut caller) = serve(8).await;
+    caller
+        .send(&(get("/1") + &get("/2") + &get("/own-turn")))
+        .await;
+    held.wait_begun(&["/1", "/2"]).await;
+    drop(caller);
+    let left = Instant::now();
+    eventually("the end of the work", || async {
+        (held.running() == 0).then_some(())
+    })
+    .await;
+    assert!(left.elapsed() < ENDED, "it took {:?}", left.elapsed());
+    sleep(QUIET).await;
+    assert_eq!(held.begun(), ["/1", "/2"]);
+}
+
+#[tokio::test]
+async fn stop_begins_nothing_and_answers_what_was_begun() {
+    let (held, listening, mut caller) = serve(8).await;
+    caller.send(&(get("/1") + &get("/2"))).await;
+    held.wait_begun(&["/1", "/2"]).await;
+    listening.close_kept();
+    caller.send(&get("/3")).await;
+    sleep(QUIET).await;
+    held.release(&["/1", "/2", "/3"]);
+    let first = caller.expect("/1").await;
+    let second = caller.expect("/2").await;
+    assert!(!first.contains("connection: close"), "{first}");
+    assert!(second.contains("connection: close"), "{second}");
+    assert_eq!(caller.answer().await, None);
+    assert_eq!(held.begun(), ["/1", "/2"]);
+}
+
+#[rstest]
+#[case::caller_asks("GET /2 HTTP/1.1\r\nconnection: close\r\n\r\n".to_owned())]
+#[case::older_version("GET /2 HTTP/1.0\r\n\r\n".to_owned())]
+#[case::head_too_large(format!("GET /2 HTTP/1.1\r\na: {}\r\nb: {}\r\n\r\n", "x".repeat(17_000), "x".repeat(17_000)))]
+#[case::not_understood("GET /2\r\n\r\n".to_owned())]
+#[tokio::test]
+async fn nothing_is_answered_behind_the_last_answer(#[case] last: String) {
+    let (held, _listening, mut caller) = serve(8).await;
+    held.release(&["/2", "/3"]);
+    caller.send(&(get("/1") + &last + &get("/3"))).await;
+    held.wait_begun(&["/1"]).await;
+    sleep(QUIET).await;
+    assert_eq!(held.begun(), ["/1"]);
+    held.release(&["/1"]);
+    caller.expect("/1").await;
+    caller.answer().await.expect("an answer");
+    assert_eq!(caller.answer().await, None);
+    assert!(!held.begun().contains(&"/3".to_owned()));
+}
+
+async fn pipelining_vm() -> (Vm, impl Sized) {
+    let (address, rows, listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm_with("svc", address, "callers: {ahead: 8}").await;
+    vm.wait_ready().await;
+    assert_eq!(vm.announce("ready", 1).await.status, StatusCode::OK);
+    (vm, (rows, listening))
+}
+
+fn ask(method: &str, path: &str, id: &str, deadline: u32) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: {deadline}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+fn ids(vm: &Vm) -> Vec<String> {
+    let runs = vm.seen.runs.lock();
+    runs.iter().map(|(id, ..)| id.clone()).collect()
+}
+
+#[tokio::test]
+async fn daemon_begins_reads_but_no_route_that_runs_once() {
+    let (vm, _kept) = pipelining_vm().await;
+    let mut caller = Caller::new(vm.callers).await;
+    let sent = ask("GET", "/read/slow", "r1", 600)
+        + &ask("GET", "/read/x", "r2", 5000)
+        + &ask("GET", "/write/x", "r3", 5000)
+        + &ask("GET", "/read/x", "r4", 5000);
+    caller.send(&sent).await;
+    sleep(QUIET).await;
+    assert_eq!(ids(&vm), ["r1", "r2"]);
+    let mut answered = Vec::new();
+    while answered.len() < 4 {
+        let (head, _) = caller.answer().await.expect("an answer");
+        let id = head.split("x-request-id: ").nth(1).expect("an id");
+        answered.push((id[..2].to_owned(), head[9..12].to_owned()));
+    }
+    let expected = [("r1", "504"), ("r2", "200"), ("r3", "200"), ("r4", "200")];
+    let expected = expected.map(|(id, status)| (id.to_owned(), status.to_owned()));
+    assert_eq!(answered, expected);
+}
+
+#[tokio::test]
+async fn daemon_counts_the_deadline_from_the_arrival() {
+    let (vm, _kept) = pipelining_vm().await;
+    let mut caller = Caller::new(vm.callers).await;
+    let sent = ask("GET", "/read/slow", "r1", 600) + &ask("POST", "/write/x", "r2", 300);
+    caller.send(&sent).await;
+    let (first, _) = caller.answer().await.expect("an answer");
+    let (second, _) = caller.answer().await.expect("an answer");
+    assert_eq!((&first[9..12], &second[9..12]), ("504", "503"));
+    assert_eq!(ids(&vm), ["r1"]);
+}
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -90,7 +90,12 @@
 
 /// Starts a VM with a backend server that answers.
 pub async fn vm(service: &str, store: SocketAddr) -> Vm {
-    let mut vm = vm_beside(service, store).await;
+    vm_with(service, store, "").await
+}
+
+/// The same with more lines of settings.
+pub async fn vm_with(service: &str, store: SocketAddr, settings: &str) -> Vm {
+    let mut vm = daemon(service, store, settings).await;
     let (of, id) = (Arc::clone(&vm.seen), vm.server.clone());
     let served = listen(vm.backend, move |request, _| {
         run(Arc::clone(&of), id.clone(), request)
@@ -101,13 +106,17 @@
 
 /// Starts the daemon of a VM whose backend server is started elsewhere.
 pub async fn vm_beside(service: &str, store: SocketAddr) -> Vm {
+    daemon(service, store, "").await
+}
+
+async fn daemon(service: &str, store: SocketAddr, settings: &str) -> Vm {
     let port = || free_address().expect("a port");
     let (callers, announcements, readiness, backend) = (port(), port(), port(), port());
     let operators = port();
     let text = format!(
         "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
          peers: {}\n  operators: {operators}\nbackend: {backend}\nplatform: {store}\nhosting:\n  \
-         announcements: {announcements}\n  readiness: {readiness}\ngrace: 6s\n",
+         announcements: {announcements}\n  readiness: {readiness}\ngrace: 6s\n{settings}\n",
         port(),
     );
     let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
