Compare targets by the time that an answer takes there

On the users' new sites servers of one service run at 0.5 to 1.6 of the mean speed and services use 3 to 5 in 100 of their slots, but the choice of a target knew calls in flight only, so a slow server got as many calls as the others. Ruled out: a mean by path (unbounded), a mean of plain answers (it follows the fast servers), counting failures as time (a server that fails fast would draw calls).

Each entry learns what calls of a kind take in the mean of a service's servers and, for each target, the ratio to it: its own speed, and the slow spell that it may be in. `balance: load | time | auto`, load by default; auto acts in estates where a route's timeout is below its objective. `bramleyctl status` shows the pace.

--- a/src/bin/bramleyctl/printer.rs
+++ b/src/bin/bramleyctl/printer.rs
@@ -15,20 +15,21 @@
     });
     let _ = writeln!(
         text,
-        "{:<16} {:<24} {:<22} {:<8} {:>7}",
-        "DATA CENTRE", "SERVICE", "ADDRESS", "STATE", "VERSION"
+        "{:<16} {:<24} {:<22} {:<8} {:>7} {:>5}",
+        "DATA CENTRE", "SERVICE", "ADDRESS", "STATE", "VERSION", "PACE"
     );
     for member in &members {
         let _ = writeln!(
             text,
-            "{:<16} {:<24} {:<22} {:<8} {:>7}",
+            "{:<16} {:<24} {:<22} {:<8} {:>7} {:>5}",
             member.centre,
             member.service,
             member.instance.address.to_string(),
             member.state,
             member
                 .version
-                .map_or("-".into(), |version| version.to_string())
+                .map_or("-".into(), |version| version.to_string()),
+            member.pace.map_or("-".into(), |pace| format!("{pace:.2}"))
         );
     }
     let told: Vec<_> = members.iter().filter_map(|m| m.version).collect();
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -12,6 +12,7 @@
 use crate::model::{CentreName, HallName, ServiceName, Span};
 use crate::policy::rate::{Sharing, Terms};
 use crate::policy::retry::AllowanceSettings;
+use crate::policy::route::Balance;
 
 /// Largest number of first neighbours.
 const MAX_NEIGHBOURS: usize = 64;
@@ -65,6 +66,8 @@
     pub neighbours: Vec<SocketAddr>,
     /// Set if the daemon runs on VMs whose platform speaks its own interfaces.
     pub hosting: Option<Hosting>,
+    /// By what backend servers are compared.
+    pub balance: Balance,
     /// Where metrics go by UDP, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// Threads that take calls from callers.
@@ -93,6 +96,8 @@
     #[serde(default)]
     hosting: Option<HostingEntry>,
     #[serde(default)]
+    balance: Balance,
+    #[serde(default)]
     metrics: Option<SocketAddr>,
     #[serde(default)]
     workers: Option<Spanned<usize>>,
@@ -226,6 +231,7 @@
             platform: file.platform.value,
             neighbours: file.neighbours.iter().map(|n| n.value).collect(),
             hosting,
+            balance: file.balance,
             metrics: file.metrics,
             workers,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -210,7 +210,7 @@
         current: Current::default(),
         view: Mutex::new(View::new(Instant::now(), own)),
         homes: Homes::default(),
-        routes: Routes::new(config.centre.clone(), allowed),
+        routes: Routes::new(config.centre.clone(), allowed, config.balance),
         splits: Splits::default(),
         protocol,
         calls: Arc::new(Calls::default()),
--- a/src/declare/estate.rs
+++ b/src/declare/estate.rs
@@ -155,6 +155,12 @@
         route::find(&self.routes, host, path)
     }
 
+    /// Tells whether an operator ends a route's requests before its objective,
+    /// which says that a slow answer is worth nothing there.
+    pub fn ends_early(&self) -> bool {
+        self.routes.iter().any(|r| r.timeout < r.objective)
+    }
+
     /// Returns a class by name, with its rank.
     pub fn class(&self, name: &str) -> Option<(ClassRank, &Class)> {
         let place = self.classes.iter().position(|c| c.name.as_str() == name)?;
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -12,6 +12,7 @@
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Slots, Span, Version};
 use crate::operator::{ApplyRequest, ApplyResult, apply};
+use crate::policy::route::Balance;
 use crate::store::Memory;
 
 /// How often emulated backend servers renew their announcements.
@@ -211,6 +212,7 @@
                 .map(|server| server.daemon.shared().instance.address)
                 .collect(),
             hosting: None,
+            balance: Balance::default(),
             metrics: None,
             workers: 1,
             grace: Span::from_millis(10_000),
--- a/src/entry/sending.rs
+++ b/src/entry/sending.rs
@@ -5,13 +5,14 @@
 use super::forward::Forward;
 use crate::call::{Reason, Refusal, Reply};
 use crate::model::Instance;
-use crate::policy::route::{Report, Table};
+use crate::policy::route::{Kind, Report, Table, Took};
 
 /// Reports to the table of targets how an attempt ended, also if the caller
 /// went away first.
 pub(super) struct Sending<'f> {
     forward: &'f Forward<'f>,
     target: Instance,
+    sent: Instant,
     reported: bool,
 }
 
@@ -21,6 +22,7 @@
         Self {
             forward,
             target,
+            sent: Instant::now(),
             reported: false,
         }
     }
@@ -44,6 +46,7 @@
         let now = Instant::now();
         self.forward.table(|table| {
             table.report(now, self.target, report);
+            self.time(table, now, result);
             if let Ok(reply) = result {
                 table.retries().answered();
                 self.learn(table, reply);
@@ -52,6 +55,26 @@
         self.reported = true;
     }
 
+    /// Tells the table how long the attempt took. Only an answer in good order
+    /// that the server has just made tells how fast it is.
+    fn time(&self, table: &mut Table, now: Instant, result: &Result<Reply, Refusal>) {
+        let time = now.saturating_duration_since(self.sent);
+        let took = match result {
+            Ok(reply) if reply.head.kept => return,
+            Ok(reply) if reply.head.status.is_success() => Took::Answered(time),
+            Ok(_) | Err(_) => Took::GivenUp(time),
+        };
+        table.took(now, self.target, self.kind(), took);
+    }
+
+    fn kind(&self) -> Kind {
+        let head = self.forward.head();
+        Kind {
+            rank: head.priority.rank(),
+            depth: head.depth,
+        }
+    }
+
     /// Learns whether callers' own calls of this class make others.
     fn learn(&self, table: &mut Table, reply: &Reply) {
         let own = self.forward.accepted.parent.is_none() && self.forward.head().once.is_none();
@@ -65,8 +88,11 @@
     fn drop(&mut self) {
         if !self.reported {
             let now = Instant::now();
-            self.forward
-                .table(|table| table.report(now, self.target, Report::Abandoned));
+            let took = Took::GivenUp(now.saturating_duration_since(self.sent));
+            self.forward.table(|table| {
+                table.report(now, self.target, Report::Abandoned);
+                table.took(now, self.target, self.kind(), took);
+            });
         }
     }
 }
--- a/src/operator/message.rs
+++ b/src/operator/message.rs
@@ -84,6 +84,10 @@
     pub state: MemberState,
     /// The configuration that it runs, if it said so when it was asked.
     pub version: Option<Version>,
+    /// What its answers take now as a multiple of its service's mean, as the
+    /// daemon that was asked has learned it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<f64>,
 }
 
 /// What a daemon says of itself and of the others.
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -6,6 +6,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, StatusCode};
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 use xitca_web::body::{BodyExt, RequestBody};
 
 use super::page::page;
@@ -104,12 +105,15 @@
             _ if member.state >= MemberState::Silent => None,
             other => version_of(&self.shared, &self.pool, other).await,
         };
+        let table = self.shared.routes.table(&member.service);
+        let pace = table.lock().pace(Instant::now(), member.instance);
         MemberLine {
             instance: member.instance,
             centre: member.centre,
             service: member.service,
             state: member.state,
             version,
+            pace,
         }
     }
 
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::{Ejector, Target, TargetState};
+use super::{Ejector, Target, TargetState, timed};
 use crate::model::{Demand, Instance, Level, RankSet};
 
 /// Load of the own data centre above which others are considered.
@@ -39,6 +39,8 @@
     pub(super) ejector: &'a Ejector,
     /// The call that a target is wanted for.
     pub(super) want: Want,
+    /// Whether targets are compared by time.
+    pub(super) by_time: bool,
 }
 
 impl Choice<'_> {
@@ -46,7 +48,7 @@
         target.state == TargetState::Serving && !self.tried.contains(&target.instance)
     }
 
-    fn is_sound(&self, now: Instant, target: &Target) -> bool {
+    pub(super) fn is_sound(&self, now: Instant, target: &Target) -> bool {
         self.is_open(target)
             && self.want.avoid != Some(target.instance)
             && self.ejector.admits(now, target.instance)
@@ -109,7 +111,7 @@
 /// centre; of others if the own one has too much work or none.
 pub(super) fn pick<R: Rng>(now: Instant, choice: Choice<'_>, rng: &mut R) -> Pick {
     let want = choice.want;
-    let near = best_of_two(now, choice, choice.near, rng);
+    let near = best(now, choice, choice.near, rng);
     let demanded = |targets| demand(now, targets, want.protected).of(want.level.rank());
     let near_demands = near.map(|_| demanded(choice.near));
     let near_takes = near_demands.is_some_and(|level| want.level >= level);
@@ -119,7 +121,7 @@
     {
         return Pick::Target(target.instance);
     }
-    let far = best_of_two(now, choice, choice.far, rng);
+    let far = best(now, choice, choice.far, rng);
     let far_demands = far.map(|_| demanded(choice.far));
     let far_takes = far_demands.is_some_and(|level| want.level >= level);
     let near = near.filter(|_| near_takes);
@@ -145,6 +147,20 @@
     }
 }
 
+/// Returns the best of some random targets.
+fn best<'a, R: Rng>(
+    now: Instant,
+    choice: Choice<'_>,
+    targets: &'a [Target],
+    rng: &mut R,
+) -> Option<&'a Target> {
+    if choice.by_time {
+        timed::best(now, choice, targets, rng)
+    } else {
+        best_of_two(now, choice, targets, rng)
+    }
+}
+
 fn best_of_two<'a, R: Rng>(
     now: Instant,
     choice: Choice<'_>,
@@ -161,7 +177,7 @@
 }
 
 /// Draws a usable target at random.
-fn draw<'a, R: Rng>(
+pub(super) fn draw<'a, R: Rng>(
     now: Instant,
     choice: Choice<'_>,
     targets: &'a [Target],
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 use super::pick::{Choice, Want, demand, pick};
-use super::{Ejector, Pick, Target, TargetState};
+use super::usual::Usual;
+use super::{Ejector, Kind, Pick, Target, TargetState, Took};
 use crate::model::{CentreName, ClassRank, Demand, GuardNews, Instance};
 use crate::policy::admission::Shares;
 use crate::policy::retry::RetryBudget;
@@ -37,6 +38,8 @@
     retries: RetryBudget,
     /// Which of the callers' own calls make others.
     onward: Shares,
+    /// What calls take, where targets are compared by time.
+    usual: Option<Usual>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +59,7 @@
             ejector: Ejector::default(),
             retries: RetryBudget::default(),
             onward: Shares::default(),
+            usual: None,
         }
     }
 
@@ -124,6 +128,7 @@
             far: &self.far,
             ejector: &self.ejector,
             want,
+            by_time: self.usual.is_some(),
         };
         let found = pick(now, choice, rng);
         if let Pick::Target(instance) = found {
@@ -202,6 +207,49 @@
         }
     }
 
+    /// Sets whether targets are compared by time.
+    pub fn set_by_time(&mut self, by_time: bool) {
+        match (by_time, &self.usual) {
+            (true, None) => self.usual = Some(Usual::default()),
+            (false, Some(_)) => self.usual = None,
+            (true, Some(_)) | (false, None) => {}
+        }
+    }
+
+    /// Takes note of the time that a call took at its target; one that ended
+    /// without an answer counts only if it was slow.
+    pub fn took(&mut self, now: Instant, instance: Instance, kind: Kind, took: Took) {
+        let Some(mut usual) = self.usual.take() else {
+            return;
+        };
+        if let Some(target) = self.find(instance) {
+            let pace = target.pace_mut();
+            match took {
+                Took::Answered(time) => {
+                    let own = pace.own(now);
+                    usual.answered(now, kind, time, own);
+                    if let Some(excess) = usual.excess(kind, time) {
+                        pace.answered(now, excess);
+                    }
+                }
+                Took::GivenUp(time) => {
+                    if let Some(excess) = usual.excess(kind, time) {
+                        pace.given_up(now, excess);
+                    }
+                }
+            }
+        }
+        self.usual = Some(usual);
+    }
+
+    /// Returns how fast a target answers, where targets are compared by time
+    /// and it has answered.
+    pub fn pace(&self, now: Instant, instance: Instance) -> Option<f64> {
+        self.usual.as_ref()?;
+        let target = self.targets().find(|t| t.instance == instance)?;
+        target.pace().is_known().then(|| target.pace().ratio(now))
+    }
+
     /// Returns what the service demands of calls now, in the own data centre
     /// if it has servers there.
     pub fn demand(&self, now: Instant) -> Demand {
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use super::Pace;
 use crate::model::{CentreName, Demand, GuardNews, Instance, RankSet, Slots};
 use crate::policy::admission::Heard;
 
@@ -27,6 +28,9 @@
 /// Half-life of a load that was heard on an answer.
 const LOAD_AGE: Duration = Duration::from_millis(200);
 
+/// Load from which a server counts as full: some answer slower from here on.
+const FULL: f64 = 0.9;
+
 /// Whether calls may go to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetState {
@@ -56,6 +60,7 @@
     classes: RankSet,
     rejects: f64,
     faults: Option<(f64, Instant)>,
+    pace: Pace,
 }
 
 impl Target {
@@ -73,6 +78,7 @@
             classes: RankSet::default(),
             rejects: 0.0,
             faults: None,
+            pace: Pace::default(),
         }
     }
 
@@ -163,4 +169,27 @@
         });
         own.max(heard) / f64::from(self.slots.get()) + self.rejects * REJECTS_LOAD
     }
+
+    /// Tells whether it has as much to do as it should.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.load(now) >= FULL
+    }
+
+    /// Returns how fast it answers.
+    pub fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Returns how fast it answers, to be learned.
+    pub(super) fn pace_mut(&mut self) -> &mut Pace {
+        &mut self.pace
+    }
+
+    /// Returns what an answer is expected to take there, as a multiple of what
+    /// it takes in the mean of the service's idle servers: its pace over its
+    /// free share of slots, so that calls spread long before it is full.
+    pub fn expected(&self, now: Instant) -> f64 {
+        let free = (1.0 - self.load(now)).max(1.0 - FULL);
+        self.pace.hoped(now) / free
+    }
 }
--- /dev/null
+++ b/src/policy/route/timed.rs
@@ -0,0 +1,65 @@
+//! The choice between targets by the time that an answer takes there.
+//!
+//! Load pattern: servers of one service differ in speed two- to threefold,
+//! some turn slow for half a second, and callers give up soon after what an
+//! answer takes in the mean. Most servers stand nearly idle, so that nearly
+//! all calls could be answered by fast ones.
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::Target;
+use super::pick::{Choice, draw};
+
+/// Targets that are compared where they have little to do: with a third of
+/// them fast, a fast one is among them seven times in eight.
+const DRAWS: usize = 5;
+/// Load above which two are compared, since what was heard of load is older
+/// than the load.
+const BUSY: f64 = 0.25;
+/// Load of a server that has no slot free.
+const NO_ROOM: f64 = 1.0;
+
+/// Returns the best of some random targets: two, or more where they have
+/// little to do; where those have no slot free, any that has.
+pub(super) fn best<'a, R: Rng>(
+    now: Instant,
+    choice: Choice<'_>,
+    targets: &'a [Target],
+    rng: &mut R,
+) -> Option<&'a Target> {
+    let mut best = draw(now, choice, targets, rng)?;
+    for drawn in 1..DRAWS {
+        if drawn > 1 && best.load(now) >= BUSY {
+            break;
+        }
+        best = better(now, best, draw(now, choice, targets, rng)?);
+    }
+    if best.load(now) < NO_ROOM {
+        return Some(best);
+    }
+    Some(with_room(now, choice, targets, rng).unwrap_or(best))
+}
+
+/// Returns the target that answers sooner; a full one only where both are, and
+/// then the one with less load.
+fn better<'a>(now: Instant, one: &'a Target, other: &'a Target) -> &'a Target {
+    let is_other = match (one.is_full(now), other.is_full(now)) {
+        (true, true) => other.load(now) < one.load(now),
+        (false, false) => other.expected(now) < one.expected(now),
+        (one_full, _) => one_full,
+    };
+    if is_other { other } else { one }
+}
+
+/// Returns the first target with a slot free from a random place on.
+fn with_room<'a, R: Rng>(
+    now: Instant,
+    choice: Choice<'_>,
+    targets: &'a [Target],
+    rng: &mut R,
+) -> Option<&'a Target> {
+    let (before, after) = targets.split_at(rng.random_range(0..targets.len()));
+    let mut around = after.iter().chain(before);
+    around.find(|target| target.load(now) < NO_ROOM && choice.is_sound(now, target))
+}
--- a/src/tables/routes.rs
+++ b/src/tables/routes.rs
@@ -9,23 +9,26 @@
 use crate::model::{CentreName, Instance, ServiceName};
 use crate::policy::member::View;
 use crate::policy::retry::{Allowance, AllowanceSettings, RetryBudget};
-use crate::policy::route::{Table, Target, subset, subset_size};
+use crate::policy::route::{Balance, Table, Target, subset, subset_size};
 
 /// The tables of targets by service.
 #[derive(Debug)]
 pub struct Routes {
     own: CentreName,
     allowed: Option<AllowanceSettings>,
+    balance: Balance,
     tables: Mutex<HashMap<ServiceName, Arc<Mutex<Table>>>>,
 }
 
 impl Routes {
     /// Makes the tables of an entry in the data centre `own`, whose retries
-    /// are bounded by what the estate allows, or else by the calls answered.
-    pub fn new(own: CentreName, allowed: Option<AllowanceSettings>) -> Self {
+    /// are bounded by what the estate allows, or else by the calls answered;
+    /// `balance` says by what targets are compared.
+    pub fn new(own: CentreName, allowed: Option<AllowanceSettings>, balance: Balance) -> Self {
         Self {
             own,
             allowed,
+            balance,
             tables: Mutex::default(),
         }
     }
@@ -51,6 +54,7 @@
     /// Fills the tables from the view of the estate.
     pub fn update(&self, estate: &Estate, view: &View) {
         let own = view.own().instance;
+        let by_time = self.balance.is_by_time(estate.ends_early());
         for service in estate.services.values() {
             let mut near = Vec::new();
             let mut far = Vec::new();
@@ -77,7 +81,10 @@
                     Target::new(m.instance, m.centre.clone(), slots)
                 })
                 .collect();
-            self.table(&service.name).lock().update(targets);
+            let table = self.table(&service.name);
+            let mut table = table.lock();
+            table.set_by_time(by_time);
+            table.update(targets);
         }
     }
 }
--- /dev/null
+++ b/tests/uneven_servers.rs
@@ -0,0 +1,440 @@
+//! Choice between backend servers of uneven speed.
+//!
+//! Load pattern: a service of 30 servers uses 4 in 100 of its slots; one in
+//! four servers takes twice as long as the others, and any may turn 2.5 times
+//! slower for 600 ms. Callers give up soon after what an answer takes in the
+//! mean. Figures: 83 slots and 120 ms a call, as on one of the users' sites.
+
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bramleymount::config::Config;
+use bramleymount::declare::{Estate, Route, load};
+use bramleymount::model::{
+    CentreName, ClassRank, Depth, GuardNews, Instance, Level, Percent, Slots, Span, StartStamp,
+};
+use bramleymount::policy::route::{
+    Balance, Kind, Pick, Report, Table, Target, TargetState, Took, Want,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const SLOTS: u32 = 83;
+const WORK_MS: f64 = 120.0;
+/// Times of four neighbours as multiples of the mean: of speeds 0.55 and 1.2.
+const PACES: [f64; 4] = [1.0 / 0.55, 1.0 / 1.2, 1.0 / 1.2, 1.0 / 1.2];
+
+fn kind(depth: u8) -> Kind {
+    Kind {
+        rank: ClassRank::new(0),
+        depth: Depth::new(depth),
+    }
+}
+
+fn centre() -> CentreName {
+    "near".parse().expect("a name")
+}
+
+fn instance(n: usize) -> Instance {
+    let address = SocketAddr::from(([10, 0, 0, 1], n as u16));
+    Instance::new(address, StartStamp::new(1, 0))
+}
+
+fn target(n: usize) -> Target {
+    Target::new(instance(n), centre(), Slots::new(SLOTS))
+}
+
+fn table(targets: usize, by_time: bool) -> Table {
+    let mut table = Table::new(centre());
+    table.set_by_time(by_time);
+    table.update((0..targets).map(target).collect());
+    table
+}
+
+const WANT: Want = Want {
+    level: Level::OPEN,
+    protected: false,
+    avoid: None,
+};
+
+struct Under {
+    ends: f64,
+    entry: usize,
+    server: usize,
+    took: Duration,
+}
+
+/// Servers of a service, and entries that send them calls.
+struct World {
+    entries: Vec<Table>,
+    /// Time of a call at each server, in milliseconds.
+    times: Vec<f64>,
+    calls: Vec<u32>,
+    most: Vec<u32>,
+    under: Vec<Under>,
+    now_ms: f64,
+    start: Instant,
+    rng: StdRng,
+}
+
+impl World {
+    fn new(entries: usize, times: Vec<f64>, by_time: bool) -> Self {
+        let servers = times.len();
+        let entries = (0..entries).map(|_| table(servers, by_time));
+        Self {
+            entries: entries.collect(),
+            times,
+            calls: vec![0; servers],
+            most: vec![0; servers],
+            under: Vec::new(),
+            now_ms: 0.0,
+            start: Instant::now(),
+            rng: StdRng::seed_from_u64(11),
+        }
+    }
+
+    fn uneven(entries: usize, by_time: bool) -> Self {
+        let times = PACES.iter().cycle().take(30).map(|pace| WORK_MS * pace);
+        Self::new(entries, times.collect(), by_time)
+    }
+
+    /// Returns the calls a second that take a share of all slots.
+    fn rate(&self, share: f64) -> f64 {
+        let full = |time: &f64| f64::from(SLOTS) * 1000.0 / time;
+        share * self.times.iter().map(full).sum::<f64>()
+    }
+
+    fn load(&self, server: usize) -> u32 {
+        self.under.iter().filter(|u| u.server == server).count() as u32
+    }
+
+    /// Lets calls come for a while; what is counted starts anew.
+    fn run(&mut self, ms: f64, per_second: f64) {
+        self.calls.fill(0);
+        self.most.fill(0);
+        let end = self.now_ms + ms;
+        loop {
+            let chance: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+            self.now_ms -= chance.ln() * 1000.0 / per_second;
+            if self.now_ms >= end {
+                break;
+            }
+            self.finish();
+            self.send();
+        }
+        self.now_ms = end;
+        self.finish();
+    }
+
+    fn at(&self, ms: f64) -> Instant {
+        self.start + Duration::from_secs_f64(ms / 1000.0)
+    }
+
+    fn send(&mut self) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        let now = self.at(self.now_ms);
+        let Pick::Target(chosen) = self.entries[entry].choose(now, WANT, &mut self.rng) else {
+            panic!("no target");
+        };
+        let server = usize::from(chosen.address.port());
+        let time = self.times[server] * self.rng.random_range(0.7..1.3);
+        self.calls[server] += 1;
+        self.under.push(Under {
+            ends: self.now_ms + time,
+            entry,
+            server,
+            took: Duration::from_secs_f64(time / 1000.0),
+        });
+        self.most[server] = self.most[server].max(self.load(server));
+    }
+
+    fn finish(&mut self) {
+        self.under.sort_by(|a, b| b.ends.total_cmp(&a.ends));
+        while let Some(under) = self.under.pop_if(|under| under.ends <= self.now_ms) {
+            let news = GuardNews {
+                load: self.load(under.server),
+                ..GuardNews::default()
+            };
+            let (now, at) = (self.at(under.ends), instance(under.server));
+            let table = &mut self.entries[under.entry];
+            table.report(now, at, Report::Heard(news));
+            table.took(now, at, kind(2), Took::Answered(under.took));
+        }
+    }
+
+    fn share(&self, servers: impl Fn(usize) -> bool) -> f64 {
+        let all: u32 = self.calls.iter().sum();
+        let some = self.calls.iter().enumerate().filter(|(n, _)| servers(*n));
+        some.map(|(_, calls)| f64::from(*calls)).sum::<f64>() / f64::from(all)
+    }
+
+    fn mean_ms(&self) -> f64 {
+        let shares = (0..self.times.len()).map(|n| self.times[n] * self.share(|m| m == n));
+        shares.sum()
+    }
+}
+
+#[test]
+fn choose_sends_few_calls_to_slow_servers() {
+    let run = |by_time| {
+        let mut world = World::uneven(24, by_time);
+        let rate = world.rate(0.04);
+        world.run(5000.0, rate);
+        world.run(5000.0, rate);
+        (world.share(|n| n % 4 == 0), world.mean_ms())
+    };
+    let (slow, mean) = run(true);
+    let (slow_by_load, mean_by_load) = run(false);
+    assert!(slow_by_load > 0.15, "{slow_by_load} by load");
+    assert!(slow < 0.08, "{slow} of the calls go to slow servers");
+    // All at fast ones would take 100 ms.
+    assert!(mean < 108.0, "{mean} ms, {mean_by_load} by load");
+}
+
+#[rstest]
+#[case::alone(1, 0.9)]
+#[case::many_entries(24, 0.4)]
+fn choose_fills_no_server_while_others_have_room(#[case] entries: usize, #[case] share: f64) {
+    let mut world = World::uneven(entries, true);
+    let rate = world.rate(share);
+    world.run(1500.0, rate);
+    world.run(1500.0, rate);
+    let most = world.most.iter().max().expect("servers");
+    assert!(*most <= SLOTS, "{most} calls at one server");
+}
+
+/// Each of many entries knows little of what the others send.
+#[test]
+fn choose_by_time_crowds_servers_less_than_by_load() {
+    let most = |by_time| {
+        let mut world = World::uneven(24, by_time);
+        let rate = world.rate(0.8);
+        world.run(1500.0, rate);
+        world.run(1500.0, rate);
+        world.most.iter().copied().max().expect("servers")
+    };
+    let (by_time, by_load) = (most(true), most(false));
+    assert!(by_time < by_load, "{by_time} calls, {by_load} by load");
+}
+
+/// Calls of 35 ms, of which each server gets 50 a second.
+#[test]
+fn choose_leaves_a_spell_and_comes_back() {
+    let mut world = World::new(1, vec![35.0; 20], true);
+    world.run(4000.0, 1000.0);
+    let before = world.share(|n| n == 3);
+    world.times[3] *= 2.5;
+    world.run(100.0, 1000.0);
+    world.run(500.0, 1000.0);
+    let during = world.share(|n| n == 3);
+    world.times[3] /= 2.5;
+    world.run(1000.0, 1000.0);
+    world.run(1000.0, 1000.0);
+    let after = world.share(|n| n == 3);
+    assert!(during < before / 3.0, "{during} of calls, {before} before");
+    assert!(after > before * 0.6, "{after} of calls, {before} before");
+}
+
+#[rstest]
+#[case::fast(100.0, 0.5)]
+#[case::of_mean_speed(120.0, 0.15)]
+fn update_gives_a_new_server_its_share(#[case] time: f64, #[case] part: f64) {
+    let mut world = World::uneven(24, true);
+    let rate = world.rate(0.04);
+    let all = 0..world.times.len();
+    world.run(5000.0, rate);
+    world.times.push(time);
+    world.calls.push(0);
+    world.most.push(0);
+    for table in &mut world.entries {
+        table.update(all.clone().chain([30]).map(target).collect());
+    }
+    world.run(1000.0, rate);
+    let share = world.share(|n| n == 30) * 31.0;
+    assert!(share > part, "{share} of the mean");
+    assert!(share < 5.0, "{share} of the mean");
+}
+
+#[test]
+fn choose_loses_nothing_to_a_leaving_server() {
+    let mut table = table(3, true);
+    let now = Instant::now();
+    table.took(
+        now,
+        instance(1),
+        kind(2),
+        Took::Answered(Duration::from_millis(9)),
+    );
+    let mut targets: Vec<Target> = (0..3).map(target).collect();
+    targets[1].state = TargetState::Leaving;
+    table.update(targets);
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..100 {
+        let picked = table.choose(now, WANT, &mut rng);
+        assert_ne!(picked, Pick::Target(instance(1)));
+    }
+}
+
+/// Returns the pace of each target.
+fn paces(table: &Table, now: Instant) -> Vec<f64> {
+    table.targets().map(|t| t.pace().ratio(now)).collect()
+}
+
+/// One server happens to get the long calls, another the short ones.
+#[test]
+fn took_tells_long_calls_from_slow_servers() {
+    let mut table = table(4, true);
+    let mut now = Instant::now();
+    let (short, long) = (kind(0), kind(1));
+    for turn in 0..400_usize {
+        now += Duration::from_millis(5);
+        let at = turn % 4;
+        let is_long = match at {
+            0 => true,
+            1 => false,
+            _ => turn % 3 == 0,
+        };
+        let (kind, ms) = if is_long { (long, 200) } else { (short, 20) };
+        let took = Took::Answered(Duration::from_millis(ms));
+        table.took(now, instance(at), kind, took);
+    }
+    for ratio in paces(&table, now) {
+        assert!((0.8..1.25).contains(&ratio), "{:?}", paces(&table, now));
+    }
+}
+
+/// One server fails its calls within a millisecond: no sign of speed.
+#[test]
+fn took_learns_nothing_from_fast_failures() {
+    let mut table = table(4, true);
+    let mut now = Instant::now();
+    for turn in 0..400_usize {
+        now += Duration::from_millis(5);
+        let took = match turn % 4 {
+            0 => Took::GivenUp(Duration::from_millis(1)),
+            _ => Took::Answered(Duration::from_millis(100)),
+        };
+        table.took(now, instance(turn % 4), kind(2), took);
+    }
+    assert!(paces(&table, now)[0] >= 1.0, "{:?}", paces(&table, now));
+}
+
+/// One server is so slow that callers give up before it answers.
+#[test]
+fn took_learns_from_calls_that_were_given_up() {
+    let mut table = table(4, true);
+    let mut now = Instant::now();
+    for turn in 0..400_usize {
+        now += Duration::from_millis(5);
+        let took = match turn % 4 {
+            0 => Took::GivenUp(Duration::from_millis(180)),
+            _ => Took::Answered(Duration::from_millis(100)),
+        };
+        table.took(now, instance(turn % 4), kind(2), took);
+    }
+    assert!(paces(&table, now)[0] > 1.5, "{:?}", paces(&table, now));
+}
+
+/// A server that was slow is given calls again when its news are old.
+#[test]
+fn ratio_fades_to_the_mean() {
+    let mut table = table(2, true);
+    let mut now = Instant::now();
+    for turn in 0..200_usize {
+        now += Duration::from_millis(50);
+        let ms = if turn % 2 == 0 { 200 } else { 100 };
+        let took = Took::Answered(Duration::from_millis(ms));
+        table.took(now, instance(turn % 2), kind(2), took);
+    }
+    let slow = paces(&table, now)[0];
+    let later = paces(&table, now + Duration::from_secs(30))[0];
+    assert!(slow > 1.25, "{slow}");
+    assert!(later < 1.1, "{later}, {slow} before");
+}
+
+/// Without the setting times are not looked at, and choices are as they were.
+#[test]
+fn choose_by_load_knows_no_time() {
+    let (mut told, mut plain) = (table(8, false), Table::new(centre()));
+    plain.update((0..8).map(target).collect());
+    let (mut one, mut other) = (StdRng::seed_from_u64(5), StdRng::seed_from_u64(5));
+    let mut now = Instant::now();
+    for turn in 0..1000_u32 {
+        now += Duration::from_millis(3);
+        let picked = told.choose(now, WANT, &mut one);
+        assert_eq!(picked, plain.choose(now, WANT, &mut other));
+        let Pick::Target(at) = picked else {
+            panic!("no target");
+        };
+        let news = GuardNews {
+            load: turn % 40,
+            faults: Percent::new(0),
+            ..GuardNews::default()
+        };
+        told.report(now, at, Report::Heard(news));
+        plain.report(now, at, Report::Heard(news));
+        let time = Duration::from_millis(u64::from(at.address.port()) * 50);
+        told.took(now, at, kind(2), Took::Answered(time));
+    }
+    assert!(paces(&told, now).iter().all(|ratio| *ratio == 1.0));
+}
+
+/// Returns the example with two routes, one of which ends requests early.
+fn estate(timeout: u64) -> Estate {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/hrabovsky");
+    let mut estate = load(&dir).unwrap_or_else(|e| panic!("{e}"));
+    let route = |name: &str, timeout| Route {
+        name: name.parse().expect("a name"),
+        host: name.into(),
+        path: "/".into(),
+        shares: Vec::new(),
+        class: estate.classes[0].name.clone(),
+        idempotent: true,
+        timeout: Span::from_millis(timeout),
+        objective: Span::from_millis(1000),
+        attempts: 1,
+        public: false,
+    };
+    estate.routes = vec![route("one", 1000), route("other", timeout)];
+    estate
+}
+
+#[rstest]
+#[case::load(Balance::Load, 500, false)]
+#[case::time(Balance::Time, 1500, true)]
+#[case::auto_without(Balance::Auto, 1000, false)]
+#[case::auto_with(Balance::Auto, 999, true)]
+fn balance_acts_where_a_late_answer_is_cut_off(
+    #[case] balance: Balance,
+    #[case] timeout: u64,
+    #[case] by_time: bool,
+) {
+    let ends_early = estate(timeout).ends_early();
+    assert_eq!(balance.is_by_time(ends_early), by_time);
+}
+
+#[rstest]
+#[case::left_out("", Ok(Balance::Load))]
+#[case::named("balance: auto\n", Ok(Balance::Auto))]
+#[case::unknown("balance: speed\n", Err("must be load, time or auto"))]
+fn parse_reads_balance(#[case] line: &str, #[case] expected: Result<Balance, &str>) {
+    let text = format!(
+        "data_centre: a\nhall: a\nservice: s\nlisten:\n  callers: 10.1.0.8:1\n  \
+         peers: 10.1.0.8:2\n  operators: 127.0.0.1:3\nbackend: 127.0.0.1:4\n\
+         platform: 10.1.0.9:5\n{line}"
+    );
+    let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
+    match (config, expected) {
+        (Ok(config), Ok(balance)) => assert_eq!(config.balance, balance),
+        (Err(errors), Err(why)) => {
+            let errors = errors.to_string();
+            assert!(errors.contains(why) && errors.contains(":10"), "{errors}");
+        }
+        (config, expected) => panic!("{config:?} in place of {expected:?}"),
+    }
+}
