Share slot time among workspaces that compete at a guard

Cause: a guard's queue knew no workspace. Calls that backend servers make belonged to nobody.

Ruled out: counting calls in place of time; deficit round robin; one account over all classes; an estimate by method and path.

Change: a short id of the workspace travels with every call of a tree (6 bytes, absent is none). Where workspaces are declared, guards start and evict by start-time fair queueing of slot time within a class, weighed by declared rate; else the queue is the same type as before. Figures on the metrics page, a line 'slots by workspace' beside 'load'.

Levels still cut all workspaces alike.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -66,6 +66,7 @@
         let waiting = Waiting {
             token,
             priority,
+            workspace: None,
             deadline,
             expires: deadline,
         };
--- a/benches/overload/world/guard.rs
+++ b/benches/overload/world/guard.rs
@@ -37,6 +37,7 @@
         let waiting = Waiting {
             token: Token(call as u64),
             priority: self.priority(call),
+            workspace: None,
             deadline,
             expires: deadline,
         };
--- a/src/call/head.rs
+++ b/src/call/head.rs
@@ -6,7 +6,7 @@
 use super::Confirm;
 use crate::model::{
     AttemptId, CallId, CallerName, ClassName, Depth, Fingerprint, OnceKey, Priority, Retries,
-    RootId, ServiceName,
+    RootId, ServiceName, WorkspaceId,
 };
 use crate::web::Payload;
 
@@ -30,6 +30,8 @@
     pub service: ServiceName,
     /// Who called first, if declared.
     pub caller: Option<CallerName>,
+    /// The workspace of the request at the root of the tree, if known.
+    pub workspace: Option<WorkspaceId>,
     /// The class of the request.
     pub class: ClassName,
     /// The place in the order of admission.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -17,7 +17,7 @@
 use crate::entry::{Entry, serve_callers};
 use crate::error::Error;
 use crate::guard::Guard;
-use crate::metrics::{Gauges, Group, Metrics, page};
+use crate::metrics::{Gauges, Group, Metrics, page, workspaces};
 use crate::model::{Instance, StartStamp};
 use crate::operator::{Operator, serve_operators};
 use crate::peer::{Peers, Pool, serve_peers};
@@ -183,7 +183,8 @@
             load: guard.gate().load(),
             version: shared.current.version().get(),
         };
-        let text = page(&shared.metrics.rows(Group::Class), gauges);
+        let mut text = page(&shared.metrics.rows(Group::Class), gauges);
+        text += &workspaces(&guard.usages());
         async move { caller_text(StatusCode::OK, "text/plain; version=0.0.4", text) }
     })
     .await
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -12,7 +12,7 @@
 use crate::declare::{Class, Estate, Limit, Service, Workspace};
 use crate::model::{
     AttemptId, CallerName, ClassRank, Depth, OnceKey, Priority, Retries, RootId, ServiceName,
-    WorkspaceName,
+    WorkspaceId, WorkspaceName,
 };
 use crate::policy::retry::Safety;
 use crate::tables::{Held, Shared};
@@ -95,6 +95,9 @@
     Ok(Accepted {
         head: CallHead {
             caller: caller.clone(),
+            workspace: head
+                .workspace
+                .or(workspace.map(|own| WorkspaceId::of(&own.name))),
             headers: shared.protocol.forward(
                 &parts.headers,
                 Origin {
@@ -196,6 +199,7 @@
         root,
         service: place.service.name.clone(),
         caller: None,
+        workspace: parent.and_then(|held| held.workspace),
         class: class.name.clone(),
         priority: Priority::new(rank, depth, root),
         depth,
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -8,11 +8,14 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::model::{ClassRank, GuardNews, Priority, Slots};
+use crate::model::{ClassRank, GuardNews, Priority, Slots, WorkspaceId};
 use crate::policy::admission::{
-    Admission, Decision, Event, Load, Met, Outcome, Settings, Shed, Token, Waiting,
+    Admission, Decision, Event, Load, Met, Outcome, Settings, Shed, Token, Usage, Waiting, Weights,
 };
 
+/// Slot time and sheds by workspace, the greatest first.
+pub type Usages = Vec<(Option<WorkspaceId>, Usage)>;
+
 struct Inner {
     admission: Admission,
     waiting: HashMap<Token, oneshot::Sender<Result<(), Shed>>>,
@@ -44,6 +47,20 @@
     pub async fn enter(
         self: &Arc<Self>,
         priority: Priority,
+        workspace: Option<WorkspaceId>,
+        deadline: Instant,
+    ) -> Result<Pass, Shed> {
+        let result = self.admit(priority, workspace, deadline).await;
+        if result.is_err() {
+            self.count_shed(workspace);
+        }
+        result
+    }
+
+    async fn admit(
+        self: &Arc<Self>,
+        priority: Priority,
+        workspace: Option<WorkspaceId>,
         deadline: Instant,
     ) -> Result<Pass, Shed> {
         let now = Instant::now();
@@ -54,6 +71,7 @@
             let call = Waiting {
                 token,
                 priority,
+                workspace,
                 deadline,
                 expires: deadline,
             };
@@ -131,6 +149,31 @@
         self.inner.lock().admission.reload(slots, protected);
     }
 
+    /// Shares slot time among workspaces by these weights, or no longer.
+    pub fn share(&self, weights: Option<Weights>) {
+        self.inner.lock().admission.share(Instant::now(), weights);
+    }
+
+    fn count_shed(&self, workspace: Option<WorkspaceId>) {
+        if let Some(fair) = self.inner.lock().admission.fair() {
+            fair.spent().shed(workspace);
+        }
+    }
+
+    /// Returns what the workspaces had of the slots, where they share.
+    pub fn usages(&self) -> Usages {
+        let mut inner = self.inner.lock();
+        let fair = inner.admission.fair();
+        fair.map_or_else(Vec::new, |fair| fair.spent().greatest())
+    }
+
+    /// Returns the same of the time since it was last asked.
+    pub fn lately(&self) -> Usages {
+        let mut inner = self.inner.lock();
+        let fair = inner.admission.fair();
+        fair.map_or_else(Vec::new, |fair| fair.spent().take_lately())
+    }
+
     /// Returns what answers carry of this guard.
     pub fn news(&self) -> GuardNews {
         self.inner.lock().admission.news(Instant::now())
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -11,9 +11,10 @@
 mod run_once;
 mod serve;
 mod trial;
+mod usage;
 
 pub use backend::Backend;
-pub use gate::{Gate, Pass};
+pub use gate::{Gate, Pass, Usages};
 pub use lease::{Lease, LeaseState};
 pub use once::{OnceCalls, body_hash};
 pub use serve::Guard;
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -10,6 +10,7 @@
 use super::backend::Backend;
 use super::crash::Crashes;
 use super::trial::Trials;
+use super::usage::weights;
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass};
 use crate::call::{Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply};
 use crate::model::{ClassRank, Depth, Retries, ServiceName, Slots};
@@ -87,6 +88,7 @@
         };
         let estate = &in_force.estate;
         self.gate.reload(self.slots(), estate.protected());
+        self.gate.share(estate.workspaces.as_ref().map(weights));
         self.once.set_limits(LedgerLimits {
             bytes: estate.once.ledger_bytes.get() as usize,
             memory: estate.once.memory.get(),
@@ -177,7 +179,10 @@
     }
 
     pub(super) async fn enter(&self, head: &CallHead) -> Result<Pass, Shed> {
-        let result = self.gate.enter(head.priority, head.deadline).await;
+        let entered = self
+            .gate
+            .enter(head.priority, head.workspace, head.deadline);
+        let result = entered.await;
         let journal = &self.shared.journal;
         match &result {
             Ok(_) => journal.note(head.call, Step::Started, Detail::None),
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -18,6 +18,7 @@
 mod span;
 mod verdict;
 mod version;
+mod workspace_id;
 mod workspace_name;
 
 pub use born::Born;
@@ -38,4 +39,5 @@
 pub use span::Span;
 pub use verdict::Verdict;
 pub use version::Version;
+pub use workspace_id::WorkspaceId;
 pub use workspace_name::WorkspaceName;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -16,7 +16,7 @@
 use crate::error::Error;
 use crate::model::{
     AttemptId, CallId, ClassRank, CrashId, Demand, Depth, Fingerprint, GuardNews, Instance, Level,
-    Percent, Priority, RankSet, Retries, RootId, Verdict,
+    Percent, Priority, RankSet, Retries, RootId, Verdict, WorkspaceId,
 };
 use crate::web::Payload;
 
@@ -93,6 +93,7 @@
             .map_or(Bytes::new(), |asks| id_bytes(asks.asked)),
         asked_by: head.fingerprint.map_or(0, |asks| asks.caller),
         suspect: message.suspect.as_ref().map(|s| suspect_out(s, now)),
+        workspace: head.workspace.map_or(0, WorkspaceId::get),
     }
 }
 
@@ -132,6 +133,7 @@
         root,
         service: head.service.parse()?,
         caller,
+        workspace: WorkspaceId::from_raw(head.workspace),
         class,
         priority: if head.single {
             Priority::single(rank, root)
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -65,6 +65,9 @@
     /// What is known of crashes that the request was under way at.
     #[prost(message, optional, tag = "23")]
     pub suspect: ::core::option::Option<Suspect>,
+    /// Short id of the workspace that the tree is for; 0 if not known.
+    #[prost(fixed32, tag = "24")]
+    pub workspace: u32,
 }
 /// Says that a held call may start now, or lets it start.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -6,8 +6,10 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use super::line::Line;
 use super::{
-    Backlog, Chain, Faults, Limit, Load, Met, Outcome, Queue, Shed, Threshold, Token, Waiting,
+    Backlog, Chain, Decision, Event, FairQueue, Faults, Limit, Load, Met, Outcome, Paid, Queue,
+    Shed, Threshold, Token, Waiting, Weights,
 };
 use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
 
@@ -35,31 +37,11 @@
     pub protected: Option<ClassRank>,
 }
 
-/// What is done with a call that arrives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// It starts at once.
-    Start,
-    /// It waits until then at the longest; an [`Event`] will tell its end.
-    Wait(Instant),
-    /// It is shed at once.
-    Shed(Shed),
-}
-
-/// What became of a call that waited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// It starts now.
-    Start(Token),
-    /// It is shed.
-    Shed(Token, Shed),
-}
-
 /// Admits, queues and sheds the calls to one backend server.
 #[derive(Debug)]
 pub struct Admission {
     limit: Limit,
-    queue: Queue,
+    queue: Line,
     threshold: Threshold,
     chain: Chain,
     faults: Faults,
@@ -74,6 +56,7 @@
 struct Running {
     started: Instant,
     level: Level,
+    paid: Option<Paid>,
 }
 
 impl Admission {
@@ -86,7 +69,7 @@
         };
         Self {
             limit,
-            queue: Queue::default(),
+            queue: Line::Plain(Queue::default()),
             threshold: Threshold::new(now),
             chain: Chain::default(),
             faults: Faults::default(),
@@ -104,10 +87,21 @@
         self.protected = protected;
     }
 
+    /// Shares slot time among workspaces by these weights, or no longer.
+    pub fn share(&mut self, now: Instant, weights: Option<Weights>) {
+        self.queue.share(now, weights);
+    }
+
+    /// Returns what is kept of workspaces, where they share.
+    pub fn fair(&mut self) -> Option<&mut FairQueue> {
+        self.queue.fair()
+    }
+
     /// Forgets what was learned of the backend server.
     pub fn forget(&mut self, slots: Slots) {
         self.limit = Limit::warm(slots);
         self.faults = Faults::default();
+        self.queue.forget();
     }
 
     /// Starts anew with a cold backend server.
@@ -141,8 +135,9 @@
         if level < self.chain.level(now, level.rank(), protected) {
             return (Decision::Shed(Shed::Downstream), events);
         }
+        self.queue.arrived(now, &call);
         if self.queue.is_empty() && self.running.len() < self.limit.get() {
-            self.start(now, call.token, level);
+            self.start(now, &call);
             return (Decision::Start, events);
         }
         let decision = self.enqueue(now, call, &mut events);
@@ -152,12 +147,10 @@
 
     fn enqueue(&mut self, now: Instant, call: Waiting, events: &mut Vec<Event>) -> Decision {
         if self.queue.len() >= self.queue_bound() {
-            match self.queue.least() {
-                Some(least) if least.priority < call.priority => self.evict(events),
-                _ => {
-                    self.threshold.shed();
-                    return Decision::Shed(Shed::Overload);
-                }
+            self.threshold.shed();
+            match self.queue.make_room(&call) {
+                Some(least) => events.push(Event::Shed(least.token, Shed::Overload)),
+                None => return Decision::Shed(Shed::Overload),
             }
         }
         let expires = if self.is_protected(call.priority) {
@@ -165,17 +158,10 @@
         } else {
             call.deadline.min(now + MAX_WAIT)
         };
-        self.queue.push(Waiting { expires, ..call });
+        self.queue.push(now, Waiting { expires, ..call });
         Decision::Wait(expires)
     }
 
-    fn evict(&mut self, events: &mut Vec<Event>) {
-        if let Some(least) = self.queue.pop_least() {
-            self.threshold.shed();
-            events.push(Event::Shed(least.token, Shed::Overload));
-        }
-    }
-
     /// Takes note of a call that ended, and starts those that waited.
     pub fn finish(&mut self, now: Instant, token: Token, outcome: Outcome) -> Vec<Event> {
         let mut events = Vec::new();
@@ -183,6 +169,9 @@
         if let Some(run) = self.running.remove(&token) {
             let latency = now.saturating_duration_since(run.started);
             self.limit.record(now, outcome, latency, in_flight);
+            if let Some(paid) = run.paid {
+                self.queue.end(now, paid, run.started, outcome);
+            }
         }
         self.tick(now);
         self.fill(now, &mut events);
@@ -325,11 +314,15 @@
         left.is_zero() || left < need
     }
 
-    fn start(&mut self, now: Instant, token: Token, level: Level) {
+    fn start(&mut self, now: Instant, call: &Waiting) {
         self.threshold.started();
         self.started += 1;
-        let started = now;
-        self.running.insert(token, Running { started, level });
+        let run = Running {
+            started: now,
+            level: call.priority.level(),
+            paid: self.queue.start(call),
+        };
+        self.running.insert(call.token, run);
     }
 
     fn fill(&mut self, now: Instant, events: &mut Vec<Event>) {
@@ -342,7 +335,7 @@
                 events.push(Event::Shed(call.token, Shed::Deadline));
                 continue;
             }
-            self.start(now, call.token, call.priority.level());
+            self.start(now, &call);
             events.push(Event::Start(call.token));
         }
     }
--- /dev/null
+++ b/src/policy/admission/fair_class.rs
@@ -0,0 +1,173 @@
+//! The workspaces that compete within one class.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::flow::Flow;
+use super::{Token, Waiting, Weights};
+use crate::model::WorkspaceId;
+
+/// Expected slot time in seconds before any call was answered; it only has to be
+/// the same for all.
+const FIRST_ESTIMATE: f64 = 0.05;
+/// Weight of one call in the moving average of slot time.
+const MEAN_WEIGHT: f64 = 0.05;
+/// Accounts above which idle ones are forgotten at once.
+const MANY: usize = 1024;
+
+/// The workspaces that compete within one class, by start-time fair queueing.
+///
+/// Each call is charged to its workspace; the call of the workspace that was
+/// charged least by its weight starts next. The clock is the greatest charge at
+/// which a call has started: whoever comes begins there.
+#[derive(Debug)]
+pub(super) struct FairClass {
+    clock: f64,
+    mean: f64,
+    flows: BTreeMap<Option<WorkspaceId>, Flow>,
+}
+
+impl Default for FairClass {
+    fn default() -> Self {
+        Self {
+            clock: 0.0,
+            mean: FIRST_ESTIMATE,
+            flows: BTreeMap::new(),
+        }
+    }
+}
+
+impl FairClass {
+    /// Tells whether any call waits.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.flows.values().any(|flow| !flow.calls.is_empty())
+    }
+
+    /// Returns the number of accounts that are kept.
+    pub(super) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Takes note of a call that arrives.
+    pub(super) fn arrived(&mut self, now: Instant, call: &Waiting, weight: f64) {
+        let (clock, mean) = (self.clock, self.mean);
+        self.flow(now, call, weight).arrived(now, clock, mean);
+    }
+
+    /// Adds a call.
+    pub(super) fn push(&mut self, now: Instant, call: Waiting, weight: f64) {
+        self.flow(now, &call, weight).calls.push(call);
+    }
+
+    fn flow(&mut self, now: Instant, call: &Waiting, weight: f64) -> &mut Flow {
+        let new = || Flow::new(now, weight);
+        self.flows.entry(call.workspace).or_insert_with(new)
+    }
+
+    /// Takes the call that starts next.
+    pub(super) fn pop_first(&mut self) -> Option<Waiting> {
+        let waiting = self.flows.values_mut();
+        let waiting = waiting.filter(|flow| !flow.calls.is_empty());
+        let next = waiting.min_by(|a, b| {
+            let by_tag = a.tag.total_cmp(&b.tag);
+            by_tag.then_with(|| b.first().cmp(&a.first()))
+        });
+        next?.calls.pop_first()
+    }
+
+    /// Takes out the least important call of the workspace that is furthest over
+    /// its share; `None` if that is the call `arriving`.
+    pub(super) fn evict(&mut self, arriving: Option<&Waiting>) -> Option<Waiting> {
+        let mean = self.mean;
+        let candidates = self.flows.iter_mut().filter_map(|(id, flow)| {
+            let own = arriving.filter(|call| call.workspace == *id);
+            let least = flow.least().into_iter().chain(own);
+            let least = least.map(|call| call.priority).min()?;
+            let over = flow.last_start(mean, usize::from(own.is_some()));
+            Some((over, Reverse(least), own, flow))
+        });
+        let furthest = candidates.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let (_, Reverse(least), own, flow) = furthest?;
+        match own {
+            Some(call) if call.priority == least => None,
+            _ => flow.calls.pop_least(),
+        }
+    }
+
+    /// Charges a call that starts; returns the seconds charged.
+    pub(super) fn start(&mut self, call: &Waiting) -> f64 {
+        let Some(flow) = self.flows.get_mut(&call.workspace) else {
+            return 0.0;
+        };
+        let estimate = flow.estimate(self.mean);
+        self.clock = self.clock.max(flow.tag);
+        flow.charge(estimate);
+        flow.running += 1;
+        estimate
+    }
+
+    /// Corrects the charge of a call that ended.
+    pub(super) fn end(&mut self, now: Instant, of: Option<WorkspaceId>, ended: Charge) {
+        let Some(flow) = self.flows.get_mut(&of) else {
+            return;
+        };
+        flow.charge(ended.taken - ended.estimate);
+        flow.ended(now);
+        if ended.answered {
+            flow.learn(ended.taken);
+            self.mean += (ended.taken - self.mean) * MEAN_WEIGHT;
+        }
+    }
+
+    /// Takes out a call.
+    pub(super) fn remove(&mut self, of: Option<WorkspaceId>, token: Token) -> Option<Waiting> {
+        self.flows.get_mut(&of)?.calls.remove(token)
+    }
+
+    /// Takes out all calls whose wait has ended.
+    pub(super) fn take_expired(&mut self, now: Instant) -> Vec<Waiting> {
+        let flows = self.flows.values_mut();
+        flows
+            .flat_map(|flow| flow.calls.take_expired(now))
+            .collect()
+    }
+
+    /// Takes out all calls.
+    pub(super) fn drain(&mut self) -> Vec<Waiting> {
+        let flows = self.flows.values_mut();
+        flows.flat_map(|flow| flow.calls.drain()).collect()
+    }
+
+    /// Forgets the accounts that are no longer used.
+    pub(super) fn fade(&mut self, now: Instant) {
+        self.flows.retain(|_, flow| !flow.has_faded(now));
+        if self.flows.len() > MANY {
+            self.flows.retain(|_, flow| flow.is_active());
+        }
+    }
+
+    /// Takes changed weights.
+    pub(super) fn reweigh(&mut self, weights: &Weights) {
+        for (id, flow) in &mut self.flows {
+            flow.weight = weights.of(*id);
+        }
+    }
+
+    /// Forgets all charges.
+    pub(super) fn forget(&mut self) {
+        self.flows.retain(|_, flow| !flow.calls.is_empty());
+        self.flows.values_mut().for_each(Flow::reset);
+        self.clock = 0.0;
+        self.mean = FIRST_ESTIMATE;
+    }
+}
+
+/// The slot time of a call that ended, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Charge {
+    pub(super) estimate: f64,
+    pub(super) taken: f64,
+    pub(super) answered: bool,
+}
--- /dev/null
+++ b/src/policy/admission/line.rs
@@ -0,0 +1,125 @@
+//! The calls that wait, shared among workspaces where these are declared.
+
+use tokio::time::Instant;
+
+use super::{FairQueue, Outcome, Paid, Queue, Token, Waiting, Weights};
+
+/// The calls that wait.
+#[derive(Debug)]
+pub(super) enum Line {
+    /// In the order of importance alone.
+    Plain(Queue),
+    /// Shared among workspaces.
+    Fair(Box<FairQueue>),
+}
+
+impl Line {
+    pub(super) fn len(&self) -> usize {
+        match self {
+            Self::Plain(queue) => queue.len(),
+            Self::Fair(queue) => queue.len(),
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Shares from now on by these weights, or no longer.
+    pub(super) fn share(&mut self, now: Instant, weights: Option<Weights>) {
+        let next = match (&mut *self, weights) {
+            (Self::Fair(queue), Some(weights)) => return queue.reweigh(weights),
+            (Self::Plain(_), None) => return,
+            (Self::Plain(_), Some(weights)) => Self::Fair(Box::new(FairQueue::new(now, weights))),
+            (Self::Fair(_), None) => Self::Plain(Queue::default()),
+        };
+        let before = std::mem::replace(self, next);
+        for call in before.into_calls() {
+            self.push(now, call);
+        }
+    }
+
+    fn into_calls(mut self) -> Vec<Waiting> {
+        self.drain()
+    }
+
+    pub(super) fn arrived(&mut self, now: Instant, call: &Waiting) {
+        if let Self::Fair(queue) = self {
+            queue.arrived(now, call);
+        }
+    }
+
+    pub(super) fn push(&mut self, now: Instant, call: Waiting) {
+        match self {
+            Self::Plain(queue) => queue.push(call),
+            Self::Fair(queue) => queue.push(now, call),
+        }
+    }
+
+    pub(super) fn pop_first(&mut self) -> Option<Waiting> {
+        match self {
+            Self::Plain(queue) => queue.pop_first(),
+            Self::Fair(queue) => queue.pop_first(),
+        }
+    }
+
+    /// Takes a call out to make room for another one; `None` if it is the
+    /// `arriving` one that there is no room for.
+    pub(super) fn make_room(&mut self, arriving: &Waiting) -> Option<Waiting> {
+        match self {
+            Self::Plain(queue) => match queue.least() {
+                Some(least) if least.priority < arriving.priority => queue.pop_least(),
+                _ => None,
+            },
+            Self::Fair(queue) => queue.make_room(arriving),
+        }
+    }
+
+    pub(super) fn remove(&mut self, token: Token) -> Option<Waiting> {
+        match self {
+            Self::Plain(queue) => queue.remove(token),
+            Self::Fair(queue) => queue.remove(token),
+        }
+    }
+
+    pub(super) fn take_expired(&mut self, now: Instant) -> Vec<Waiting> {
+        match self {
+            Self::Plain(queue) => queue.take_expired(now),
+            Self::Fair(queue) => queue.take_expired(now),
+        }
+    }
+
+    pub(super) fn drain(&mut self) -> Vec<Waiting> {
+        match self {
+            Self::Plain(queue) => queue.drain(),
+            Self::Fair(queue) => queue.drain(),
+        }
+    }
+
+    pub(super) fn start(&mut self, call: &Waiting) -> Option<Paid> {
+        match self {
+            Self::Plain(_) => None,
+            Self::Fair(queue) => Some(queue.start(call)),
+        }
+    }
+
+    pub(super) fn end(&mut self, now: Instant, paid: Paid, started: Instant, outcome: Outcome) {
+        if let Self::Fair(queue) = self {
+            queue.end(now, paid, started, outcome);
+        }
+    }
+
+    pub(super) fn forget(&mut self) {
+        if let Self::Fair(queue) = self {
+            queue.forget();
+        }
+    }
+
+    /// Returns what is kept of workspaces, where they share.
+    pub(super) fn fair(&mut self) -> Option<&mut FairQueue> {
+        match self {
+            Self::Plain(_) => None,
+            Self::Fair(queue) => Some(queue),
+        }
+    }
+}
--- a/src/policy/admission/mod.rs
+++ b/src/policy/admission/mod.rs
@@ -2,18 +2,27 @@
 
 mod chain;
 mod control;
+mod decision;
+mod fair;
+mod fair_class;
 mod faults;
 mod fill;
+mod flow;
 mod heard;
 mod limit;
+mod line;
 mod load;
 mod queue;
 mod share;
 mod shed;
+mod spent;
 mod threshold;
+mod weights;
 
 pub use chain::{Chain, Met};
-pub use control::{Admission, Decision, Event, Settings};
+pub use control::{Admission, Settings};
+pub use decision::{Decision, Event};
+pub use fair::{FairQueue, Paid};
 pub use faults::Faults;
 pub use fill::usable;
 pub use heard::Heard;
@@ -22,4 +31,6 @@
 pub use queue::{Queue, Token, Waiting};
 pub(crate) use share::Shares;
 pub use shed::Shed;
+pub use spent::{Spent, Usage};
 pub use threshold::{Backlog, Threshold};
+pub use weights::Weights;
--- a/src/policy/admission/queue.rs
+++ b/src/policy/admission/queue.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::model::Priority;
+use crate::model::{Priority, WorkspaceId};
 
 /// Names a call within one guard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -17,6 +17,8 @@
     pub token: Token,
     /// Its place in the order of admission.
     pub priority: Priority,
+    /// The workspace that it is for, if known.
+    pub workspace: Option<WorkspaceId>,
     /// When the caller stops waiting.
     pub deadline: Instant,
     /// When the wait ends at the latest.
@@ -53,6 +55,11 @@
         self.keys.insert(call.token, key);
     }
 
+    /// Returns the most important call.
+    pub fn first(&self) -> Option<&Waiting> {
+        self.calls.values().next_back()
+    }
+
     /// Takes the most important call.
     pub fn pop_first(&mut self) -> Option<Waiting> {
         let (_, call) = self.calls.pop_last()?;
--- /dev/null
+++ b/src/policy/admission/weights.rs
@@ -0,0 +1,39 @@
+//! What part of the slots' time is due to each workspace.
+
+use std::collections::HashMap;
+
+use crate::model::{Rate, WorkspaceId};
+
+/// Least and greatest weight: no rate is declared so low that its workspace
+/// would starve beside the others.
+const RANGE: std::ops::RangeInclusive<f64> = 0.01..=100.0;
+/// The weight of a workspace without a rate.
+const MEAN: f64 = 1.0;
+
+/// Weights of workspaces, as their declared rates are to each other.
+///
+/// The mean of the rates weighs 1, as does whatever has no rate.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Weights {
+    by_id: HashMap<WorkspaceId, f64>,
+}
+
+impl Weights {
+    /// Computes the weights of the workspaces that have a rate.
+    pub fn new(rates: impl IntoIterator<Item = (WorkspaceId, Rate)>) -> Self {
+        let rates: Vec<_> = rates.into_iter().collect();
+        let sum: f64 = rates.iter().map(|(_, rate)| rate.get()).sum();
+        let mean = (sum / rates.len() as f64).max(f64::MIN_POSITIVE);
+        let weight = |rate: Rate| (rate.get() / mean).clamp(*RANGE.start(), *RANGE.end());
+        let weights = rates.iter().map(|(id, rate)| (*id, weight(*rate)));
+        Self {
+            by_id: weights.collect(),
+        }
+    }
+
+    /// Returns the weight of a workspace, or of the calls that have none.
+    pub fn of(&self, workspace: Option<WorkspaceId>) -> f64 {
+        let weight = workspace.and_then(|id| self.by_id.get(&id));
+        weight.copied().unwrap_or(MEAN)
+    }
+}
--- a/src/tables/calls.rs
+++ b/src/tables/calls.rs
@@ -6,7 +6,9 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::model::{CallId, CallerName, ClassName, Depth, OnceKey, Priority, Retries, RootId};
+use crate::model::{
+    CallId, CallerName, ClassName, Depth, OnceKey, Priority, Retries, RootId, WorkspaceId,
+};
 use crate::policy::admission::Met;
 use crate::policy::retry::Account;
 
@@ -19,6 +21,8 @@
     pub class: ClassName,
     /// Who called first, if declared.
     pub caller: Option<CallerName>,
+    /// The workspace of the request at the root of the tree, if known.
+    pub workspace: Option<WorkspaceId>,
     /// The place in the order of admission.
     pub priority: Priority,
     /// How many calls stand above.
@@ -39,6 +43,7 @@
             root: head.root,
             class: head.class.clone(),
             caller: head.caller.clone(),
+            workspace: head.workspace,
             priority: head.priority,
             depth: head.depth,
             deadline: head.deadline,
--- a/src/task/report.rs
+++ b/src/task/report.rs
@@ -9,6 +9,8 @@
 
 /// How often the load is logged.
 const EVERY: Duration = Duration::from_secs(2);
+/// Workspaces that a line names.
+const NAMED: usize = 4;
 
 /// Logs the load of the guard while calls wait or are refused, for ever.
 pub async fn report(shared: Arc<Shared>, guard: Arc<Guard>) {
@@ -32,6 +34,9 @@
                 latency_ms = load.latency.as_millis() as u64
             });
         }
+        if now {
+            report_workspaces(&guard);
+        }
         busy = now;
         let left_out = shared.decisions.take_left_out();
         if left_out > 0 {
@@ -44,3 +49,18 @@
         }
     }
 }
+
+/// Logs which workspaces had most of the slots since the line before.
+fn report_workspaces(guard: &Guard) {
+    let rows = guard.lately();
+    if rows.is_empty() {
+        return;
+    }
+    let most = rows.iter().take(NAMED).map(|row| {
+        let name = &row.name;
+        format!("{name} {} ms, {} shed", row.time.as_millis(), row.shed)
+    });
+    let most: Vec<_> = most.collect();
+    let most = most.join("; ");
+    spdlog::info!("slots by workspace", kv: { most = most.as_str() });
+}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -23,6 +23,7 @@
             Depth::new(0),
             RootId::new(u128::from(token)),
         ),
+        workspace: None,
         deadline,
         expires: deadline,
     }
--- /dev/null
+++ b/tests/fair_share/inner.rs
@@ -0,0 +1,58 @@
+//! Calls that backend servers make count for the workspace of their root.
+
+use std::collections::BTreeSet;
+
+use http::{Method, StatusCode};
+
+use super::support::eventually;
+use super::support::hosted::{Vm, keyed_document, store, vm};
+
+const ONE: &str = r#"{"north":{"apiKeys":["key-north"],"priority":1}}"#;
+/// Enough that both servers get some.
+const INNER: usize = 40;
+
+fn charged(vm: &Vm) -> BTreeSet<Box<str>> {
+    let rows = vm.daemon.guard().usages();
+    rows.into_iter().map(|row| row.name).collect()
+}
+
+#[tokio::test]
+async fn inner_calls_count_for_the_workspace_of_their_root() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &keyed_document(7, "svc", ONE));
+    let vms = [vm("svc", address).await, vm("svc", address).await];
+    for vm in &vms {
+        vm.wait_ready().await;
+        vm.announce("ready", 1).await;
+    }
+    for vm in &vms {
+        eventually("both members", || async {
+            (vm.daemon.shared().view.lock().members().count() == 2).then_some(())
+        })
+        .await;
+    }
+    let key = [("api-key", "key-north")];
+    let outer = vms[0].ask_with(Method::GET, "/read/slow", "r1", &key);
+    let inner = async {
+        let (of, id) = eventually("the outer call runs", || async {
+            let seen = vms.iter().find(|vm| !vm.seen.runs.lock().is_empty())?;
+            let id = seen.seen.runs.lock()[0].0.clone();
+            Some((seen, id))
+        })
+        .await;
+        for n in 0..INNER {
+            let id = format!("{id}.{n}");
+            let answer = of.ask_with(Method::GET, "/open/x", &id, &[]).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+    };
+    tokio::join!(outer, inner);
+    let north = BTreeSet::from(["north".into()]);
+    for vm in &vms {
+        assert_eq!(charged(vm), north);
+    }
+    let answer = vms[0].ask_with(Method::GET, "/open/x", "r2", &[]).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let nobody = |vm: &Vm| charged(vm).contains("");
+    assert!(vms.iter().any(nobody));
+}
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bramleymount::config::Config;
-use bramleymount::metrics::{Ending, Gauges, Group, Metrics, NAMES, page};
+use bramleymount::metrics::{
+    Ending, Gauges, Group, Metrics, NAMES, WORKSPACE_NAMES, WorkspaceRow, page, workspaces,
+};
 
 fn read(name: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
@@ -93,3 +95,26 @@
     assert_eq!((hosting.rates.over, hosting.rates.slack), (0.1, 20.0));
     assert_eq!(config.grace.get(), Duration::from_secs(6));
 }
+
+#[test]
+fn page_of_workspaces_gives_time_and_sheds() {
+    let row = WorkspaceRow {
+        name: "no\"rth".into(),
+        time: Duration::from_millis(1500),
+        shed: 3,
+    };
+    let text = workspaces(&[row]);
+    for line in [
+        "bramleymount_workspace_slot_milliseconds_total{workspace=\"no\\\"rth\"} 1500",
+        "bramleymount_workspace_shed_total{workspace=\"no\\\"rth\"} 3",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+    }
+    assert_eq!(workspaces(&[]), "");
+    let operators = read("docs/operate/metrics.md");
+    assert!(
+        WORKSPACE_NAMES
+            .iter()
+            .all(|(name, _)| operators.contains(name))
+    );
+}
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -32,6 +32,7 @@
         root: RootId::new(1),
         service: "huvo11a".parse().expect("a name"),
         caller: None,
+        workspace: None,
         class: "rank-0".parse().expect("a name"),
         priority: Priority::new(ClassRank::new(0), Depth::default(), RootId::new(1)),
         depth: Depth::default(),
--- a/tests/single_calls.rs
+++ b/tests/single_calls.rs
@@ -94,6 +94,7 @@
         let call = Waiting {
             token,
             priority,
+            workspace: None,
             deadline,
             expires: deadline,
         };
