Go to another data centre for clearly less time

A call now also goes to another data centre where an answer of the own one is expected to take half as long again as there, its way included. By time only; by load it is as before. choose_goes_far_for_clearly_less_time was seen to fail without.

--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -118,6 +118,7 @@
     if let Some(target) = near
         && near_takes
         && target.load(now) < SPILL_LOAD
+        && !(choice.by_time && timed::is_slow(now, target))
     {
         return Pick::Target(target.instance);
     }
@@ -127,6 +128,9 @@
     let near = near.filter(|_| near_takes);
     let far = far.filter(|_| far_takes);
     match (near, far) {
+        (Some(near), Some(far)) if choice.by_time => {
+            Pick::Target(timed::spill(now, near, far).instance)
+        }
         (Some(near), Some(far)) => Pick::Target(spill(now, near, far).instance),
         (Some(target), None) | (None, Some(target)) => Pick::Target(target.instance),
         (None, None) => match near_demands.into_iter().chain(far_demands).min() {
@@ -138,7 +142,7 @@
 
 /// Prefers the far target only if the near one is full while the far one has
 /// room to spare.
-fn spill<'a>(now: Instant, near: &'a Target, far: &'a Target) -> &'a Target {
+pub(super) fn spill<'a>(now: Instant, near: &'a Target, far: &'a Target) -> &'a Target {
     let far_load = far.load(now);
     if far_load < SPILL_LOAD && far_load < near.load(now) {
         far
--- a/src/policy/route/timed.rs
+++ b/src/policy/route/timed.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::Target;
-use super::pick::{Choice, draw};
+use super::pick::{Choice, draw, spill as spill_by_load};
 
 /// Targets that are compared where they have little to do: with a third of
 /// them fast, a fast one is among them seven times in eight.
@@ -20,6 +20,30 @@
 /// Load of a server that has no slot free.
 const NO_ROOM: f64 = 1.0;
 
+/// How many times as long an answer of the own data centre must be expected to
+/// take for a call to go to another one, since bytes between them are dear.
+const CLEARLY: f64 = 1.5;
+
+/// Tells whether an answer of a target is expected to take long enough that
+/// other data centres are looked at.
+pub(super) fn is_slow(now: Instant, near: &Target) -> bool {
+    near.expected(now) >= CLEARLY
+}
+
+/// Prefers the far target if the near one is full while the far one has room,
+/// or if the far one, its way included, answers in clearly less time.
+pub(super) fn spill<'a>(now: Instant, near: &'a Target, far: &'a Target) -> &'a Target {
+    if near.is_full(now) {
+        return spill_by_load(now, near, far);
+    }
+    let is_sooner = near.expected(now) >= far.expected(now) * CLEARLY;
+    if is_sooner && !far.is_full(now) {
+        far
+    } else {
+        near
+    }
+}
+
 /// Returns the best of some random targets: two, or more where they have
 /// little to do; where those have no slot free, any that has.
 pub(super) fn best<'a, R: Rng>(
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -438,3 +438,44 @@
         (config, expected) => panic!("{config:?} in place of {expected:?}"),
     }
 }
+
+/// The only server of the own data centre answers in `near` ms, the one of
+/// another in `far` ms, its way included; half of the slots are in use at both.
+#[rstest]
+#[case::clearly_slower(50, 25, 0.6, 1.0)]
+#[case::a_little_slower(30, 25, 0.0, 0.2)]
+#[case::faster(25, 60, 0.0, 0.05)]
+fn choose_goes_far_for_clearly_less_time(
+    #[case] near: u64,
+    #[case] far: u64,
+    #[case] least: f64,
+    #[case] most: f64,
+) {
+    let mut table = table(1, true);
+    let other = Target::new(
+        instance(1),
+        "far".parse().expect("a name"),
+        Slots::new(SLOTS),
+    );
+    table.update(vec![target(0), other]);
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut now = Instant::now();
+    let mut calls = [0, 0];
+    for turn in 0..4000 {
+        now += Duration::from_millis(2);
+        let Pick::Target(at) = table.choose(now, WANT, &mut rng) else {
+            panic!("no target");
+        };
+        let news = GuardNews {
+            load: SLOTS / 2,
+            ..GuardNews::default()
+        };
+        table.report(now, at, Report::Heard(news));
+        let server = usize::from(at.address.port());
+        let time = Duration::from_millis([near, far][server]);
+        table.took(now, at, kind(2), Took::Answered(time));
+        calls[server] += u32::from(turn >= 2000);
+    }
+    let share = f64::from(calls[1]) / 2000.0;
+    assert!((least..=most).contains(&share), "{share} of the calls");
+}
