--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -101,13 +101,18 @@
 
 /// Starts the daemon of a VM whose backend server is started elsewhere.
 pub async fn vm_beside(service: &str, store: SocketAddr) -> Vm {
+    vm_beside_with(service, store, "").await
+}
+
+/// Starts the daemon of a VM with some more lines of settings.
+pub async fn vm_beside_with(service: &str, store: SocketAddr, lines: &str) -> Vm {
     let port = || free_address().expect("a port");
     let (callers, announcements, readiness, backend) = (port(), port(), port(), port());
     let operators = port();
     let text = format!(
         "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
          peers: {}\n  operators: {operators}\nbackend: {backend}\nplatform: {store}\nhosting:\n  \
-         announcements: {announcements}\n  readiness: {readiness}\ngrace: 6s\n",
+         announcements: {announcements}\n  readiness: {readiness}\ngrace: 6s\n{lines}",
         port(),
     );
     let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
