--- a/src/call/own.rs
+++ b/src/call/own.rs
@@ -26,7 +26,7 @@
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
 /// Headers that concern one connection only.
-const HOP: [HeaderName; 6] = [
+static HOP: [HeaderName; 6] = [
     CONNECTION,
     TE,
     TRANSFER_ENCODING,
@@ -37,20 +37,18 @@
 
 /// Returns the headers without those that concern one connection only, be it
 /// by their name or since the connection header lists them.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = headers.clone();
-    let listed = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','));
-    for name in listed {
-        kept.remove(name.trim());
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    if headers.contains_key(CONNECTION) {
+        let listed: Vec<HeaderValue> = headers.get_all(CONNECTION).iter().cloned().collect();
+        let listed = listed.iter().filter_map(|value| value.to_str().ok());
+        for name in listed.flat_map(|value| value.split(',')) {
+            headers.remove(name.trim());
+        }
     }
     for name in &HOP {
-        kept.remove(name);
+        headers.remove(name);
     }
-    kept
+    headers
 }
 
 /// The product's own headers, for callers that reach it directly.
@@ -85,7 +83,7 @@
     }
 
     fn forward(&self, headers: &HeaderMap, from: Origin<'_>) -> HeaderMap {
-        let mut kept = end_to_end(headers);
+        let mut kept = end_to_end(headers.clone());
         for name in [&HOST, &CALL, &TIMEOUT, &ATTEMPT, &EXPECT, &WORKSPACE] {
             kept.remove(name);
         }
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -34,7 +34,7 @@
         let streamed = matches!(body, Payload::Stream { .. });
         let mut answer = Response::new(caller_body(body));
         *answer.status_mut() = head.status;
-        *answer.headers_mut() = end_to_end(&head.headers);
+        *answer.headers_mut() = end_to_end(head.headers);
         if !streamed {
             answer.headers_mut().remove(CONTENT_LENGTH);
         }
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -37,7 +37,9 @@
     if large && hold {
         return Err(BodyError::TooLarge);
     }
-    let mut first = BytesMut::new();
+    // Grown by doubling it would hold up to twice its length.
+    let known = length.filter(|_| !large).unwrap_or_default();
+    let mut first = BytesMut::with_capacity(usize::try_from(known).unwrap_or_default());
     while !large && first.len() <= limit {
         match next(&mut body).await {
             None => return whole(first.freeze(), length),
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use parking_lot::Mutex;
 use tokio::time::Instant;
 
 use super::accept::Accepted;
@@ -35,6 +36,8 @@
     pub(super) context: &'e Context,
     pub(super) purse: Purse,
     pub(super) accepted: &'e Accepted,
+    /// The targets of the service that is called.
+    targets: Arc<Mutex<Table>>,
     pub(super) retries: u32,
     /// The weakest verdict of the attempts so far.
     pub(super) earlier: Verdict,
@@ -53,12 +56,13 @@
     pub(super) fn new(context: &'e Context, accepted: &'e Accepted) -> Self {
         let purse = match &accepted.parent {
             Some(held) => Purse::Parent(Arc::clone(held)),
-            None => Purse::Own(parking_lot::Mutex::new(Account::open(accepted.retries))),
+            None => Purse::Own(Mutex::new(Account::open(accepted.retries))),
         };
         Self {
             context,
             purse,
             accepted,
+            targets: context.shared.routes.table(&accepted.head.service),
             retries: 0,
             earlier: Verdict::NotRun,
             tried: Vec::new(),
@@ -210,9 +214,7 @@
     }
 
     pub(super) fn table<T>(&self, use_it: impl FnOnce(&mut Table) -> T) -> T {
-        let table = self.context.shared.routes.table(&self.head().service);
-        let mut table = table.lock();
-        use_it(&mut table)
+        use_it(&mut self.targets.lock())
     }
 
     /// Makes one attempt; what it did not use of its loan comes home.
--- a/src/guard/ask.rs
+++ b/src/guard/ask.rs
@@ -7,6 +7,7 @@
 use super::Guard;
 use super::backend::{AnswerBody, BackendError, read_small};
 use crate::call::{CallHead, Meaning, end_to_end};
+use crate::model::ServerId;
 use crate::web::Payload;
 
 /// The backend server's answer, its body read so far as it is small.
@@ -38,7 +39,7 @@
     ) -> Result<Answered, BackendError> {
         let began = Instant::now();
         let server = self.server();
-        match self.send(head, body).await {
+        match self.send(head, body, server.as_ref()).await {
             Err(BackendError::Cut(cause)) => match self.crash_since(began).await {
                 Some(crash) => {
                     self.shared.note_own_crash(head.fingerprint, crash);
@@ -59,18 +60,22 @@
         }
     }
 
-    async fn send(&self, head: &CallHead, body: Payload) -> Result<Answered, BackendError> {
+    async fn send(
+        &self,
+        head: &CallHead,
+        body: Payload,
+        server: Option<&ServerId>,
+    ) -> Result<Answered, BackendError> {
         let protocol = &self.shared.protocol;
-        let server = self.server();
         let mut headers = head.headers.clone();
-        protocol.address(&mut headers, head, Instant::now(), server.as_ref());
+        protocol.address(&mut headers, head, Instant::now(), server);
         let answer = self.backend.send(head, headers, body).await?;
         let (parts, body) = answer.into_parts();
         match protocol.meaning(head, parts.status, &parts.headers) {
             Meaning::Answer => {}
             Meaning::NotRun => return Err(BackendError::NotRun),
             Meaning::OtherServer(found) => {
-                self.displaced(server.as_ref(), found.as_ref());
+                self.displaced(server, found.as_ref());
                 return Err(BackendError::OtherServer(found));
             }
             Meaning::Garbage => {
@@ -81,7 +86,7 @@
         let length = body.size_hint().exact();
         Ok(Answered {
             status: parts.status,
-            headers: end_to_end(&parts.headers),
+            headers: end_to_end(parts.headers),
             length,
             body: read_small(body).await?,
         })
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -21,7 +21,7 @@
 /// Idle connections that are kept to the backend server.
 const MAX_IDLE: usize = 256;
 /// How long a connection may be idle.
-const IDLE: Duration = Duration::from_secs(20);
+const IDLE: Duration = Duration::from_secs(5);
 /// How long connecting on loopback may take.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Closes connections that have been idle for too long.
+    pub(super) fn trim(&self) {
+        self.connections.trim();
+    }
+
     /// Sends a call and waits for the head of the answer.
     pub(super) async fn send(
         &self,
@@ -153,7 +158,8 @@
     if body.size_hint().lower() > SMALL_BODY as u64 {
         return Ok(AnswerBody::Large(Bytes::new(), body));
     }
-    let mut whole = bytes::BytesMut::new();
+    let known = body.size_hint().exact().unwrap_or_default();
+    let mut whole = bytes::BytesMut::with_capacity(usize::try_from(known).unwrap_or_default());
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| BackendError::Cut(e.to_string().into()))?;
         if let Ok(data) = frame.into_data() {
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -80,6 +80,12 @@
         &self.once
     }
 
+    /// Closes connections to the backend server that have been idle for too
+    /// long.
+    pub fn trim(&self) {
+        self.backend.trim();
+    }
+
     /// Takes the rules in force.
     pub fn reload(&self) {
         let Some(in_force) = self.shared.current.get() else {
--- a/src/model/name.rs
+++ b/src/model/name.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
@@ -31,7 +32,7 @@
     ($(#[$doc:meta])* $type:ident, $kind:literal) => {
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $type(Box<str>);
+        pub struct $type(Arc<str>);
 
         impl $type {
             /// Returns the name as text.
--- a/src/peer/ask.rs
+++ b/src/peer/ask.rs
@@ -5,10 +5,16 @@
 use std::time::Duration;
 
 use super::generated as wire;
+use super::plain::AskError;
 use super::pool::Pool;
 
-/// How long a neighbour may take to answer.
+/// The path of questions for news.
+pub(super) const EXCHANGE_PATH: &str = "/exchange";
+/// How long a neighbour may take to answer, and to send documents.
 pub(super) const TIMEOUT: Duration = Duration::from_secs(2);
+/// How long it may take to answer where it has nothing large to send. One that
+/// is called silent has failed three times in four seconds.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why an exchange gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,20 +26,23 @@
     }
 }
 
-/// Asks the daemon at `address` over the standing connection.
+/// Asks the daemon at `address`: plainly, since a stream costs twice as much,
+/// or by a stream if it runs a version that knows no plain questions.
 pub(super) async fn ask(
     pool: &Pool,
     address: SocketAddr,
     request: wire::ExchangeRequest,
 ) -> Result<wire::ExchangeReply, ExchangeError> {
-    let mut client = pool
-        .get(address)
-        .ok_or_else(|| ExchangeError("no valid address".into()))?;
-    match tokio::time::timeout(TIMEOUT, client.exchange(request)).await {
-        Ok(Ok(answer)) => Ok(answer.into_inner()),
-        Ok(Err(status)) => {
+    let longest = if request.want.is_empty() {
+        SHORT_TIMEOUT
+    } else {
+        TIMEOUT
+    };
+    match tokio::time::timeout(longest, ask_either(pool, address, request)).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(cause)) => {
             pool.replace(address);
-            Err(ExchangeError(status.message().into()))
+            Err(ExchangeError(cause))
         }
         Err(_) => {
             pool.replace(address);
@@ -41,3 +50,20 @@
         }
     }
 }
+
+async fn ask_either(
+    pool: &Pool,
+    address: SocketAddr,
+    request: wire::ExchangeRequest,
+) -> Result<wire::ExchangeReply, Box<str>> {
+    match pool.plain(address).ask(EXCHANGE_PATH, &request).await {
+        Ok(reply) => return Ok(reply),
+        Err(AskError::Unknown) => {}
+        Err(AskError::Failed(cause)) => return Err(cause),
+    }
+    let mut client = pool.get(address).ok_or("no valid address")?;
+    match client.exchange(request).await {
+        Ok(answer) => Ok(answer.into_inner()),
+        Err(status) => Err(status.message().into()),
+    }
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -9,7 +9,7 @@
 use tonic::Streaming;
 
 use super::call::{Message, SLACK};
-use super::convert::{call_out, refusal_in, reply_in};
+use super::convert::{call_out, headers_out, refusal_in, reply_in};
 use super::direct;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
@@ -47,8 +47,7 @@
         Payload::Whole(body) if !message.held => {
             let body = body.clone();
             let head = call_out(instance, attempt.id(), &message, Instant::now());
-            let deadline = message.head.deadline;
-            direct::send(pool, instance, attempt, head, body, deadline).await
+            direct::send(pool, instance, attempt, message.head, head, body).await
         }
         // On the heap, since it needs more room than plain calls.
         _ => Box::pin(send_stream(pool, instance, attempt, message)).await,
@@ -200,6 +199,7 @@
 fn call_frames(instance: Instance, attempt: AttemptId, message: Message<'_>) -> (Frames, Rest) {
     let (sender, receiver) = mpsc::channel(WINDOW);
     let mut head = call_out(instance, attempt, &message, Instant::now());
+    head.headers = headers_out(&message.head.headers);
     let chunks = match message.body {
         Payload::Whole(bytes) => {
             head.body = bytes;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -32,7 +32,7 @@
     headers
         .iter()
         .map(|(name, value)| wire::Header {
-            name: name.as_str().to_owned(),
+            name: Bytes::copy_from_slice(name.as_ref()),
             value: Bytes::copy_from_slice(value.as_bytes()),
         })
         .collect()
@@ -45,16 +45,15 @@
     }
     let mut map = HeaderMap::with_capacity(headers.len());
     for header in headers {
-        let wrong = |_| Error::value("header", header.name.clone());
-        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(|e| wrong(e.into()))?;
-        let value = HeaderValue::from_maybe_shared(header.value)
-            .map_err(|e| wrong(http::Error::from(e)))?;
+        let wrong = || Error::value("header", String::from_utf8_lossy(&header.name));
+        let name = HeaderName::from_bytes(&header.name).map_err(|_| wrong())?;
+        let value = HeaderValue::from_maybe_shared(header.value).map_err(|_| wrong())?;
         map.append(name, value);
     }
     Ok(map)
 }
 
-/// Writes the head of a call to `instance`, without its body.
+/// Writes the head of a call to `instance`, without its headers and its body.
 pub(super) fn call_out(
     instance: Instance,
     attempt: AttemptId,
@@ -69,19 +68,19 @@
         attempt: id_bytes(attempt.get()),
         call: id_bytes(head.call.get()),
         root: id_bytes(head.root.get()),
-        service: head.service.to_string(),
+        service: head.service.as_str().to_owned(),
         caller: head
             .caller
             .as_ref()
-            .map_or(String::new(), ToString::to_string),
-        class: head.class.to_string(),
+            .map_or(String::new(), |caller| caller.as_str().to_owned()),
+        class: head.class.as_str().to_owned(),
         depth: u32::from(head.depth.get()),
         deadline_ms: millis(left),
         account: message.account.get(),
         once_key: once.map_or(String::new(), |once| once.key.to_string()),
         method: head.method.as_str().to_owned(),
-        target: head.target.to_string(),
-        headers: headers_out(&head.headers),
+        target: head.target.as_ref().to_owned(),
+        headers: Vec::new(),
         streamed: matches!(message.body, Payload::Stream { .. }),
         body: Bytes::new(),
         repeat: head.repeat,
@@ -151,7 +150,7 @@
     })
 }
 
-/// Writes the head of an answer.
+/// Writes the head of an answer, without its headers.
 pub(super) fn reply_out(
     attempt: AttemptId,
     head: &ReplyHead,
@@ -161,7 +160,7 @@
     wire::AnswerHead {
         attempt: id_bytes(attempt.get()),
         status: u32::from(head.status.as_u16()),
-        headers: headers_out(&head.headers),
+        headers: Vec::new(),
         streamed: body.is_none(),
         body: body.unwrap_or_default(),
         digest,
--- a/src/peer/credit.rs
+++ b/src/peer/credit.rs
@@ -74,8 +74,9 @@
     let client = pool.plain(coordinator.address);
     let reply: wire::CreditReply = match client.ask(CREDIT_PATH, &request).await {
         Ok(reply) => reply,
-        Err(cause) => {
-            spdlog::debug!("no credit", kv: { workspace = workspace.as_str(), cause = &*cause });
+        Err(e) => {
+            let cause = e.to_string();
+            spdlog::debug!("no credit", kv: { workspace = workspace.as_str(), cause = cause.as_str() });
             return None;
         }
     };
--- a/src/peer/direct.rs
+++ b/src/peer/direct.rs
@@ -6,22 +6,22 @@
 //! word that the call arrived, since the daemon was heard from just before.
 
 use bytes::Bytes;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use super::call::SLACK;
 use super::convert::{refusal_in, reply_in};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::id::id_bytes;
-use super::message::join;
-use super::plain::Failed;
+use super::lines::Failed;
+use super::message::join_call;
 use super::pool::Pool;
-use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
+use crate::call::{Attempt, CallHead, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::Instance;
 use crate::web::Payload;
 
-/// Sends a call that came whole to the guard of `instance` and waits for the
-/// answer.
+/// Sends a call that came whole to the guard of `instance`, with what `head`
+/// says of it and its headers, and waits for the answer.
 ///
 /// # Errors
 ///
@@ -30,15 +30,15 @@
     pool: &Pool,
     instance: Instance,
     attempt: Attempt<Planned>,
+    call: &CallHead,
     head: wire::CallHead,
     body: Bytes,
-    deadline: Instant,
 ) -> Result<Reply, Refusal> {
-    let whole = join(&head, &body);
+    let whole = join_call(&head, &call.headers, &body);
     drop((head, body));
     let client = pool.plain(instance.address);
     let attempt = attempt.send();
-    match timeout_at(deadline + SLACK, client.exchange(whole)).await {
+    match timeout_at(call.deadline + SLACK, client.exchange(whole)).await {
         Ok(Ok((part, payload))) => answered(attempt, part, payload),
         Ok(Err(failed)) => {
             pool.replace(instance.address);
--- /dev/null
+++ b/src/peer/end.rs
@@ -0,0 +1,342 @@
+//! The little of HTTP/1.1 that plain requests between daemons need.
+//!
+//! Both ends are daemons, which send a method, a path and a body whose length
+//! is known or that comes in chunks. A library for all of HTTP keeps two
+//! buffers of 8 KB and a task a connection for that, and takes a fifth of the
+//! processor time of a call.
+
+use std::future::poll_fn;
+use std::io;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::call::MAX_MESSAGE;
+
+/// Most headers of a head.
+const MAX_HEADERS: usize = 32;
+/// Largest head, in bytes.
+const MAX_HEAD: usize = 8 * 1024;
+/// Bytes that are read at first; most messages have fewer.
+const FIRST: usize = 4 * 1024;
+/// Longest line before a chunk, in bytes.
+const MAX_LINE: usize = 64;
+/// Ends a line.
+const END: &[u8] = b"\r\n";
+/// Ends a body in chunks.
+const LAST: &[u8] = b"0\r\n\r\n";
+
+/// How long a body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Length {
+    /// So many bytes.
+    Known(usize),
+    /// It comes in chunks up to an empty one.
+    Chunked,
+}
+
+/// What a head says of what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Framing {
+    length: Length,
+    /// Whether the connection is used again.
+    keep: bool,
+}
+
+/// The head of a request.
+#[derive(Debug)]
+pub(super) struct Request {
+    /// Its path.
+    pub(super) path: Box<str>,
+    /// The length of its body.
+    pub(super) length: Length,
+    /// Whether another request may follow.
+    pub(super) keep: bool,
+}
+
+/// The head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    /// Its status.
+    pub(super) status: StatusCode,
+    /// The length of its body.
+    pub(super) length: Length,
+    /// Whether another request may follow.
+    pub(super) keep: bool,
+}
+
+fn wrong(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+fn framing(version: Option<u8>, headers: &[httparse::Header<'_>]) -> io::Result<Framing> {
+    let mut framing = Framing {
+        length: Length::Known(0),
+        keep: version == Some(1),
+    };
+    for header in headers {
+        let value = header.value.trim_ascii();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let length = std::str::from_utf8(value).ok().and_then(|n| n.parse().ok());
+            framing.length = Length::Known(length.ok_or_else(|| wrong("a length is no number"))?);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case(b"chunked") {
+                return Err(wrong("an encoding is not known"));
+            }
+            framing.length = Length::Chunked;
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            framing.keep &= !value.eq_ignore_ascii_case(b"close");
+        }
+    }
+    Ok(framing)
+}
+
+/// Reads the head of a request, if it is there whole, and its length.
+fn parse_request(bytes: &[u8]) -> io::Result<Option<(usize, Request)>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let parsed = head.parse(bytes);
+    let httparse::Status::Complete(length) = parsed.map_err(|_| wrong("no head of a request"))?
+    else {
+        return Ok(None);
+    };
+    let framing = framing(head.version, head.headers)?;
+    let request = Request {
+        path: head.path.unwrap_or_default().into(),
+        length: framing.length,
+        keep: framing.keep,
+    };
+    Ok(Some((length, request)))
+}
+
+/// Reads the head of an answer, if it is there whole, and its length.
+fn parse_answer(bytes: &[u8]) -> io::Result<Option<(usize, Answer)>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let parsed = head.parse(bytes);
+    let httparse::Status::Complete(length) = parsed.map_err(|_| wrong("no head of an answer"))?
+    else {
+        return Ok(None);
+    };
+    let framing = framing(head.version, head.headers)?;
+    let status = StatusCode::from_u16(head.code.unwrap_or_default());
+    let answer = Answer {
+        status: status.map_err(|_| wrong("no status"))?,
+        length: framing.length,
+        keep: framing.keep,
+    };
+    Ok(Some((length, answer)))
+}
+
+/// One end of a connection, with what was read beyond the last message.
+#[derive(Debug)]
+pub(super) struct End {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl End {
+    /// Takes a connection on which nothing was read yet.
+    pub(super) fn new(stream: TcpStream) -> Self {
+        let buffer = BytesMut::new();
+        Self { stream, buffer }
+    }
+
+    /// Gives the connection back if nothing was read beyond the last message.
+    pub(super) fn into_clean(self) -> Option<TcpStream> {
+        self.buffer.is_empty().then_some(self.stream)
+    }
+
+    /// Waits until there is something to read, without room for it yet.
+    pub(super) async fn readable(&self) -> io::Result<()> {
+        if self.buffer.is_empty() {
+            poll_fn(|cx| self.stream.poll_read_ready(cx)).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the other end closes the connection; for ever if it sends
+    /// anything more instead.
+    pub(super) async fn closed(&self) {
+        let mut next = [0];
+        let next = poll_fn(|cx| self.stream.poll_peek(cx, &mut ReadBuf::new(&mut next)));
+        if !self.buffer.is_empty() || matches!(next.await, Ok(1..)) {
+            std::future::pending().await
+        }
+    }
+
+    /// Gives up the room of what was read, if nothing is left to be read.
+    pub(super) fn release(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    async fn more(&mut self, room: usize) -> io::Result<()> {
+        self.buffer.reserve(room);
+        match self.stream.read_buf(&mut self.buffer).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads the head of a request; `None` if the connection was closed before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, or if what comes is no such head.
+    pub(super) async fn read_request(&mut self) -> io::Result<Option<Request>> {
+        loop {
+            if let Some((length, request)) = parse_request(&self.buffer)? {
+                self.buffer.advance(length);
+                return Ok(Some(request));
+            }
+            match self.more_of_head().await {
+                Err(_) if self.buffer.is_empty() => return Ok(None),
+                more => more?,
+            }
+        }
+    }
+
+    /// Reads the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, or if what comes is no such head.
+    pub(super) async fn read_answer(&mut self) -> io::Result<Answer> {
+        loop {
+            if let Some((length, answer)) = parse_answer(&self.buffer)? {
+                self.buffer.advance(length);
+                return Ok(answer);
+            }
+            self.more_of_head().await?;
+        }
+    }
+
+    async fn more_of_head(&mut self) -> io::Result<()> {
+        if self.buffer.len() >= MAX_HEAD {
+            return Err(wrong("the head is too long"));
+        }
+        self.more(FIRST).await
+    }
+
+    /// Reads a body whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, or if the body is too long.
+    pub(super) async fn read_body(&mut self, length: Length) -> io::Result<Bytes> {
+        let length = match length {
+            Length::Known(length) if length <= MAX_MESSAGE => length,
+            Length::Known(_) => return Err(wrong("the body is too long")),
+            Length::Chunked => return self.read_chunks().await,
+        };
+        while self.buffer.len() < length {
+            let rest = length - self.buffer.len();
+            self.more(rest).await?;
+        }
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn read_chunks(&mut self) -> io::Result<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            whole.extend_from_slice(&chunk);
+            if whole.len() > MAX_MESSAGE {
+                return Err(wrong("the body is too long"));
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Reads the next chunk of a body whole; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends before the body does.
+    pub(super) async fn next_chunk(&mut self) -> io::Result<Option<Bytes>> {
+        let line = loop {
+            let found = self.buffer.windows(END.len()).position(|two| two == END);
+            match found {
+                Some(line) => break line,
+                None if self.buffer.len() > MAX_LINE => return Err(wrong("no chunk")),
+                None => self.more(FIRST).await?,
+            }
+        };
+        let digits = std::str::from_utf8(&self.buffer[..line]).unwrap_or_default();
+        let digits = digits.split(';').next().unwrap_or_default().trim();
+        let length = usize::from_str_radix(digits, 16).map_err(|_| wrong("no chunk"))?;
+        if length > MAX_MESSAGE {
+            return Err(wrong("the chunk is too long"));
+        }
+        self.buffer.advance(line + END.len());
+        while self.buffer.len() < length + END.len() {
+            let rest = length + END.len() - self.buffer.len();
+            self.more(rest).await?;
+        }
+        let chunk = self.buffer.split_to(length).freeze();
+        if !self.buffer.starts_with(END) {
+            return Err(wrong("a chunk has no end"));
+        }
+        self.buffer.advance(END.len());
+        Ok((length > 0).then_some(chunk))
+    }
+
+    /// Sends a head and a body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, and says whether any byte has left.
+    pub(super) async fn send(&mut self, head: &[u8], body: &[u8]) -> Result<(), SendError> {
+        let mut rest = Buf::chain(head, body);
+        while rest.has_remaining() {
+            let sent = rest.remaining() < head.len() + body.len();
+            let failed = |cause| SendError { sent, cause };
+            match self.stream.write_buf(&mut rest).await {
+                Ok(0) => return Err(failed(io::ErrorKind::WriteZero.into())),
+                Ok(_) => {}
+                Err(e) => return Err(failed(e)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a chunk; an empty one ends the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does.
+    pub(super) async fn send_chunk(&mut self, chunk: &[u8]) -> io::Result<()> {
+        if chunk.is_empty() {
+            return self.stream.write_all(LAST).await;
+        }
+        let line = format!("{:x}\r\n", chunk.len());
+        let mut whole = Buf::chain(Buf::chain(line.as_bytes(), chunk), END);
+        self.stream.write_all_buf(&mut whole).await
+    }
+}
+
+/// Why something was not sent.
+#[derive(Debug)]
+pub(super) struct SendError {
+    /// Whether any byte has left.
+    pub(super) sent: bool,
+    /// The cause.
+    pub(super) cause: io::Error,
+}
+
+/// Writes the head of a request with a body of so many bytes.
+pub(super) fn request_head(path: &str, host: &str, length: usize) -> Vec<u8> {
+    format!("POST {path} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {length}\r\n\r\n").into()
+}
+
+/// Writes the head of an answer.
+pub(super) fn answer_head(status: StatusCode, length: Length) -> Vec<u8> {
+    let framing = match length {
+        Length::Known(length) => format!("content-length: {length}"),
+        Length::Chunked => "transfer-encoding: chunked".to_owned(),
+    };
+    format!("HTTP/1.1 {status}\r\n{framing}\r\n\r\n").into()
+}
--- a/src/peer/ledger.rs
+++ b/src/peer/ledger.rs
@@ -99,7 +99,7 @@
             headers: entry
                 .headers
                 .into_iter()
-                .map(|h| (h.name.into(), h.value))
+                .map(|h| (String::from_utf8_lossy(&h.name).into(), h.value))
                 .collect(),
             body: entry.whole.then_some(entry.body),
         }),
--- a/src/peer/listen.rs
+++ b/src/peer/listen.rs
@@ -6,16 +6,16 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response, Version};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::Service;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use tonic::body::Body;
 
@@ -29,25 +29,94 @@
 /// Pause after a connection could not be accepted, for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Answers streams by `tonic`, plain calls by itself.
+/// What a connection of streams begins with.
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+/// Pause between two looks at a connection that has begun too little.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Answers streams by `tonic`.
 #[derive(Clone)]
-struct Both {
-    peers: Arc<Peers>,
-    streams: PeerServer<Peers>,
-}
+struct Streams(PeerServer<Peers>);
 
-impl Service<Request<Incoming>> for Both {
+impl Service<Request<Incoming>> for Streams {
     type Response = Response<Body>;
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Response<Body>, Infallible>> + Send>>;
 
     fn call(&self, request: Request<Incoming>) -> Self::Future {
-        if request.version() == Version::HTTP_2 {
-            let mut streams = self.streams.clone();
-            return tonic::codegen::Service::call(&mut streams, request);
+        let mut streams = self.0.clone();
+        tonic::codegen::Service::call(&mut streams, request)
+    }
+}
+
+/// What all connections of other daemons share.
+struct Served {
+    peers: Arc<Peers>,
+    streams: Streams,
+    builder: auto::Builder<TokioExecutor>,
+}
+
+impl Served {
+    async fn connection(&self, stream: TcpStream, mut stop: watch::Receiver<()>) {
+        // That nobody is left to stop it is as good as being told.
+        let stop = async move { stop.changed().await.unwrap_or_default() };
+        let result = match begins_streams(&stream).await {
+            // On the heap, since plain connections are many and need less room.
+            Ok(true) => Box::pin(self.streams(stream, stop)).await,
+            Ok(false) => {
+                self.plain(stream, stop).await;
+                Ok(())
+            }
+            Err(e) => Err(e.into()),
+        };
+        if let Err(e) = result {
+            spdlog::debug!("connection of a daemon ended", kv: { cause = e.to_string().as_str() });
+        }
+    }
+
+    async fn streams(
+        &self,
+        stream: TcpStream,
+        stop: impl Future<Output = ()>,
+    ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+        let service = self.streams.clone();
+        let connection = self.builder.serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => return ended,
+            () = stop => connection.as_mut().graceful_shutdown(),
+        }
+        connection.await
+    }
+
+    /// Serves plain requests; once the daemon stops, only the one under way.
+    async fn plain(&self, stream: TcpStream, stop: impl Future<Output = ()>) {
+        let busy = AtomicBool::new(false);
+        let mut served = std::pin::pin!(self.peers.serve_plain(stream, &busy));
+        tokio::select! {
+            biased;
+            () = served.as_mut() => return,
+            () = stop => {}
+        }
+        if busy.load(Ordering::Relaxed) {
+            served.await;
         }
-        let peers = Arc::clone(&self.peers);
-        Box::pin(async move { Ok(peers.answer_plain(request).await) })
+    }
+}
+
+/// Tells whether a connection begins as one of streams.
+async fn begins_streams(stream: &TcpStream) -> std::io::Result<bool> {
+    let mut begin = [0; PREFACE.len()];
+    loop {
+        let count = stream.peek(&mut begin).await?;
+        if count == 0 || begin[..count] != PREFACE[..count] {
+            return Ok(false);
+        }
+        if count == PREFACE.len() {
+            return Ok(true);
+        }
+        tokio::time::sleep(LOOK).await;
     }
 }
 
@@ -67,12 +136,16 @@
     let streams = PeerServer::from_arc(Arc::clone(&peers))
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
-    Ok(tokio::spawn(serve(listener, Both { peers, streams }, stop)))
+    let served = Served {
+        peers,
+        streams: Streams(streams),
+        builder: builder(),
+    };
+    Ok(tokio::spawn(serve(listener, Arc::new(served), stop)))
 }
 
-async fn serve(listener: TcpListener, service: Both, stop: oneshot::Receiver<()>) {
-    let builder = builder();
-    let graceful = GracefulShutdown::new();
+async fn serve(listener: TcpListener, served: Arc<Served>, stop: oneshot::Receiver<()>) {
+    let (stopping, told) = watch::channel(());
     let mut connections = JoinSet::new();
     let mut stop = std::pin::pin!(stop);
     loop {
@@ -83,8 +156,8 @@
         };
         match accepted.and_then(prepared) {
             Ok(stream) => {
-                let connection = builder.serve_connection(TokioIo::new(stream), service.clone());
-                connections.spawn(graceful.watch(connection.into_owned()));
+                let (served, told) = (Arc::clone(&served), told.clone());
+                connections.spawn(async move { served.connection(stream, told).await });
             }
             Err(e) => {
                 spdlog::warn!("cannot accept a daemon", kv: { cause = e.to_string().as_str() });
@@ -93,16 +166,14 @@
         }
     }
     drop(listener);
-    graceful.shutdown().await;
+    // Calls under way are answered; nothing follows them.
+    served.peers.stopping.store(true, Ordering::Relaxed);
+    stopping.send_replace(());
+    while connections.join_next().await.is_some() {}
 }
 
 fn builder() -> auto::Builder<TokioExecutor> {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .auto_date_header(false);
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod convert;
 mod credit;
 mod direct;
+mod end;
 #[allow(
     missing_docs,
     unreachable_pub,
@@ -19,6 +20,7 @@
 mod generated;
 mod id;
 mod ledger;
+mod lines;
 mod listen;
 mod measure;
 mod member;
@@ -27,6 +29,7 @@
 mod plain;
 mod pool;
 mod rollout;
+mod served;
 mod server;
 mod suspect;
 
--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -158,12 +158,18 @@
     }
 }
 
+/// Answers an exchange, and has the sender asked for what is known only there.
+pub(super) fn answer(shared: &Shared, request: &wire::ExchangeRequest) -> wire::ExchangeReply {
+    let (reply, worth) = reply(shared, request);
+    if worth && let Ok(from) = request.from.parse::<Instance>() {
+        shared.ask_later(from.address);
+    }
+    reply
+}
+
 /// Answers an exchange; returns also whether the sender knows something that
 /// is worth asking it for.
-pub(super) fn reply(
-    shared: &Shared,
-    request: &wire::ExchangeRequest,
-) -> (wire::ExchangeReply, bool) {
+fn reply(shared: &Shared, request: &wire::ExchangeRequest) -> (wire::ExchangeReply, bool) {
     let told = read_members(&request.members);
     take_members(shared, |view, now| {
         view.merge_all(now, told.iter().cloned())
--- a/src/peer/plain.rs
+++ b/src/peer/plain.rs
@@ -1,32 +1,29 @@
-//! Connections to one daemon that carry one plain call at a time.
+//! Plain requests to one daemon.
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http::StatusCode;
+use tokio::sync::mpsc;
 
-use super::call::{CONNECT, MAX_MESSAGE, PATH};
+use super::call::{CONNECT, PATH};
+use super::end::{End, Length};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
+use super::lines::{Failed, Lines};
 use super::message::{join, take};
-use crate::web::{Chunks, Connections, Cut, Dial, Keep, Payload, RequestError};
+use crate::web::{Chunks, Cut, Dial, Payload};
 
-/// Idle connections that are kept to one daemon.
-const MAX_IDLE: usize = 16;
-/// How long a connection may be idle.
-const IDLE: Duration = Duration::from_secs(20);
 /// How long sent bytes may go without an acknowledgement of the other VM; its
 /// daemon may pause, its network stack does not.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(500);
 
-/// Makes plain calls to one daemon.
+/// Makes plain requests to one daemon.
 #[derive(Clone, Debug)]
 pub(super) struct PlainClient {
-    connections: Arc<Connections<Full<Bytes>>>,
+    lines: Arc<Lines>,
 }
 
 impl PlainClient {
@@ -39,12 +36,8 @@
             timeout: CONNECT,
             unacknowledged: Some(UNACKNOWLEDGED),
         };
-        let keep = Keep {
-            most: MAX_IDLE,
-            idle: IDLE,
-        };
         Self {
-            connections: Arc::new(Connections::new(dial, keep)),
+            lines: Arc::new(Lines::new(dial)),
         }
     }
 
@@ -53,80 +46,89 @@
         &self,
         path: &'static str,
         message: &impl prost::Message,
-    ) -> Result<A, Box<str>> {
-        let mut request = Request::new(Full::new(join(message, &[])));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(path);
-        let answer = self.connections.request(request).await;
-        let body = answer.map_err(|e| e.to_string())?.into_body();
-        let whole = Limited::new(body, MAX_MESSAGE).collect().await;
-        let mut whole = whole.map_err(|e| e.to_string())?.to_bytes();
-        Ok(take(&mut whole)?)
+    ) -> Result<A, AskError> {
+        let failed = |cause: &dyn std::fmt::Display| AskError::Failed(cause.to_string().into());
+        let request = join(message, &[]);
+        let answer = self.lines.request(path, &request).await;
+        let (answer, mut end) = answer.map_err(|e| AskError::Failed(e.cause))?;
+        let body = end.read_body(answer.length).await;
+        let mut body = body.map_err(|e| failed(&e))?;
+        if answer.keep {
+            self.lines.put_back(end);
+        }
+        if answer.status == StatusCode::NOT_FOUND {
+            return Err(AskError::Unknown);
+        }
+        take(&mut body).map_err(|e| failed(&e))
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(super) fn trim(&self) {
+        self.lines.trim();
     }
 
-    /// Sends a request and reads its answer.
+    /// Sends a call and reads its answer: whole if its length is known, else up
+    /// to its message.
     pub(super) async fn exchange(
         self,
-        body: Bytes,
+        call: Bytes,
     ) -> Result<(Option<AnswerPart>, Payload), Failed> {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(PATH);
-        let answer = self.connections.request(request).await;
-        let answer = answer.map_err(|e| Failed {
-            connected: !matches!(e, RequestError::Connect(_)),
-            cause: e.to_string().into(),
-        })?;
-        read(answer.into_body()).await
+        let (answer, mut end) = self.lines.request(PATH, &call).await?;
+        drop(call);
+        if answer.length == Length::Chunked {
+            return streamed(end).await;
+        }
+        let whole = end.read_body(answer.length).await;
+        let mut whole = whole.map_err(|e| Failed::lost(&e))?;
+        if answer.keep {
+            self.lines.put_back(end);
+        }
+        let frame: wire::AnswerFrame = take(&mut whole).map_err(|e| Failed::lost(&e))?;
+        Ok((frame.frame, Payload::Whole(whole)))
     }
 }
 
-/// Why there is no answer.
-pub(super) struct Failed {
-    /// Whether a connection was made, so that the call may have arrived.
-    pub(super) connected: bool,
-    pub(super) cause: Box<str>,
+/// Why a question has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum AskError {
+    /// The other daemon knows no such question.
+    Unknown,
+    /// It did not answer, or not in the right words.
+    Failed(Box<str>),
 }
 
-/// Reads an answer: whole if its length is known, else up to its message.
-async fn read(mut body: Incoming) -> Result<(Option<AnswerPart>, Payload), Failed> {
-    let cut = |e: &dyn std::fmt::Display| Failed {
-        connected: true,
-        cause: e.to_string().into(),
-    };
-    if body.size_hint().exact().is_some() {
-        let whole = Limited::new(body, MAX_MESSAGE).collect().await;
-        let mut whole = whole.map_err(|e| cut(&e))?.to_bytes();
-        let frame: wire::AnswerFrame = take(&mut whole).map_err(|e| cut(&e))?;
-        return Ok((frame.frame, Payload::Whole(whole)));
+impl std::fmt::Display for AskError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unknown => f.write_str("the other daemon knows no such question"),
+            Self::Failed(cause) => f.write_str(cause),
+        }
     }
-    let first = next_chunk(&mut body).await;
-    let mut first = first.map_err(|e| cut(&e))?.unwrap_or_default();
-    let frame: wire::AnswerFrame = take(&mut first).map_err(|e| cut(&e))?;
+}
+
+/// Reads the message of an answer that comes in chunks, whose connection ends
+/// with it.
+async fn streamed(mut end: End) -> Result<(Option<AnswerPart>, Payload), Failed> {
+    let first = end.next_chunk().await.map_err(|e| Failed::lost(&e))?;
+    let mut first = first.unwrap_or_default();
+    let frame: wire::AnswerFrame = take(&mut first).map_err(|e| Failed::lost(&e))?;
     let (sender, chunks) = Chunks::channel();
-    tokio::spawn(pump_in(body, sender));
+    tokio::spawn(pump_in(end, first, sender));
     let length = None;
     Ok((frame.frame, Payload::Stream { length, chunks }))
 }
 
-async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(chunk) = frame?.into_data()
-            && !chunk.is_empty()
-        {
-            return Ok(Some(chunk));
-        }
-    }
-    Ok(None)
-}
-
 /// Takes a streamed answer in; the end of the chunks says that it is whole.
-async fn pump_in(mut body: Incoming, to: tokio::sync::mpsc::Sender<Result<Bytes, Cut>>) {
+async fn pump_in(mut end: End, first: Bytes, to: mpsc::Sender<Result<Bytes, Cut>>) {
+    if !first.is_empty() && to.send(Ok(first)).await.is_err() {
+        return;
+    }
     loop {
-        let item = match next_chunk(&mut body).await {
-            Ok(chunk) => Ok(chunk.unwrap_or_default()),
-            Err(_) => Err(Cut),
+        let next = tokio::select! {
+            next = end.next_chunk() => next,
+            () = to.closed() => return,
         };
+        let item = next.map(Option::unwrap_or_default).map_err(|_| Cut);
         let last = !matches!(&item, Ok(chunk) if !chunk.is_empty());
         if to.send(item).await.is_err() || last {
             return;
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -1,11 +1,12 @@
 //! Standing connections to other daemons.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
+use tokio::time::Instant;
 use tonic::transport::{Channel, Endpoint};
 
 use super::call::{CONNECT, MAX_MESSAGE};
@@ -19,6 +20,16 @@
 /// Bytes that may be under way on one stream and on one connection.
 const STREAM_WINDOW: u32 = 1024 * 1024;
 const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+/// How long a connection of streams may go unused; it costs both daemons some
+/// 50 KB.
+const UNUSED: Duration = Duration::from_secs(20);
+
+/// A connection of streams.
+#[derive(Debug)]
+struct Standing {
+    client: PeerClient<Channel>,
+    used: Instant,
+}
 
 /// The connections to each daemon that is called: one that carries any number
 /// of streams, and some that carry one plain call at a time.
@@ -29,8 +40,8 @@
 pub struct Pool {
     handle: Handle,
     own: IpAddr,
-    clients: Mutex<HashMap<SocketAddr, PeerClient<Channel>>>,
-    plain: Mutex<HashMap<SocketAddr, PlainClient>>,
+    clients: Mutex<BTreeMap<SocketAddr, Standing>>,
+    plain: Mutex<BTreeMap<SocketAddr, PlainClient>>,
 }
 
 impl Pool {
@@ -54,12 +65,18 @@
 
     /// Returns the connection to `address`, which is made when first used.
     pub(super) fn get(&self, address: SocketAddr) -> Option<PeerClient<Channel>> {
+        let used = Instant::now();
         let mut clients = self.clients.lock();
-        if let Some(client) = clients.get(&address) {
-            return Some(client.clone());
+        if let Some(standing) = clients.get_mut(&address) {
+            standing.used = used;
+            return Some(standing.client.clone());
         }
         let client = self.fresh(address)?;
-        clients.insert(address, client.clone());
+        let standing = Standing {
+            client: client.clone(),
+            used,
+        };
+        clients.insert(address, standing);
         Some(client)
     }
 
@@ -90,6 +107,15 @@
         self.plain.lock().remove(&address);
     }
 
+    /// Closes connections that have been idle for too long; calls that are out
+    /// on them go on.
+    pub fn trim(&self) {
+        let now = Instant::now();
+        let is_used = |standing: &Standing| now.saturating_duration_since(standing.used) < UNUSED;
+        self.clients.lock().retain(|_, standing| is_used(standing));
+        self.plain.lock().values().for_each(PlainClient::trim);
+    }
+
     /// Drops the connections to all addresses that `keep` does not know.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.clients.lock().retain(|address, _| keep(address));
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,22 +2,17 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
-use http::StatusCode;
-use http_body_util::{BodyExt, Collected, Full, Limited, StreamBody};
-use hyper::body::{Frame as BodyFrame, Incoming};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::call::{MAX_MESSAGE, PATH};
-use super::convert::{call_in, refusal_out, reply_out};
-use super::credit::{self, CREDIT_PATH};
+use super::convert::{call_in, headers_out, refusal_out, reply_out};
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::generated::call_frame::Frame as CallPart;
@@ -25,10 +20,9 @@
 use super::id::attempt_of;
 use super::ledger;
 use super::measure::Measure;
-use super::message::{join, take};
 use super::news;
 use super::suspect::suspects_in;
-use crate::call::{Attempt, Call, Confirm, Reason, Refusal, Reply};
+use crate::call::{Attempt, Call, Confirm, Reason, Refusal, Reply, ReplyHead};
 use crate::error::Error;
 use crate::guard::Guard;
 use crate::model::{AttemptId, Instance, MintTime, OnceKey, Retries};
@@ -40,8 +34,12 @@
 
 /// Answers other daemons.
 pub struct Peers {
-    shared: Arc<Shared>,
-    guard: Arc<Guard>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) guard: Arc<Guard>,
+    /// The own instance, as messages name it.
+    own: Box<str>,
+    /// Whether no more plain requests are taken on a connection.
+    pub(super) stopping: AtomicBool,
 }
 
 type AnswerStream = Pin<Box<dyn Stream<Item = Result<wire::AnswerFrame, Status>> + Send>>;
@@ -49,17 +47,22 @@
 impl Peers {
     /// Makes the service of a daemon.
     pub fn new(shared: Arc<Shared>, guard: Arc<Guard>) -> Self {
-        Self { shared, guard }
+        let own = shared.instance.to_string().into();
+        Self {
+            shared,
+            guard,
+            own,
+            stopping: AtomicBool::new(false),
+        }
     }
 
     /// Checks that a message means this very instance.
     fn meant(&self, instance: &str) -> bool {
-        instance
-            .parse::<Instance>()
-            .is_ok_and(|meant| meant == self.shared.instance)
+        let same = |meant: Instance| meant == self.shared.instance;
+        *instance == *self.own || instance.parse().is_ok_and(same)
     }
 
-    fn read_head(&self, head: wire::CallHead) -> Result<crate::call::CallHead, Reason> {
+    pub(super) fn read_head(&self, head: wire::CallHead) -> Result<crate::call::CallHead, Reason> {
         if !self.meant(&head.instance) {
             return Err(Reason::Replaced);
         }
@@ -73,91 +76,6 @@
     }
 }
 
-impl Peers {
-    /// Answers a plain call.
-    pub(super) async fn answer_plain(&self, request: http::Request<Incoming>) -> PlainAnswer {
-        let path = request.uri().path();
-        let is_credit = path == CREDIT_PATH;
-        if path != PATH && !is_credit {
-            return plain_status(StatusCode::NOT_FOUND);
-        }
-        let whole = Limited::new(request.into_body(), MAX_MESSAGE)
-            .collect()
-            .await;
-        let Ok(mut body) = whole.map(Collected::to_bytes) else {
-            return plain_status(StatusCode::BAD_REQUEST);
-        };
-        if is_credit {
-            return match take::<wire::CreditRequest>(&mut body) {
-                Ok(request) => plain_whole(&credit::answer(&self.shared, &request)),
-                Err(_) => plain_status(StatusCode::BAD_REQUEST),
-            };
-        }
-        let Ok(message) = take::<wire::CallHead>(&mut body) else {
-            return plain_status(StatusCode::BAD_REQUEST);
-        };
-        let Ok(attempt) = attempt_of(&message.attempt) else {
-            return plain_status(StatusCode::BAD_REQUEST);
-        };
-        let account = Retries::new(message.account);
-        let result = match self.read_head(message) {
-            Ok(head) => {
-                let body = Payload::Whole(body);
-                let confirm = None;
-                let call = Call {
-                    head,
-                    body,
-                    confirm,
-                };
-                self.guard.serve(call).await
-            }
-            Err(reason) => {
-                let mut refusal = Attempt::with_id(attempt).refuse(reason, "");
-                refusal.account = account;
-                Err(refusal)
-            }
-        };
-        plain_answer(attempt, result)
-    }
-}
-
-/// The answer to a plain call.
-pub(super) type PlainAnswer = http::Response<tonic::body::Body>;
-
-fn plain_status(status: StatusCode) -> PlainAnswer {
-    let mut answer = PlainAnswer::default();
-    *answer.status_mut() = status;
-    answer
-}
-
-fn plain_whole(message: &impl prost::Message) -> PlainAnswer {
-    http::Response::new(tonic::body::Body::new(Full::new(join(message, &[]))))
-}
-
-fn plain_answer(attempt: AttemptId, result: Result<Reply, Refusal>) -> PlainAnswer {
-    let whole = |bytes: Bytes| tonic::body::Body::new(Full::new(bytes));
-    let body = match result {
-        Err(refusal) => {
-            let message = part(AnswerPart::Refusal(refusal_out(attempt, &refusal)));
-            whole(join(&message, &[]))
-        }
-        Ok(Reply { head, body }) => match body {
-            Payload::Whole(bytes) => {
-                let mut message = reply_out(attempt, &head, Some(bytes));
-                let bytes = std::mem::take(&mut message.body);
-                whole(join(&part(AnswerPart::Head(message)), &bytes))
-            }
-            Payload::Stream { chunks, .. } => {
-                let message = part(AnswerPart::Head(reply_out(attempt, &head, None)));
-                let first = tokio_stream::once(Ok(join(&message, &[])));
-                let frames = first.chain(chunks).map(|chunk| chunk.map(BodyFrame::data));
-                tonic::body::Body::new(StreamBody::new(frames))
-            }
-        },
-    };
-    http::Response::new(body)
-}
-
 fn one(frame: wire::AnswerFrame) -> Response<AnswerStream> {
     Response::new(Box::pin(tokio_stream::once(Ok(frame))))
 }
@@ -166,19 +84,20 @@
     wire::AnswerFrame { frame: Some(part) }
 }
 
+fn head_part(attempt: AttemptId, head: &ReplyHead, body: Option<Bytes>) -> wire::AnswerFrame {
+    let mut message = reply_out(attempt, head, body);
+    message.headers = headers_out(&head.headers);
+    part(AnswerPart::Head(message))
+}
+
 fn answer(attempt: AttemptId, result: Result<Reply, Refusal>) -> Response<AnswerStream> {
     match result {
         Err(refusal) => one(part(AnswerPart::Refusal(refusal_out(attempt, &refusal)))),
         Ok(Reply { head, body }) => match body {
-            Payload::Whole(bytes) => one(part(AnswerPart::Head(reply_out(
-                attempt,
-                &head,
-                Some(bytes),
-            )))),
+            Payload::Whole(bytes) => one(head_part(attempt, &head, Some(bytes))),
             Payload::Stream { chunks, .. } => {
                 let (sender, receiver) = mpsc::channel(WINDOW);
-                let head = part(AnswerPart::Head(reply_out(attempt, &head, None)));
-                let _ = sender.try_send(Ok(head));
+                let _ = sender.try_send(Ok(head_part(attempt, &head, None)));
                 tokio::spawn(pump_out(chunks, sender));
                 Response::new(Box::pin(ReceiverStream::new(receiver)))
             }
@@ -350,12 +269,10 @@
         &self,
         request: Request<wire::ExchangeRequest>,
     ) -> Result<Response<wire::ExchangeReply>, Status> {
-        let message = request.into_inner();
-        let (reply, worth) = news::reply(&self.shared, &message);
-        if worth && let Ok(from) = message.from.parse::<Instance>() {
-            self.shared.ask_later(from.address);
-        }
-        Ok(Response::new(reply))
+        Ok(Response::new(news::answer(
+            &self.shared,
+            &request.into_inner(),
+        )))
     }
 
     async fn hand_over(
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -68,7 +68,7 @@
     }
 
     fn forward(&self, headers: &HeaderMap, from: Origin<'_>) -> HeaderMap {
-        let mut kept = end_to_end(headers);
+        let mut kept = end_to_end(headers.clone());
         for name in [&TIME_LEFT, &MEANT_FOR, &EXPECT, &KEY, &WORKSPACE] {
             kept.remove(name);
         }
--- a/src/policy/route/eject.rs
+++ b/src/policy/route/eject.rs
@@ -37,7 +37,10 @@
 impl Ejector {
     /// Takes note of a call that was answered or refused in good order.
     pub fn succeeded(&mut self, target: Instance) {
-        self.records.remove(&target);
+        // Seldom has any target failed, and a look-up costs more than this.
+        if !self.records.is_empty() {
+            self.records.remove(&target);
+        }
     }
 
     /// Takes note of a call that failed; `known` is the number of targets.
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -114,7 +114,8 @@
     /// Returns the share of calls that its backend server fails by itself; old
     /// news counts less.
     pub fn faults(&self, now: Instant) -> f64 {
-        self.faults.map_or(0.0, |(share, at)| {
+        let heard = self.faults.filter(|(share, _)| *share > 0.0);
+        heard.map_or(0.0, |(share, at)| {
             let age = now.saturating_duration_since(at).as_secs_f64();
             share * (-age / FAULTS_AGE.as_secs_f64()).exp2()
         })
--- a/src/task/gossip.rs
+++ b/src/task/gossip.rs
@@ -29,14 +29,22 @@
             tokio::time::sleep(GATHER).await;
         }
         round(&shared, &pool, &mut links).await;
+        pool.trim();
         if Instant::now() >= forget {
             shared.view.lock().forget(Instant::now());
             shared.suspects.forget();
+            forget_connections(&shared, &pool);
             forget = Instant::now() + FORGET;
         }
     }
 }
 
+/// Drops the connections to daemons that are no members any more.
+fn forget_connections(shared: &Shared, pool: &Pool) {
+    let view = shared.view.lock();
+    pool.retain(|address| view.at(*address).is_some());
+}
+
 async fn round(shared: &Shared, pool: &Pool, links: &mut BTreeMap<SocketAddr, Link>) {
     let neighbours = neighbours(&shared.view.lock());
     let standing = standing(shared, &neighbours);
--- a/src/task/report.rs
+++ b/src/task/report.rs
@@ -16,6 +16,7 @@
     let mut busy = false;
     loop {
         tokio::time::sleep(EVERY).await;
+        guard.trim();
         let load = guard.gate().report();
         let now = load.waiting > 0 || load.shed > 0;
         if now || busy {
--- a/src/web/connections.rs
+++ b/src/web/connections.rs
@@ -12,13 +12,17 @@
 use http::header::HOST;
 use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
 use super::Dial;
 
+/// Largest buffer of a connection, in bytes; it holds the head of an answer
+/// whole, and bodies piece by piece.
+pub const MAX_BUFFER: usize = 64 * 1024;
+
 /// Why there is no answer.
 #[derive(Debug)]
 pub enum RequestError {
@@ -127,7 +131,9 @@
 
     async fn connect(&self) -> Result<SendRequest<B>, RequestError> {
         let stream = self.dial.connect().await.map_err(RequestError::Connect)?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(RequestError::Lost)?;
         tokio::spawn(async move {
@@ -167,7 +173,21 @@
         let since = Instant::now();
         let mut idle = self.idle.lock();
         idle.push_back(Idle { sender, since });
-        let old = |kept: &Idle<B>| since.saturating_duration_since(kept.since) > self.keep.idle;
+        self.close_old(&mut idle, since);
+    }
+
+    /// Closes connections that have been idle for too long, which is otherwise
+    /// done only when one is given back.
+    pub fn trim(&self) {
+        let mut idle = self.idle.lock();
+        self.close_old(&mut idle, Instant::now());
+        if idle.is_empty() {
+            idle.shrink_to_fit();
+        }
+    }
+
+    fn close_old(&self, idle: &mut VecDeque<Idle<B>>, now: Instant) {
+        let old = |kept: &Idle<B>| now.saturating_duration_since(kept.since) > self.keep.idle;
         while idle.len() > self.keep.most || idle.front().is_some_and(old) {
             idle.pop_front();
         }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -9,7 +9,7 @@
 mod server;
 
 pub use client::{Answer, Client, ClientError};
-pub use connections::{Connections, Keep, RequestError};
+pub use connections::{Connections, Keep, MAX_BUFFER, RequestError};
 pub use dial::Dial;
 pub use listen::{CallerAnswer, CallerBody, Listening, caller_body, caller_text, listen};
 pub use payload::{Chunks, Cut, Payload, SMALL_BODY, collect};
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -154,3 +154,18 @@
     assert_eq!(end.expect("to end").expect("to read"), 0);
     assert_eq!(connections.kept(), 0);
 }
+
+#[tokio::test]
+async fn trim_closes_what_was_idle_for_too_long() {
+    let (listener, address) = listener().await;
+    let connections = connections(address);
+    connections.open().await.expect("a connection");
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    connections.trim();
+    assert_eq!(connections.kept(), 1, "it was given back just now");
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    connections.trim();
+    assert_eq!(connections.kept(), 0);
+    let end = tokio::time::timeout(Duration::from_secs(1), stream.read(&mut [0; 1])).await;
+    assert_eq!(end.expect("to end").expect("to read"), 0);
+}
--- a/tests/plain_calls.rs
+++ b/tests/plain_calls.rs
@@ -113,3 +113,120 @@
     assert_eq!(answer.expect("an answer").status.as_u16(), status);
     assert_eq!(call(&site).await.expect("an answer").0, 200);
 }
+
+/// Answers one request with headers that are empty, long or come twice; tells
+/// the head that it got.
+fn telling_backend(address: SocketAddr) -> std::sync::mpsc::Receiver<String> {
+    let listener = TcpListener::bind(address).expect("a listener");
+    let (tell, told) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().take(16) {
+            let Ok(mut stream) = stream else { return };
+            let mut head = Vec::new();
+            let mut byte = [0; 1];
+            while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) == 1 {
+                head.extend_from_slice(&byte);
+            }
+            let _ = tell.send(String::from_utf8_lossy(&head).to_lowercase());
+            let long = "v".repeat(300);
+            let answer = format!(
+                "HTTP/1.1 201 Created\r\nx-empty:\r\nx-twice: a\r\nx-twice: b\r\n\
+                 x-long: {long}\r\nconnection: x-hop\r\nx-hop: 1\r\ncontent-length: 2\r\n\r\nok"
+            );
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    told
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_carries_headers_both_ways() {
+    let mut site = site(64).await;
+    let place = site
+        .servers
+        .iter()
+        .position(|s| s.service.as_str() == CALLED);
+    let told = site.servers.remove(place.expect("a server"));
+    let address = told.daemon.shared().config.backend;
+    drop(told.backend);
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    let told = telling_backend(address);
+    let url = format!("http://{}/charts/1?a=b", server(&site, CALLING).callers);
+    let long = "w".repeat(300);
+    let sent = headers(&[
+        ("host", CALLED),
+        ("x-none", ""),
+        ("x-wide", &long),
+        ("accept", "text/plain"),
+    ]);
+    let answer = request(Method::GET, &url, sent, Bytes::new())
+        .await
+        .expect("an answer");
+    let head = told.recv().expect("a head");
+    assert!(head.starts_with("get /charts/1?a=b http/1.1"), "{head}");
+    for line in [
+        "x-none: \r",
+        &format!("x-wide: {long}\r"),
+        "accept: text/plain\r",
+    ] {
+        assert!(head.contains(line), "{line} in {head}");
+    }
+    assert_eq!((answer.status.as_u16(), &*answer.body), (201, &b"ok"[..]));
+    let all = |name: &str| -> Vec<&[u8]> {
+        let values = answer.headers.get_all(name).iter();
+        values.map(http::HeaderValue::as_bytes).collect()
+    };
+    assert_eq!(all("x-empty"), [b""]);
+    assert_eq!(all("x-twice"), [b"a", b"b"]);
+    assert_eq!(all("x-long"), [&[b'v'; 300][..]]);
+    assert!(all("x-hop").is_empty());
+}
+
+#[rstest]
+#[case::in_pieces(&["POST /el", "se HTTP/1.1\r\ncontent-le", "ngth: 3\r\n\r\na", "bc"], "404")]
+#[case::in_chunks(&["POST /call HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3\r\nab", "c\r\n0\r\n\r\n"], "400")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn peer_answers_what_comes_in_pieces(#[case] pieces: &[&str], #[case] status: &str) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let site = site(64).await;
+    let peers = server(&site, CALLED).daemon.shared().config.listen.peers;
+    let mut stream = tokio::net::TcpStream::connect(peers)
+        .await
+        .expect("a connection");
+    // Twice, since a connection is used again.
+    for _ in 0..2 {
+        for piece in pieces {
+            stream.write_all(piece.as_bytes()).await.expect("to write");
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        let mut answer = [0; 256];
+        let count = stream.read(&mut answer).await.expect("an answer");
+        let answer = String::from_utf8_lossy(&answer[..count]);
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{answer}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn peer_closes_its_connections_when_it_stops() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut site = site(64).await;
+    let place = site
+        .servers
+        .iter()
+        .position(|s| s.service.as_str() == CALLED);
+    let stopped = site.servers.remove(place.expect("a server"));
+    let peers = stopped.daemon.shared().config.listen.peers;
+    let mut stream = tokio::net::TcpStream::connect(peers)
+        .await
+        .expect("a connection");
+    let request = b"POST /else HTTP/1.1\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(request).await.expect("to write");
+    let mut answer = [0; 256];
+    assert!(stream.read(&mut answer).await.expect("an answer") > 0);
+    stopped.daemon.kill();
+    let end = tokio::time::timeout(std::time::Duration::from_secs(2), stream.read(&mut answer));
+    assert_eq!(end.await.expect("to end").unwrap_or_default(), 0);
+}
