--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,8 +1,8 @@
 //! Calls and news between daemons.
 //!
-//! News, and calls that need a word before their answer, go by `tonic`; a call
-//! that is one message there and one back goes as a plain HTTP request, which
-//! takes half of the processor time.
+//! Calls that need a word before their answer go by `tonic`; news, and a call that
+//! is one message there and one back, go as plain HTTP requests, which take half
+//! of the processor time.
 
 mod ask;
 mod call;
--- a/src/web/connections.rs
+++ b/src/web/connections.rs
@@ -1,7 +1,7 @@
 //! Connections to one address, each of which carries one request at a time.
 //!
-//! A call over two daemons goes through two of these. Beside a general pool of
-//! the library they spare a spawned task, a race between waiting and
+//! Each call to the backend server goes through one of these. Beside a general
+//! pool of the library they spare a spawned task, a race between waiting and
 //! connecting and a look-up by host for each request.
 
 use std::collections::VecDeque;
