--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,8 +1,8 @@
 //! Calls and news between daemons.
 //!
-//! News, and calls that need a word before their answer, go by `tonic`; a call
-//! that is one message there and one back goes as a plain HTTP request, which
-//! takes half of the processor time.
+//! Calls that need a word before their answer go by `tonic`; news, and a call that
+//! is one message there and one back, go as plain HTTP requests, which take half
+//! of the processor time.
 
 mod ask;
 mod call;
@@ -10,6 +10,7 @@
 mod convert;
 mod credit;
 mod direct;
+mod end;
 #[allow(
     missing_docs,
     unreachable_pub,
@@ -19,6 +20,7 @@
 mod generated;
 mod id;
 mod ledger;
+mod lines;
 mod listen;
 mod measure;
 mod member;
@@ -27,6 +29,7 @@
 mod plain;
 mod pool;
 mod rollout;
+mod served;
 mod server;
 mod suspect;
 
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -18,7 +18,7 @@
 mod stage;
 
 pub use client::{Answer, Client, ClientError};
-pub use connections::{Connections, Keep, RequestError};
+pub use connections::{Connections, Keep, MAX_BUFFER, RequestError};
 pub use dial::Dial;
 pub use listen::{
     CallerAnswer, CallerBody, Listening, caller_body, caller_text, listen, listen_ahead,
