Front: when refused callers return, whether they go first, begun trees

Cause: where all trees end in one short service and demand swings around what it can serve, callers come back into the same crest, and trees fail for calls refused below.

Ruled out: levels that let in less (half the trees fail in vain, fewer are served); returning trees in one eighth of their class (levels can't tell them apart; fewer of them served).

Conclusion: who is served can be chosen, how many hardly; what acts by itself is decided by trials.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -10,6 +10,7 @@
 use crate::declare::{Errors, parse, read};
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Span};
+use crate::policy::front::Front;
 use crate::policy::rate::{Sharing, Terms};
 use crate::policy::retry::AllowanceSettings;
 
@@ -67,6 +68,8 @@
     pub hosting: Option<Hosting>,
     /// Where metrics go by UDP, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// Which trees of calls begin, and when refused callers return.
+    pub front: Front,
     /// Threads that take calls from callers.
     pub workers: usize,
     /// How long a planned stop waits for calls in flight.
@@ -95,6 +98,8 @@
     #[serde(default)]
     metrics: Option<SocketAddr>,
     #[serde(default)]
+    front: Front,
+    #[serde(default)]
     workers: Option<Spanned<usize>>,
     #[serde(default)]
     grace: Option<Span>,
@@ -227,6 +232,7 @@
             neighbours: file.neighbours.iter().map(|n| n.value).collect(),
             hosting,
             metrics: file.metrics,
+            front: file.front,
             workers,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
             open: file.listen.operators_beyond_loopback,
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -12,6 +12,7 @@
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Slots, Span, Version};
 use crate::operator::{ApplyRequest, ApplyResult, apply};
+use crate::policy::front::Front;
 use crate::store::Memory;
 
 /// How often emulated backend servers renew their announcements.
@@ -212,6 +213,7 @@
                 .collect(),
             hosting: None,
             metrics: None,
+            front: Front::default(),
             workers: 1,
             grace: Span::from_millis(10_000),
             open: false,
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -6,6 +6,7 @@
 use http::request::Parts;
 use tokio::time::Instant;
 
+use super::patience::Patience;
 use super::place::{Place, find};
 use super::rejected::{Rejected, rejected};
 use crate::call::{CallHead, Facts, OnceCall, Origin, Reason};
@@ -14,6 +15,7 @@
     AttemptId, CallerName, ClassRank, Depth, OnceKey, Priority, Retries, RootId, ServiceName,
     WorkspaceName,
 };
+use crate::policy::front::Options;
 use crate::policy::retry::Safety;
 use crate::tables::{Held, Shared};
 
@@ -37,6 +39,10 @@
     pub(super) caller: Option<CallerName>,
     /// The workspace of the caller's key.
     pub(super) workspace: Option<CallerWorkspace>,
+    /// What the front decides besides the levels.
+    pub(super) options: Options,
+    /// The time that the caller has, if it tells and a route matched.
+    pub(super) patience: Option<Patience>,
 }
 
 /// The workspace that a request counts for.
@@ -122,6 +128,8 @@
             name: workspace.name.clone(),
             limit: workspace.limit,
         }),
+        options: shared.config.front.options(estate.values_time()),
+        patience: Patience::new(&facts, &place),
     })
 }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use super::front::Known;
 use crate::call::Refusal;
 use crate::guard::Guard;
 use crate::model::Verdict;
@@ -31,6 +32,7 @@
     pub(super) shared: Arc<Shared>,
     pub(super) guard: Arc<Guard>,
     pub(super) pool: Arc<Pool>,
+    pub(super) known: Known,
     home_reads: Mutex<Budget>,
 }
 
@@ -40,6 +42,7 @@
             shared,
             guard,
             pool,
+            known: Known::default(),
             home_reads: Mutex::new(Budget::new(Instant::now(), HOME_RATE, HOME_BURST)),
         }
     }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -16,6 +16,7 @@
 use crate::peer::{self, Message};
 use crate::policy::admission::{Met, Shed};
 use crate::policy::crash::{Standing, Suspect};
+use crate::policy::front::with_hysteresis;
 use crate::policy::once::{Place, Refuse};
 use crate::policy::retry::{Account, Loan, Safety};
 use crate::policy::route::{Pick, Table, Want};
@@ -202,8 +203,15 @@
     }
 
     fn want(&self) -> Want {
+        let own = self.head().priority.level();
+        let has_begun = self.accepted.parent.is_some();
+        let level = if has_begun && self.accepted.options.hysteresis {
+            with_hysteresis(own)
+        } else {
+            own
+        };
         Want {
-            level: self.head().priority.level(),
+            level,
             protected: self.accepted.protected,
             avoid: None,
         }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -95,6 +95,7 @@
                 answering.reply(call, reply)
             }
             Err(mut refusal) => {
+                self.context.set_backoff(&accepted, &mut refusal);
                 self.context.advise(&mut refusal);
                 shared
                     .journal
@@ -111,11 +112,12 @@
         let Some(in_force) = shared.current.get() else {
             return Err(attempt.refuse(Reason::NoConfig, "no configuration was applied yet"));
         };
-        let accepted = accept(parts, from, &in_force.estate, shared)
+        let mut accepted = accept(parts, from, &in_force.estate, shared)
             .map_err(|rejected| Attempt::plan().refuse(rejected.reason, rejected.detail))?;
         if self.closed.load(Ordering::SeqCst) && accepted.parent.is_none() {
             return Err(attempt.refuse(Reason::Shed(Shed::Leaving), "this daemon stops"));
         }
+        self.context.boost_returning(&mut accepted);
         Ok(accepted)
     }
 
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -10,6 +10,7 @@
     Backlog, Chain, Faults, Limit, Load, Met, Outcome, Queue, Shed, Threshold, Token, Waiting,
 };
 use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
+use crate::policy::front::with_hysteresis;
 
 /// Longest wait of a call that is not protected.
 const MAX_WAIT: Duration = Duration::from_millis(200);
@@ -66,6 +67,8 @@
     protected: Option<ClassRank>,
     running: HashMap<Token, Running>,
     leaving: bool,
+    /// Whether trees that have begun outlast small changes of the levels.
+    hysteresis: bool,
     started: u64,
     shed: u64,
 }
@@ -93,6 +96,7 @@
             protected: settings.protected,
             running: HashMap::new(),
             leaving: false,
+            hysteresis: false,
             started: 0,
             shed: 0,
         }
@@ -104,6 +108,11 @@
         self.protected = protected;
     }
 
+    /// Sets whether trees that have begun outlast small changes of the levels.
+    pub fn set_hysteresis(&mut self, hysteresis: bool) {
+        self.hysteresis = hysteresis;
+    }
+
     /// Forgets what was learned of the backend server.
     pub fn forget(&mut self, slots: Slots) {
         self.limit = Limit::warm(slots);
@@ -138,7 +147,12 @@
             return (Decision::Shed(Shed::Deadline), events);
         }
         let protected = self.is_protected(call.priority);
-        if level < self.chain.level(now, level.rank(), protected) {
+        let held_to = if self.hysteresis && call.priority.is_onward() {
+            with_hysteresis(level)
+        } else {
+            level
+        };
+        if held_to < self.chain.level(now, level.rank(), protected) {
             return (Decision::Shed(Shed::Downstream), events);
         }
         if self.queue.is_empty() && self.running.len() < self.limit.get() {
--- /dev/null
+++ b/src/policy/front/backoff.rs
@@ -0,0 +1,63 @@
+//! When a refused caller should come back.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{Outlook, Trend};
+
+/// Callers stay away for a third of the time that they have left at most.
+const MOST_PART: u32 = 3;
+/// Least time for which a caller is sent away; levels hold for about as long.
+const SOONEST: Duration = Duration::from_millis(100);
+/// Share of a class that is admitted below which hardly anyone is served who
+/// returns at once; an answer past its objective is then better than none.
+const FEW: f64 = 0.125;
+
+/// A caller that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusedCaller {
+    /// The time that it has left.
+    pub left: Duration,
+    /// How long it may stay away for an answer of full use.
+    pub spare: Duration,
+}
+
+/// Returns for how long a refused caller should stay away, spread at random; or
+/// nothing if it has no time left to return in.
+///
+/// While its return can be answered within the objective and has a chance, it is
+/// told to come back in time for that. Else it returns as late as it can, where
+/// room grows or stays, and sooner where room shrinks.
+pub fn backoff<R: Rng>(caller: RefusedCaller, outlook: &Outlook, rng: &mut R) -> Option<Duration> {
+    let most = caller.left / MOST_PART;
+    if most < SOONEST {
+        return None;
+    }
+    let in_time = caller.spare.min(most);
+    let trend = outlook.trend();
+    let is_hopeless = outlook.open() < FEW && trend != Trend::Shrinks;
+    let (whole, part) = if in_time >= SOONEST && !is_hopeless {
+        (in_time, in_time_part(trend))
+    } else {
+        (most, late_part(trend))
+    };
+    let time = whole.mul_f64(rng.random_range(part));
+    Some(time.max(SOONEST))
+}
+
+const fn in_time_part(trend: Trend) -> Range<f64> {
+    match trend {
+        Trend::Grows => 0.6..1.0,
+        Trend::Steady => 0.3..1.0,
+        Trend::Shrinks => 0.15..0.6,
+    }
+}
+
+const fn late_part(trend: Trend) -> Range<f64> {
+    match trend {
+        Trend::Grows | Trend::Steady => 0.5..1.0,
+        Trend::Shrinks => 0.2..0.6,
+    }
+}
--- /dev/null
+++ b/src/policy/front/mode.rs
@@ -0,0 +1,91 @@
+//! How the front of an estate decides.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer};
+
+use super::Options;
+use crate::error::Error;
+
+/// How the front of an estate treats trees of calls and refused callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Front {
+    /// By levels alone; refused callers return after a second or so.
+    #[default]
+    Levels,
+    /// Refused callers return when their time and the demand allow it best.
+    Backoff,
+    /// Callers who come back go before others of their class.
+    Boost,
+    /// Trees that have begun outlast small changes of the levels.
+    Hysteresis,
+    /// By what serves callers best where the operator values time, and by
+    /// levels alone elsewhere.
+    Auto,
+}
+
+impl Front {
+    /// Returns what is decided besides the levels, by whether the operator
+    /// values time.
+    pub const fn options(self, values_time: bool) -> Options {
+        let none = Options::NONE;
+        match self {
+            Self::Auto if values_time => Options {
+                backoff: true,
+                boost: true,
+                hysteresis: true,
+            },
+            Self::Levels | Self::Auto => none,
+            Self::Backoff => Options {
+                backoff: true,
+                ..none
+            },
+            Self::Boost => Options {
+                boost: true,
+                ..none
+            },
+            Self::Hysteresis => Options {
+                hysteresis: true,
+                ..none
+            },
+        }
+    }
+}
+
+impl fmt::Display for Front {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Levels => "levels",
+            Self::Backoff => "backoff",
+            Self::Boost => "boost",
+            Self::Hysteresis => "hysteresis",
+            Self::Auto => "auto",
+        })
+    }
+}
+
+impl FromStr for Front {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "levels" => Ok(Self::Levels),
+            "backoff" => Ok(Self::Backoff),
+            "boost" => Ok(Self::Boost),
+            "hysteresis" => Ok(Self::Hysteresis),
+            "auto" => Ok(Self::Auto),
+            _ => Err(Error::value(
+                "front",
+                format!("\"{text}\" must be levels, backoff, boost, hysteresis or auto"),
+            )),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Front {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/src/policy/front/options.rs
@@ -0,0 +1,26 @@
+//! What the front of an estate decides besides the levels.
+
+/// What the front of an estate decides besides the levels.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Options {
+    /// When refused callers return, by their time and the demand.
+    pub backoff: bool,
+    /// Callers who come back go before others of their class.
+    pub boost: bool,
+    /// Trees that have begun outlast small changes of the levels.
+    pub hysteresis: bool,
+}
+
+impl Options {
+    /// Decides nothing besides the levels.
+    pub const NONE: Self = Self {
+        backoff: false,
+        boost: false,
+        hysteresis: false,
+    };
+
+    /// Tells whether the time that callers have matters.
+    pub const fn uses_time(self) -> bool {
+        self.backoff || self.boost
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod crash;
+pub mod front;
 pub mod member;
 pub mod once;
 pub mod rate;
--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -177,6 +177,7 @@
      repeats: {share: 2.0, window: 10s}}",
     "share must be from 0 to 1"
 )]
+#[case::front("hall: a", "hall: a\nfront: back", "must be levels, backoff, boost")]
 #[case::no_workers("hall: a", "hall: a\nworkers: 0", "workers must be from 1 to 64")]
 fn config_refuses(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
     let text = SETTINGS.replace(from, to);
--- /dev/null
+++ b/tests/front/main.rs
@@ -0,0 +1,298 @@
+//! Which trees of calls begin, and when refused callers return.
+//!
+//! Load pattern: trees of eight calls, one after the other, all to one short
+//! service that can serve half of them; a third are of a more urgent class. Each
+//! caller repeats a refused or failed request once. Figures: 15 slots, 15 ms a
+//! call, so 125 trees a second; callers wait five seconds, an answer has its full
+//! use within 1.5 s, an attempt takes 0.8 s at most.
+
+#![allow(missing_docs)]
+
+mod world;
+
+use std::time::Duration;
+
+use bramleymount::model::{ClassRank, Depth, Level, Priority, RootId};
+use bramleymount::policy::front::{
+    Front, Options, Outlook, RefusedCaller, RetryDetector, Trend, backoff, boosted, with_hysteresis,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use tokio::time::Instant;
+use world::World;
+
+const RANK: usize = 2;
+const LEVELS: Options = Front::Levels.options(true);
+const BACKOFF: Options = Front::Backoff.options(true);
+const BOOST: Options = Front::Boost.options(true);
+const HYSTERESIS: Options = Front::Hysteresis.options(true);
+
+fn surge(_: u64) -> f64 {
+    2.0
+}
+
+/// Swings by 55 in 100 around the capacity within 15 seconds.
+fn wave(now: u64) -> f64 {
+    let turn = now as f64 / 15_000.0 * std::f64::consts::TAU;
+    1.0 + 0.55 * turn.sin()
+}
+
+/// Nobody more is served in a surge that outlasts callers' time, so the aim is
+/// who: those who have waited at least twice as often as new ones, of whom some
+/// are still served.
+#[tokio::test(start_paused = true)]
+async fn boosted_serves_those_who_returned() {
+    let [urgent_before, before] = World::new(LEVELS, surge).run();
+    let [urgent, lesser] = World::new(BOOST, surge).run();
+    assert!(
+        before.served_again() < 1.5 * before.served_new(),
+        "{before:?}"
+    );
+    assert!(
+        lesser.served_again() > 2.0 * lesser.served_new(),
+        "{lesser:?}"
+    );
+    assert!(lesser.served() > before.served() - 0.02, "{lesser:?}");
+    assert!(
+        lesser.served_new() > 0.25 * before.served_new(),
+        "{lesser:?}"
+    );
+    assert!(
+        urgent.served() > urgent_before.served() - 0.02,
+        "{urgent:?}, before {urgent_before:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn boosted_after_a_restart_in_the_surge() {
+    let [_, before] = World::new(LEVELS, surge).run();
+    let [_, lesser] = World::new(BOOST, surge).restarted(10_000).run();
+    assert!(
+        lesser.served() > before.served() - 0.02,
+        "{lesser:?}, before {before:?}"
+    );
+    assert!(
+        lesser.served_again() > before.served_again(),
+        "{lesser:?}, before {before:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn backoff_serves_within_the_objective() {
+    let [urgent_before, before] = World::new(LEVELS, surge).run();
+    let [urgent, lesser] = World::new(BACKOFF, surge).run();
+    assert!(
+        lesser.in_time() > before.in_time(),
+        "{lesser:?}, before {before:?}"
+    );
+    assert!(
+        urgent.in_time() > urgent_before.in_time() - 0.02,
+        "{urgent:?}, before {urgent_before:?}"
+    );
+}
+
+#[rstest]
+#[case::backoff(BACKOFF)]
+#[case::boost(BOOST)]
+#[case::hysteresis(HYSTERESIS)]
+#[tokio::test(start_paused = true)]
+async fn options_serve_as_many_in_a_wave(#[case] options: Options) {
+    let [urgent_before, before] = World::new(LEVELS, wave).run();
+    let [urgent, lesser] = World::new(options, wave).run();
+    assert!(
+        lesser.served() > before.served() - 0.02,
+        "{lesser:?}, before {before:?}"
+    );
+    assert!(
+        urgent.served() > urgent_before.served() - 0.02,
+        "{urgent:?}, before {urgent_before:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn with_hysteresis_lets_trees_end_that_have_begun() {
+    let [urgent_before, before] = World::new(LEVELS, surge).run();
+    let [urgent, lesser] = World::new(HYSTERESIS, surge).run();
+    assert!(
+        lesser.failed() < before.failed(),
+        "{lesser:?}, before {before:?}"
+    );
+    assert!(
+        lesser.served() > before.served() - 0.02,
+        "{lesser:?}, before {before:?}"
+    );
+    assert!(
+        urgent.served() > urgent_before.served() - 0.02,
+        "{urgent:?}, before {urgent_before:?}"
+    );
+}
+
+/// Lets callers of a route arrive, and tells whether the last one has waited.
+fn is_retry(lefts: impl IntoIterator<Item = u64>) -> bool {
+    let now = Instant::now();
+    let mut detector = RetryDetector::new(now);
+    let all = lefts.into_iter();
+    all.map(|left| detector.observe(now, Duration::from_millis(left)))
+        .last()
+        .flatten()
+        .is_some()
+}
+
+#[rstest]
+#[case::comes_back(4300, true)]
+#[case::comes_back_at_once(4950, false)]
+#[case::is_new(5000, false)]
+#[case::has_more_time(9000, false)]
+fn observe_after_new_ones_with_five_seconds(#[case] left: u64, #[case] waited: bool) {
+    let new = std::iter::repeat_n(5000, 40);
+    assert_eq!(is_retry(new.chain([left])), waited);
+}
+
+#[test]
+fn observe_knows_nothing_at_first() {
+    assert!(!is_retry([5000, 5000, 5000, 4000]));
+}
+
+#[test]
+fn observe_where_times_differ() {
+    let spread = (0..200).map(|n| 1000 + n * 37 % 4000);
+    assert!(!is_retry(spread.chain([1500])));
+}
+
+/// Callers who have little time from the start have not waited.
+#[test]
+fn observe_of_two_kinds_of_callers() {
+    let kinds = (0..200).map(|n| if n % 4 == 0 { 3000 } else { 5000 });
+    assert!(!is_retry(kinds.chain([3000])));
+}
+
+/// Callers repeat a request up to twice, at times spread over a second.
+#[test]
+fn observe_while_many_return() {
+    let callers = (0..200).flat_map(|n| [5000, 4700 - n * 7 % 1000, 3700 - n * 11 % 1000]);
+    assert!(is_retry(callers.chain([4111])));
+}
+
+#[test]
+fn observe_forgets_former_times() {
+    let start = Instant::now();
+    let mut detector = RetryDetector::new(start);
+    for _ in 0..100 {
+        detector.observe(start, Duration::from_secs(9));
+    }
+    let later = start + Duration::from_secs(30);
+    let waited = (0..100).map(|_| detector.observe(later, Duration::from_secs(5)));
+    assert_eq!(waited.last().flatten(), None);
+}
+
+#[rstest]
+#[case::quarter_admitted(0.25, 0.68)]
+#[case::half_admitted(0.5, 0.94)]
+#[case::few_admitted(0.05, 0.19)]
+fn boosted_share_within_the_class(#[case] admitted: f64, #[case] expected: f64) {
+    let rank = ClassRank::new(RANK);
+    let first = Level::new(rank, 0).index();
+    let cut = first + ((1.0 - admitted) * Level::STEPS as f64) as usize;
+    let mut passed = 0;
+    for n in 0..2000 {
+        let root = boosted(RootId::new(n * 7_919 + 1));
+        let level = Priority::new(rank, Depth::default(), root).level();
+        assert_eq!(level.rank(), rank);
+        passed += u32::from(level.index() >= cut);
+    }
+    let share = f64::from(passed) / 2000.0;
+    assert!((share - expected).abs() < 0.05, "{share}");
+}
+
+#[test]
+fn with_hysteresis_stays_in_its_class() {
+    for raw in 0..Level::COUNT as u32 {
+        let level = Level::from_raw(raw);
+        assert!(with_hysteresis(level) >= level);
+        assert_eq!(with_hysteresis(level).rank(), level.rank());
+    }
+}
+
+/// Returns an outlook after the open share of a class went from one to another
+/// in two seconds.
+fn outlook(from: f64, to: f64) -> Outlook {
+    let rank = ClassRank::new(RANK);
+    let first = f64::from(Level::new(rank, 0).get());
+    let start = Instant::now();
+    let mut outlook = Outlook::default();
+    for step in 0..=40 {
+        let open = from + (to - from) * f64::from(step) / 40.0;
+        let cut = first + (1.0 - open) * Level::STEPS as f64;
+        let now = start + Duration::from_millis(50) * step;
+        outlook.see(now, rank, Level::from_raw(cut as u32));
+    }
+    outlook
+}
+
+#[rstest]
+#[case::grows(0.3, 0.9, Trend::Grows)]
+#[case::steady(0.5, 0.5, Trend::Steady)]
+#[case::shrinks(0.9, 0.3, Trend::Shrinks)]
+fn outlook_trend(#[case] from: f64, #[case] to: f64, #[case] trend: Trend) {
+    assert_eq!(outlook(from, to).trend(), trend);
+}
+
+/// Returns the mean of what callers are told, in milliseconds.
+fn mean_told(refused: RefusedCaller, outlook: &Outlook) -> f64 {
+    let mut rng = StdRng::seed_from_u64(3);
+    let told = (0..500).map(|_| {
+        let time = backoff(refused, outlook, &mut rng).expect("there is time");
+        assert!(time <= refused.left / 3, "callers stay away no longer");
+        time.as_secs_f64() * 1000.0
+    });
+    told.sum::<f64>() / 500.0
+}
+
+const fn refused(left: u64, spare: u64) -> RefusedCaller {
+    RefusedCaller {
+        left: Duration::from_millis(left),
+        spare: Duration::from_millis(spare),
+    }
+}
+
+#[rstest]
+#[case::in_time(refused(5000, 700))]
+#[case::too_late_for_full_use(refused(5000, 0))]
+#[case::little_time(refused(1200, 0))]
+fn backoff_follows_the_room(#[case] refused: RefusedCaller) {
+    let grows = mean_told(refused, &outlook(0.3, 0.8));
+    let shrinks = mean_told(refused, &outlook(0.8, 0.3));
+    assert!(shrinks < grows * 0.8, "{shrinks} and {grows}");
+}
+
+#[test]
+fn backoff_keeps_the_objective_while_some_are_served() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let outlook = outlook(0.4, 0.4);
+    for _ in 0..500 {
+        let time = backoff(refused(5000, 700), &outlook, &mut rng);
+        assert!(time.expect("there is time") <= Duration::from_millis(700));
+    }
+}
+
+#[test]
+fn backoff_waits_for_room_where_hardly_any_is() {
+    let hopeless = mean_told(refused(5000, 700), &outlook(0.02, 0.02));
+    assert!(hopeless > 700.0, "{hopeless}");
+}
+
+#[test]
+fn backoff_promises_nothing_without_time() {
+    let mut rng = StdRng::seed_from_u64(5);
+    assert_eq!(backoff(refused(200, 0), &outlook(0.5, 0.5), &mut rng), None);
+}
+
+#[rstest]
+#[case::where_time_counts(true, true)]
+#[case::elsewhere(false, false)]
+fn auto_acts(#[case] values_time: bool, #[case] acts: bool) {
+    let options = Front::Auto.options(values_time);
+    assert_eq!(options != LEVELS, acts);
+    assert_eq!(Front::default().options(values_time), LEVELS);
+}
