Front: refuse trees whose calls cannot reach a service; no hysteresis

Unreachable was no refusal to the chain rule.

Change: an onward call that finds no server in reach counts as met by a service that demands the highest level (front: fail-fast, and auto where the operator values time).

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -16,7 +16,7 @@
 use crate::peer::{self, Message};
 use crate::policy::admission::{Met, Shed};
 use crate::policy::crash::{Standing, Suspect};
-use crate::policy::front::with_hysteresis;
+use crate::policy::front::{CUT_OFF, is_cut_off};
 use crate::policy::once::{Place, Refuse};
 use crate::policy::retry::{Account, Loan, Safety};
 use crate::policy::route::{Pick, Table, Want};
@@ -82,8 +82,15 @@
         let result = result.map_err(|refusal| self.weigh(refusal));
         if let Some(parent) = &self.accepted.parent {
             let now = Instant::now();
-            let demand = self.table(|table| table.demand(now));
-            let refused = matches!(&result, Err(refusal) if refusal.reason().is_overload());
+            let cut_off = self.is_cut_off(now, &result);
+            let demand = if cut_off {
+                self.context.shared.metrics.count("service_cut_off");
+                CUT_OFF
+            } else {
+                self.table(|table| table.demand(now))
+            };
+            let overload = matches!(&result, Err(refusal) if refusal.reason().is_overload());
+            let refused = overload || cut_off;
             let failed = !matches!(&result, Ok(reply) if !reply.head.status.is_server_error());
             let met = Met {
                 service: self.head().service.clone(),
@@ -100,6 +107,14 @@
         }
     }
 
+    /// Tells whether a call failed since no server of the service was in reach.
+    fn is_cut_off(&self, now: Instant, result: &Result<Reply, Refusal>) -> bool {
+        let unreachable = matches!(result, Err(refusal) if refusal.reason() == Reason::Unreachable);
+        self.accepted.options.fail_fast
+            && unreachable
+            && self.table(|table| is_cut_off(now, table, &self.asked))
+    }
+
     async fn attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
         let now = Instant::now();
         self.table(|table| table.retries().asked(now));
@@ -203,15 +218,8 @@
     }
 
     fn want(&self) -> Want {
-        let own = self.head().priority.level();
-        let has_begun = self.accepted.parent.is_some();
-        let level = if has_begun && self.accepted.options.hysteresis {
-            with_hysteresis(own)
-        } else {
-            own
-        };
         Want {
-            level,
+            level: self.head().priority.level(),
             protected: self.accepted.protected,
             avoid: None,
         }
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -131,11 +131,6 @@
         self.inner.lock().admission.reload(slots, protected);
     }
 
-    /// Sets whether trees that have begun outlast small changes of the levels.
-    pub fn set_hysteresis(&self, hysteresis: bool) {
-        self.inner.lock().admission.set_hysteresis(hysteresis);
-    }
-
     /// Returns what answers carry of this guard.
     pub fn news(&self) -> GuardNews {
         self.inner.lock().admission.news(Instant::now())
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -87,8 +87,6 @@
         };
         let estate = &in_force.estate;
         self.gate.reload(self.slots(), estate.protected());
-        let options = self.shared.config.front.options(estate.values_time());
-        self.gate.set_hysteresis(options.hysteresis);
         self.once.set_limits(LedgerLimits {
             bytes: estate.once.ledger_bytes.get() as usize,
             memory: estate.once.memory.get(),
--- a/src/model/level.rs
+++ b/src/model/level.rs
@@ -18,6 +18,8 @@
     pub const COUNT: usize = Self::STEPS * ClassRank::COUNT;
     /// The level that refuses nothing.
     pub const OPEN: Self = Self(0);
+    /// The level that refuses nearly all.
+    pub const HIGHEST: Self = Self(Self::COUNT as u16 - 1);
 
     /// Computes the level of a class and a 16-bit hash of the root.
     pub fn new(rank: ClassRank, hash: u16) -> Self {
--- a/src/model/priority.rs
+++ b/src/model/priority.rs
@@ -101,12 +101,6 @@
         Self(tree & !HASH_MASK | SINGLE_HASH | hash >> SINGLE_SHIFT)
     }
 
-    /// Tells whether the call is made for another one.
-    pub fn is_onward(self) -> bool {
-        let depth = (self.0 >> DEPTH_SHIFT) as u8;
-        depth > 0 && depth < SINGLE_DEPTH
-    }
-
     /// Returns the rank of the call's class.
     pub fn rank(self) -> ClassRank {
         ClassRank::new(ClassRank::COUNT - 1 - (self.0 >> RANK_SHIFT) as usize)
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -10,7 +10,6 @@
     Backlog, Chain, Faults, Limit, Load, Met, Outcome, Queue, Shed, Threshold, Token, Waiting,
 };
 use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
-use crate::policy::front::with_hysteresis;
 
 /// Longest wait of a call that is not protected.
 const MAX_WAIT: Duration = Duration::from_millis(200);
@@ -67,8 +66,6 @@
     protected: Option<ClassRank>,
     running: HashMap<Token, Running>,
     leaving: bool,
-    /// Whether trees that have begun outlast small changes of the levels.
-    hysteresis: bool,
     started: u64,
     shed: u64,
 }
@@ -96,7 +93,6 @@
             protected: settings.protected,
             running: HashMap::new(),
             leaving: false,
-            hysteresis: false,
             started: 0,
             shed: 0,
         }
@@ -108,11 +104,6 @@
         self.protected = protected;
     }
 
-    /// Sets whether trees that have begun outlast small changes of the levels.
-    pub fn set_hysteresis(&mut self, hysteresis: bool) {
-        self.hysteresis = hysteresis;
-    }
-
     /// Forgets what was learned of the backend server.
     pub fn forget(&mut self, slots: Slots) {
         self.limit = Limit::warm(slots);
@@ -147,12 +138,7 @@
             return (Decision::Shed(Shed::Deadline), events);
         }
         let protected = self.is_protected(call.priority);
-        let held_to = if self.hysteresis && call.priority.is_onward() {
-            with_hysteresis(level)
-        } else {
-            level
-        };
-        if held_to < self.chain.level(now, level.rank(), protected) {
+        if level < self.chain.level(now, level.rank(), protected) {
             return (Decision::Shed(Shed::Downstream), events);
         }
         if self.queue.is_empty() && self.running.len() < self.limit.get() {
--- a/src/policy/front/mode.rs
+++ b/src/policy/front/mode.rs
@@ -18,8 +18,8 @@
     Backoff,
     /// Callers who come back go before others of their class.
     Boost,
-    /// Trees that have begun outlast small changes of the levels.
-    Hysteresis,
+    /// Trees are refused whose calls cannot reach a service.
+    FailFast,
     /// By what serves callers best where the operator values time, and by
     /// levels alone elsewhere.
     Auto,
@@ -32,9 +32,8 @@
         let none = Options::NONE;
         match self {
             Self::Auto if values_time => Options {
-                backoff: true,
-                boost: true,
-                hysteresis: true,
+                fail_fast: true,
+                ..none
             },
             Self::Levels | Self::Auto => none,
             Self::Backoff => Options {
@@ -45,8 +44,8 @@
                 boost: true,
                 ..none
             },
-            Self::Hysteresis => Options {
-                hysteresis: true,
+            Self::FailFast => Options {
+                fail_fast: true,
                 ..none
             },
         }
@@ -59,7 +58,7 @@
             Self::Levels => "levels",
             Self::Backoff => "backoff",
             Self::Boost => "boost",
-            Self::Hysteresis => "hysteresis",
+            Self::FailFast => "fail-fast",
             Self::Auto => "auto",
         })
     }
@@ -73,11 +72,11 @@
             "levels" => Ok(Self::Levels),
             "backoff" => Ok(Self::Backoff),
             "boost" => Ok(Self::Boost),
-            "hysteresis" => Ok(Self::Hysteresis),
+            "fail-fast" => Ok(Self::FailFast),
             "auto" => Ok(Self::Auto),
             _ => Err(Error::value(
                 "front",
-                format!("\"{text}\" must be levels, backoff, boost, hysteresis or auto"),
+                format!("\"{text}\" must be levels, backoff, boost, fail-fast or auto"),
             )),
         }
     }
--- a/src/policy/front/options.rs
+++ b/src/policy/front/options.rs
@@ -7,8 +7,8 @@
     pub backoff: bool,
     /// Callers who come back go before others of their class.
     pub boost: bool,
-    /// Trees that have begun outlast small changes of the levels.
-    pub hysteresis: bool,
+    /// Trees are refused whose calls cannot reach a service.
+    pub fail_fast: bool,
 }
 
 impl Options {
@@ -16,7 +16,7 @@
     pub const NONE: Self = Self {
         backoff: false,
         boost: false,
-        hysteresis: false,
+        fail_fast: false,
     };
 
     /// Tells whether the time that callers have matters.
--- a/tests/front/main.rs
+++ b/tests/front/main.rs
@@ -10,12 +10,18 @@
 
 mod world;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use bramleymount::model::{ClassRank, Depth, Level, Priority, RootId};
+use bramleymount::model::{
+    CentreName, ClassRank, Depth, Instance, Level, Priority, RootId, Slots, StartStamp,
+};
+use bramleymount::policy::admission::{Chain, Met};
 use bramleymount::policy::front::{
-    Front, Options, Outlook, RefusedCaller, RetryDetector, Trend, backoff, boosted, with_hysteresis,
+    CUT_OFF, Front, Options, Outlook, RefusedCaller, RetryDetector, Trend, backoff, boosted,
+    is_cut_off,
 };
+use bramleymount::policy::route::{Table, Target};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rstest::rstest;
@@ -26,7 +32,6 @@
 const LEVELS: Options = Front::Levels.options(true);
 const BACKOFF: Options = Front::Backoff.options(true);
 const BOOST: Options = Front::Boost.options(true);
-const HYSTERESIS: Options = Front::Hysteresis.options(true);
 
 fn surge(_: u64) -> f64 {
     2.0
@@ -95,7 +100,6 @@
 #[rstest]
 #[case::backoff(BACKOFF)]
 #[case::boost(BOOST)]
-#[case::hysteresis(HYSTERESIS)]
 #[tokio::test(start_paused = true)]
 async fn options_serve_as_many_in_a_wave(#[case] options: Options) {
     let [urgent_before, before] = World::new(LEVELS, wave).run();
@@ -110,24 +114,6 @@
     );
 }
 
-#[tokio::test(start_paused = true)]
-async fn with_hysteresis_lets_trees_end_that_have_begun() {
-    let [urgent_before, before] = World::new(LEVELS, surge).run();
-    let [urgent, lesser] = World::new(HYSTERESIS, surge).run();
-    assert!(
-        lesser.failed() < before.failed(),
-        "{lesser:?}, before {before:?}"
-    );
-    assert!(
-        lesser.served() > before.served() - 0.02,
-        "{lesser:?}, before {before:?}"
-    );
-    assert!(
-        urgent.served() > urgent_before.served() - 0.02,
-        "{urgent:?}, before {urgent_before:?}"
-    );
-}
-
 /// Lets callers of a route arrive, and tells whether the last one has waited.
 fn is_retry(lefts: impl IntoIterator<Item = u64>) -> bool {
     let now = Instant::now();
@@ -205,15 +191,6 @@
     assert!((share - expected).abs() < 0.05, "{share}");
 }
 
-#[test]
-fn with_hysteresis_stays_in_its_class() {
-    for raw in 0..Level::COUNT as u32 {
-        let level = Level::from_raw(raw);
-        assert!(with_hysteresis(level) >= level);
-        assert_eq!(with_hysteresis(level).rank(), level.rank());
-    }
-}
-
 /// Returns an outlook after the open share of a class went from one to another
 /// in two seconds.
 fn outlook(from: f64, to: f64) -> Outlook {
@@ -296,3 +273,57 @@
     assert_eq!(options != LEVELS, acts);
     assert_eq!(Front::default().options(values_time), LEVELS);
 }
+
+fn instance(port: u16) -> Instance {
+    Instance {
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        start: StartStamp::new(1, 0),
+    }
+}
+
+/// Returns a table of so many servers.
+fn table(servers: u16) -> Table {
+    let centre: CentreName = "dc-1".parse().expect("a name");
+    let mut table = Table::new(centre.clone());
+    let target = |port| Target::new(instance(port), centre.clone(), Slots::new(1));
+    table.update((1..=servers).map(target).collect());
+    table
+}
+
+#[rstest]
+#[case::only_server_asked(1, &[1], true)]
+#[case::all_asked(2, &[1, 2], true)]
+#[case::one_not_asked(2, &[1], false)]
+#[case::no_server(0, &[], true)]
+fn is_cut_off_by_servers(#[case] servers: u16, #[case] asked: &[u16], #[case] cut_off: bool) {
+    let asked: Vec<SocketAddr> = asked.iter().map(|port| instance(*port).address).collect();
+    assert_eq!(is_cut_off(Instant::now(), &table(servers), &asked), cut_off);
+}
+
+/// A data centre that is cut off from the last service of a chain begins trees
+/// that all fail. The service above learns it from the first; a second after the
+/// last that failed, trees are let through again.
+#[test]
+fn cut_off_refuses_trees_until_it_ages() {
+    let now = Instant::now();
+    let rank = ClassRank::new(RANK);
+    let mut chain = Chain::default();
+    let met = Met {
+        service: "last".parse().expect("a name"),
+        demand: CUT_OFF,
+        refused: true,
+        failed: true,
+    };
+    chain.hear(now, rank, &[met], false);
+    let tree = Priority::new(rank, Depth::default(), RootId::new(7)).level();
+    assert!(tree < chain.level(now, rank, false), "refused at once");
+    assert!(chain.highest(now).1.contains(rank), "told upwards");
+    let later = now + Duration::from_secs(1);
+    assert!(tree >= chain.level(later, rank, false), "tried again");
+    let other = ClassRank::new(RANK + 1);
+    assert_eq!(
+        chain.level(now, other, false),
+        Level::OPEN,
+        "does not call it"
+    );
+}
--- a/tests/front/world.rs
+++ b/tests/front/world.rs
@@ -8,7 +8,7 @@
     Admission, Decision, Event, Outcome, Settings, Token, Waiting,
 };
 use bramleymount::policy::front::{
-    Options, Outlook, RefusedCaller, RetryDetector, backoff, boosted, with_hysteresis,
+    Options, Outlook, RefusedCaller, RetryDetector, backoff, boosted,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -36,8 +36,6 @@
     in_time: u32,
     returned: u32,
     served_again: u32,
-    begun: u32,
-    failed: u32,
 }
 
 impl Tally {
@@ -60,11 +58,6 @@
     pub(crate) fn served_new(&self) -> f64 {
         share(self.served - self.served_again, self.came)
     }
-
-    /// Returns the share of the trees that failed after they were begun.
-    pub(crate) fn failed(&self) -> f64 {
-        share(self.failed, self.begun)
-    }
 }
 
 fn share(part: u32, whole: u32) -> f64 {
@@ -112,8 +105,7 @@
             cold: false,
             protected: None,
         };
-        let mut admission = Admission::new(start, settings);
-        admission.set_hysteresis(options.hysteresis);
+        let admission = Admission::new(start, settings);
         Self {
             options,
             demand,
@@ -195,7 +187,6 @@
         if priority(caller, 0, root).level() < self.level {
             return self.refuse(now, caller);
         }
-        self.tally(caller).begun += 1;
         let (left, until) = (CALLS, now + ATTEMPT_MS);
         self.call(
             now,
@@ -231,11 +222,7 @@
 
     fn call(&mut self, now: u64, tree: Tree) {
         let priority = priority(tree.caller, 1, tree.root);
-        let level = match self.options.hysteresis {
-            true => with_hysteresis(priority.level()),
-            false => priority.level(),
-        };
-        if level < self.level || now >= tree.until {
+        if priority.level() < self.level || now >= tree.until {
             return self.fail(now, tree);
         }
         self.next += 1;
@@ -273,7 +260,6 @@
     }
 
     fn fail(&mut self, now: u64, tree: Tree) {
-        self.tally(tree.caller).failed += 1;
         if !tree.caller.again {
             let again = true;
             self.returns.push((
