--- a/tests/front/main.rs
+++ b/tests/front/main.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bramleymount::model::{
-    CentreName, ClassRank, Depth, Instance, Level, Priority, RootId, Slots, StartStamp,
+    CentreName, ClassRank, Demand, Depth, Instance, Level, Priority, RootId, Slots, StartStamp,
 };
 use bramleymount::policy::admission::{Chain, Met};
 use bramleymount::policy::front::{
@@ -300,22 +300,30 @@
     assert_eq!(is_cut_off(Instant::now(), &table(servers), &asked), cut_off);
 }
 
-/// A data centre that is cut off from the last service of a chain begins trees
-/// that all fail. The service above learns it from the first; a second after the
-/// last that failed, trees are let through again.
-#[test]
-fn cut_off_refuses_trees_until_it_ages() {
-    let now = Instant::now();
-    let rank = ClassRank::new(RANK);
+/// Returns a chain that heard of a call which did not reach its service.
+fn chain_after(now: Instant, rank: ClassRank, demand: Demand, refused: bool) -> Chain {
     let mut chain = Chain::default();
     let met = Met {
         service: "last".parse().expect("a name"),
-        demand: CUT_OFF,
-        refused: true,
+        demand,
+        refused,
         failed: true,
     };
     chain.hear(now, rank, &[met], false);
+    chain
+}
+
+/// A data centre that is cut off from the last service of a chain begins trees
+/// that all fail. The service above learns it from the first; within a second of
+/// the last that failed, trees are let through again.
+#[test]
+fn cut_off_refuses_trees_until_it_ages() {
+    let now = Instant::now();
+    let rank = ClassRank::new(RANK);
     let tree = Priority::new(rank, Depth::default(), RootId::new(7)).level();
+    let before = chain_after(now, rank, Demand::default(), false);
+    assert!(tree >= before.level(now, rank, false), "else they begin");
+    let chain = chain_after(now, rank, CUT_OFF, true);
     assert!(tree < chain.level(now, rank, false), "refused at once");
     assert!(chain.highest(now).1.contains(rank), "told upwards");
     let later = now + Duration::from_secs(1);
