--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -10,6 +10,7 @@
 use crate::declare::{Errors, parse, read};
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Span};
+use crate::policy::front::Front;
 use crate::policy::rate::{Sharing, Terms};
 use crate::policy::retry::AllowanceSettings;
 use crate::policy::route::Balance;
@@ -72,6 +73,8 @@
     pub balance: Balance,
     /// Where metrics go by UDP, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// Which trees of calls begin, and when refused callers return.
+    pub front: Front,
     /// Threads that take calls from callers.
     pub workers: usize,
     /// Requests of one connection of a caller that may be under way; with one
@@ -105,6 +108,8 @@
     #[serde(default)]
     metrics: Option<SocketAddr>,
     #[serde(default)]
+    front: Front,
+    #[serde(default)]
     workers: Option<Spanned<usize>>,
     #[serde(default)]
     callers: CallersEntry,
@@ -248,6 +253,7 @@
             hosting,
             balance: file.balance,
             metrics: file.metrics,
+            front: file.front,
             workers,
             ahead,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
--- a/src/declare/estate.rs
+++ b/src/declare/estate.rs
@@ -198,7 +198,6 @@
         let own = self.services.get(service).map_or(0, Service::count);
         calling + own
     }
-
     /// Tells whether a service has once calls.
     pub fn has_once(&self, service: &Service) -> bool {
         service.work.iter().any(|work| {
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -12,6 +12,7 @@
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Slots, Span, Version};
 use crate::operator::{ApplyRequest, ApplyResult, apply};
+use crate::policy::front::Front;
 use crate::policy::route::Balance;
 use crate::store::Memory;
 
@@ -214,6 +215,7 @@
             hosting: None,
             balance: Balance::default(),
             metrics: None,
+            front: Front::default(),
             workers: 1,
             ahead: 1,
             grace: Span::from_millis(10_000),
--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -182,6 +182,7 @@
     "hall: a\ncallers: {ahead: 65}",
     "ahead must be from 0 to 64 requests"
 )]
+#[case::front("hall: a", "hall: a\nfront: back", "must be levels, backoff, boost")]
 #[case::no_workers("hall: a", "hall: a\nworkers: 0", "workers must be from 1 to 64")]
 fn config_refuses(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
     let text = SETTINGS.replace(from, to);
