--- a/src/peer/end.rs
+++ b/src/peer/end.rs
@@ -257,21 +257,22 @@
     ///
     /// Fails if the connection ends before the body does.
     pub(super) async fn next_chunk(&mut self) -> io::Result<Option<Bytes>> {
-        let line = loop {
-            let found = self.buffer.windows(END.len()).position(|two| two == END);
-            match found {
-                Some(line) => break line,
-                None if self.buffer.len() > MAX_LINE => return Err(wrong("no chunk")),
-                None => self.more(FIRST).await?,
+        let length = loop {
+            let parsed = httparse::parse_chunk_size(&self.buffer);
+            match parsed.map_err(|_| wrong("no chunk"))? {
+                httparse::Status::Complete((line, length)) => {
+                    self.buffer.advance(line);
+                    break usize::try_from(length).unwrap_or(usize::MAX);
+                }
+                httparse::Status::Partial if self.buffer.len() > MAX_LINE => {
+                    return Err(wrong("no chunk"));
+                }
+                httparse::Status::Partial => self.more(FIRST).await?,
             }
         };
-        let digits = std::str::from_utf8(&self.buffer[..line]).unwrap_or_default();
-        let digits = digits.split(';').next().unwrap_or_default().trim();
-        let length = usize::from_str_radix(digits, 16).map_err(|_| wrong("no chunk"))?;
         if length > MAX_MESSAGE {
             return Err(wrong("the chunk is too long"));
         }
-        self.buffer.advance(line + END.len());
         while self.buffer.len() < length + END.len() {
             let rest = length + END.len() - self.buffer.len();
             self.more(rest).await?;
