--- a/src/declare/estate.rs
+++ b/src/declare/estate.rs
@@ -193,14 +193,6 @@
         calling + own
     }
 
-    /// Tells whether the operator keeps callers of some route waiting for less
-    /// than its objective.
-    pub fn values_time(&self) -> bool {
-        self.routes
-            .iter()
-            .any(|route| route.timeout < route.objective)
-    }
-
     /// Tells whether a service has once calls.
     pub fn has_once(&self, service: &Service) -> bool {
         service.work.iter().any(|work| {
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -128,7 +128,7 @@
             name: workspace.name.clone(),
             limit: workspace.limit,
         }),
-        options: shared.config.front.options(estate.values_time()),
+        options: shared.config.front.options(),
         patience: Patience::new(&facts, &place),
     })
 }
--- a/src/policy/front/mode.rs
+++ b/src/policy/front/mode.rs
@@ -20,22 +20,14 @@
     Boost,
     /// Trees are refused whose calls cannot reach a service.
     FailFast,
-    /// By what serves callers best where the operator values time, and by
-    /// levels alone elsewhere.
-    Auto,
 }
 
 impl Front {
-    /// Returns what is decided besides the levels, by whether the operator
-    /// values time.
-    pub const fn options(self, values_time: bool) -> Options {
+    /// Returns what is decided besides the levels.
+    pub const fn options(self) -> Options {
         let none = Options::NONE;
         match self {
-            Self::Auto if values_time => Options {
-                fail_fast: true,
-                ..none
-            },
-            Self::Levels | Self::Auto => none,
+            Self::Levels => none,
             Self::Backoff => Options {
                 backoff: true,
                 ..none
@@ -59,7 +51,6 @@
             Self::Backoff => "backoff",
             Self::Boost => "boost",
             Self::FailFast => "fail-fast",
-            Self::Auto => "auto",
         })
     }
 }
@@ -73,10 +64,9 @@
             "backoff" => Ok(Self::Backoff),
             "boost" => Ok(Self::Boost),
             "fail-fast" => Ok(Self::FailFast),
-            "auto" => Ok(Self::Auto),
             _ => Err(Error::value(
                 "front",
-                format!("\"{text}\" must be levels, backoff, boost, fail-fast or auto"),
+                format!("\"{text}\" must be levels, backoff, boost or fail-fast"),
             )),
         }
     }
--- a/tests/front/main.rs
+++ b/tests/front/main.rs
@@ -29,9 +29,9 @@
 use world::World;
 
 const RANK: usize = 2;
-const LEVELS: Options = Front::Levels.options(true);
-const BACKOFF: Options = Front::Backoff.options(true);
-const BOOST: Options = Front::Boost.options(true);
+const LEVELS: Options = Front::Levels.options();
+const BACKOFF: Options = Front::Backoff.options();
+const BOOST: Options = Front::Boost.options();
 
 fn surge(_: u64) -> f64 {
     2.0
@@ -266,12 +266,14 @@
 }
 
 #[rstest]
-#[case::where_time_counts(true, true)]
-#[case::elsewhere(false, false)]
-fn auto_acts(#[case] values_time: bool, #[case] acts: bool) {
-    let options = Front::Auto.options(values_time);
-    assert_eq!(options != LEVELS, acts);
-    assert_eq!(Front::default().options(values_time), LEVELS);
+#[case::levels("levels", Front::Levels)]
+#[case::backoff("backoff", Front::Backoff)]
+#[case::boost("boost", Front::Boost)]
+#[case::fail_fast("fail-fast", Front::FailFast)]
+fn front_parse(#[case] text: &str, #[case] front: Front) {
+    assert_eq!(text.parse::<Front>().ok(), Some(front));
+    assert_eq!(front.to_string(), text);
+    assert_eq!(front == Front::default(), front.options() == LEVELS);
 }
 
 fn instance(port: u16) -> Instance {
