--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -80,6 +80,8 @@
     /// Requests of one connection of a caller that may be under way; with one
     /// or none each waits for the answer to the one in front of it.
     pub ahead: usize,
+    /// Whether workspaces share the backend server's slot time by their rates.
+    pub fair: bool,
     /// How long a planned stop waits for calls in flight.
     pub grace: Span,
     /// Whether the operators' interface may listen beyond loopback.
@@ -114,6 +116,8 @@
     #[serde(default)]
     callers: CallersEntry,
     #[serde(default)]
+    fair: bool,
+    #[serde(default)]
     grace: Option<Span>,
     #[serde(default)]
     log: LogEntry,
@@ -256,6 +260,7 @@
             front: file.front,
             workers,
             ahead,
+            fair: file.fair,
             grace: file.grace.unwrap_or(Span::from_millis(30_000)),
             open: file.listen.operators_beyond_loopback,
             level: file.log.level,
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -218,6 +218,7 @@
             front: Front::default(),
             workers: 1,
             ahead: 1,
+            fair: false,
             grace: Span::from_millis(10_000),
             open: false,
             level: LogLevel::Warn,
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -139,7 +139,7 @@
             name: workspace.name.clone(),
             limit: workspace.limit,
         }),
-        options: shared.config.front.options(estate.ends_early()),
+        options: shared.config.front.options(),
         patience: Patience::new(&facts, &place),
     })
 }
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -94,7 +94,11 @@
         };
         let estate = &in_force.estate;
         self.gate.reload(self.slots(), estate.protected());
-        self.gate.share(estate.workspaces.as_ref().map(weights));
+        let sharing = estate
+            .workspaces
+            .as_ref()
+            .filter(|_| self.shared.config.fair);
+        self.gate.share(sharing.map(weights));
         self.once.set_limits(LedgerLimits {
             bytes: estate.once.ledger_bytes.get() as usize,
             memory: estate.once.memory.get(),
