Share slot time among workspaces only where the settings say so

Ruled out: not traced. Shares order calls by workspace where the order by the root's hash lets the same trees through at every guard, so more trees may fail half way.

Conclusion: the queue and what travels with calls stay as a part that can be asked for.

--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -146,6 +146,15 @@
     Config::parse(Path::new("s.yaml"), SETTINGS.as_bytes()).unwrap_or_else(|e| panic!("{e}"));
 }
 
+#[rstest]
+#[case::left_out("", false)]
+#[case::asked_for("fair: true\n", true)]
+fn config_shares_slots_only_where_asked(#[case] line: &str, #[case] fair: bool) {
+    let text = format!("{SETTINGS}{line}");
+    let config = Config::parse(Path::new("s.yaml"), text.as_bytes());
+    assert_eq!(config.unwrap_or_else(|e| panic!("{e}")).fair, fair);
+}
+
 #[rstest]
 #[case::missing("service: forecast-archive\n", "", "s.yaml:")]
 #[case::unknown("hall: a", "hall: a\nhalt: b", "halt")]
