--- a/tests/fair_share/inner.rs
+++ b/tests/fair_share/inner.rs
@@ -5,7 +5,7 @@
 use http::{Method, StatusCode};
 
 use super::support::eventually;
-use super::support::hosted::{Vm, keyed_document, store, vm};
+use super::support::hosted::{Vm, keyed_document, store, vm_with};
 
 const ONE: &str = r#"{"north":{"apiKeys":["key-north"],"priority":1}}"#;
 /// Enough that both servers get some.
@@ -20,7 +20,8 @@
 async fn inner_calls_count_for_the_workspace_of_their_root() {
     let (address, rows, _listening) = store().await;
     rows.put("op", "config", &keyed_document(7, "svc", ONE));
-    let vms = [vm("svc", address).await, vm("svc", address).await];
+    let vm = || vm_with("svc", address, "fair: true");
+    let vms = [vm().await, vm().await];
     for vm in &vms {
         vm.wait_ready().await;
         vm.announce("ready", 1).await;
