--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,87 @@
+//! Checks of single settings.
+
+use std::path::Path;
+
+use super::file::{CallersEntry, ListenEntry, RatesEntry, RepeatsEntry};
+use crate::declare::Errors;
+use crate::policy::rate::Terms;
+use crate::policy::retry::AllowanceSettings;
+
+/// Largest number of requests under way on one connection.
+const MAX_AHEAD: usize = 64;
+
+pub(super) fn check_ahead(path: &Path, entry: CallersEntry, errors: &mut Errors) -> usize {
+    let Some(ahead) = entry.ahead else {
+        return 1;
+    };
+    if ahead.value > MAX_AHEAD {
+        let message = format!("ahead must be from 0 to {MAX_AHEAD} requests, such as 8");
+        errors.at(path, &ahead, message);
+    }
+    ahead.value
+}
+
+pub(super) fn check_repeats(
+    path: &Path,
+    entry: Option<RepeatsEntry>,
+    errors: &mut Errors,
+) -> AllowanceSettings {
+    let Some(entry) = entry else {
+        return AllowanceSettings::default();
+    };
+    if !(0.0..=1.0).contains(&entry.share.value) {
+        errors.at(path, &entry.share, "share must be from 0 to 1, such as 0.2");
+    }
+    AllowanceSettings {
+        share: entry.share.value,
+        window: entry.window.get(),
+    }
+}
+
+pub(super) fn check_rates(path: &Path, entry: Option<RatesEntry>, errors: &mut Errors) -> Terms {
+    let Some(entry) = entry else {
+        return Terms::default();
+    };
+    if !(0.0..=1.0).contains(&entry.over.value) {
+        errors.at(path, &entry.over, "over must be from 0 to 1, such as 0.1");
+    }
+    if !(0.0..=1e6).contains(&entry.slack.value) {
+        errors.at(
+            path,
+            &entry.slack,
+            "slack must be from 0 to 1000000 requests",
+        );
+    }
+    Terms {
+        window: entry.window.get(),
+        over: entry.over.value,
+        slack: entry.slack.value,
+        sharing: entry.sharing,
+    }
+}
+
+pub(super) fn check_listen(path: &Path, listen: &ListenEntry, errors: &mut Errors) {
+    let all = [&listen.callers, &listen.peers, &listen.operators];
+    for (place, address) in all.iter().enumerate() {
+        if address.value.ip().is_unspecified() {
+            let message = "write the VM's own IP number; other daemons must be able to use it";
+            errors.at(path, address, message);
+        }
+        if address.value.port() == 0 {
+            errors.at(path, address, "write a port above 0");
+        }
+        if all[..place]
+            .iter()
+            .any(|other| other.value == address.value)
+        {
+            let message = format!("{} stands twice; each needs its own", address.value);
+            errors.at(path, address, message);
+        }
+    }
+    let operators = &listen.operators;
+    if !operators.value.ip().is_loopback() && !listen.operators_beyond_loopback {
+        let message = "operators must be on loopback, since whoever reaches it can change the \
+                       configuration; or write operators_beyond_loopback: true";
+        errors.at(path, operators, message);
+    }
+}
--- /dev/null
+++ b/src/config/file.rs
@@ -0,0 +1,101 @@
+//! The settings file as it is written.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+
+use super::{LogFormat, LogLevel};
+use crate::model::{CentreName, HallName, ServiceName, Span};
+use crate::policy::front::Front;
+use crate::policy::rate::Sharing;
+use crate::policy::route::Balance;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct File {
+    pub(super) data_centre: CentreName,
+    pub(super) hall: HallName,
+    pub(super) service: ServiceName,
+    pub(super) listen: ListenEntry,
+    pub(super) backend: Spanned<SocketAddr>,
+    pub(super) platform: Spanned<SocketAddr>,
+    #[serde(default)]
+    pub(super) neighbours: Vec<Spanned<SocketAddr>>,
+    #[serde(default)]
+    pub(super) hosting: Option<HostingEntry>,
+    #[serde(default)]
+    pub(super) balance: Balance,
+    #[serde(default)]
+    pub(super) metrics: Option<SocketAddr>,
+    #[serde(default)]
+    pub(super) front: Front,
+    #[serde(default)]
+    pub(super) workers: Option<Spanned<usize>>,
+    #[serde(default)]
+    pub(super) callers: CallersEntry,
+    #[serde(default)]
+    pub(super) fair: bool,
+    #[serde(default)]
+    pub(super) grace: Option<Span>,
+    #[serde(default)]
+    pub(super) log: LogEntry,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ListenEntry {
+    pub(super) callers: Spanned<SocketAddr>,
+    pub(super) peers: Spanned<SocketAddr>,
+    #[serde(default)]
+    pub(super) advertised: Option<SocketAddr>,
+    pub(super) operators: Spanned<SocketAddr>,
+    #[serde(default)]
+    pub(super) operators_beyond_loopback: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct CallersEntry {
+    #[serde(default)]
+    pub(super) ahead: Option<Spanned<usize>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct HostingEntry {
+    pub(super) announcements: SocketAddr,
+    pub(super) readiness: SocketAddr,
+    #[serde(default)]
+    pub(super) metrics: Option<SocketAddr>,
+    #[serde(default)]
+    pub(super) repeats: Option<RepeatsEntry>,
+    #[serde(default)]
+    pub(super) rates: Option<RatesEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RepeatsEntry {
+    pub(super) share: Spanned<f64>,
+    pub(super) window: Span,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RatesEntry {
+    pub(super) window: Span,
+    pub(super) over: Spanned<f64>,
+    pub(super) slack: Spanned<f64>,
+    #[serde(default)]
+    pub(super) sharing: Sharing,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct LogEntry {
+    #[serde(default)]
+    pub(super) level: LogLevel,
+    #[serde(default)]
+    pub(super) format: LogFormat,
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,7 @@
 //! The settings of one daemon.
 
+mod check;
+mod file;
 mod log;
 mod settings;
 
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use serde::Deserialize;
-use serde_saphyr::Spanned;
-
+use super::check::{check_ahead, check_listen, check_rates, check_repeats};
+use super::file::File;
 use super::{LogFormat, LogLevel};
 use crate::declare::{Errors, parse, read};
 use crate::error::Error;
 use crate::model::{CentreName, HallName, ServiceName, Span};
 use crate::policy::front::Front;
-use crate::policy::rate::{Sharing, Terms};
+use crate::policy::rate::Terms;
 use crate::policy::retry::AllowanceSettings;
 use crate::policy::route::Balance;
 
@@ -19,8 +18,6 @@
 const MAX_NEIGHBOURS: usize = 64;
 /// Largest number of worker threads.
 const MAX_WORKERS: usize = 64;
-/// Largest number of requests under way on one connection.
-const MAX_AHEAD: usize = 64;
 
 /// The addresses on which a daemon listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,95 +89,6 @@
     pub format: LogFormat,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct File {
-    data_centre: CentreName,
-    hall: HallName,
-    service: ServiceName,
-    listen: ListenEntry,
-    backend: Spanned<SocketAddr>,
-    platform: Spanned<SocketAddr>,
-    #[serde(default)]
-    neighbours: Vec<Spanned<SocketAddr>>,
-    #[serde(default)]
-    hosting: Option<HostingEntry>,
-    #[serde(default)]
-    balance: Balance,
-    #[serde(default)]
-    metrics: Option<SocketAddr>,
-    #[serde(default)]
-    front: Front,
-    #[serde(default)]
-    workers: Option<Spanned<usize>>,
-    #[serde(default)]
-    callers: CallersEntry,
-    #[serde(default)]
-    fair: bool,
-    #[serde(default)]
-    grace: Option<Span>,
-    #[serde(default)]
-    log: LogEntry,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ListenEntry {
-    callers: Spanned<SocketAddr>,
-    peers: Spanned<SocketAddr>,
-    #[serde(default)]
-    advertised: Option<SocketAddr>,
-    operators: Spanned<SocketAddr>,
-    #[serde(default)]
-    operators_beyond_loopback: bool,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct CallersEntry {
-    #[serde(default)]
-    ahead: Option<Spanned<usize>>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct HostingEntry {
-    announcements: SocketAddr,
-    readiness: SocketAddr,
-    #[serde(default)]
-    metrics: Option<SocketAddr>,
-    #[serde(default)]
-    repeats: Option<RepeatsEntry>,
-    #[serde(default)]
-    rates: Option<RatesEntry>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RepeatsEntry {
-    share: Spanned<f64>,
-    window: Span,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RatesEntry {
-    window: Span,
-    over: Spanned<f64>,
-    slack: Spanned<f64>,
-    #[serde(default)]
-    sharing: Sharing,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct LogEntry {
-    #[serde(default)]
-    level: LogLevel,
-    #[serde(default)]
-    format: LogFormat,
-}
-
 impl Config {
     /// Reads and checks a settings file.
     ///
@@ -269,82 +177,6 @@
     }
 }
 
-fn check_ahead(path: &Path, entry: CallersEntry, errors: &mut Errors) -> usize {
-    let Some(ahead) = entry.ahead else {
-        return 1;
-    };
-    if ahead.value > MAX_AHEAD {
-        let message = format!("ahead must be from 0 to {MAX_AHEAD} requests, such as 8");
-        errors.at(path, &ahead, message);
-    }
-    ahead.value
-}
-
-fn check_repeats(
-    path: &Path,
-    entry: Option<RepeatsEntry>,
-    errors: &mut Errors,
-) -> AllowanceSettings {
-    let Some(entry) = entry else {
-        return AllowanceSettings::default();
-    };
-    if !(0.0..=1.0).contains(&entry.share.value) {
-        errors.at(path, &entry.share, "share must be from 0 to 1, such as 0.2");
-    }
-    AllowanceSettings {
-        share: entry.share.value,
-        window: entry.window.get(),
-    }
-}
-
-fn check_rates(path: &Path, entry: Option<RatesEntry>, errors: &mut Errors) -> Terms {
-    let Some(entry) = entry else {
-        return Terms::default();
-    };
-    if !(0.0..=1.0).contains(&entry.over.value) {
-        errors.at(path, &entry.over, "over must be from 0 to 1, such as 0.1");
-    }
-    if !(0.0..=1e6).contains(&entry.slack.value) {
-        errors.at(
-            path,
-            &entry.slack,
-            "slack must be from 0 to 1000000 requests",
-        );
-    }
-    Terms {
-        window: entry.window.get(),
-        over: entry.over.value,
-        slack: entry.slack.value,
-        sharing: entry.sharing,
-    }
-}
-
-fn check_listen(path: &Path, listen: &ListenEntry, errors: &mut Errors) {
-    let all = [&listen.callers, &listen.peers, &listen.operators];
-    for (place, address) in all.iter().enumerate() {
-        if address.value.ip().is_unspecified() {
-            let message = "write the VM's own IP number; other daemons must be able to use it";
-            errors.at(path, address, message);
-        }
-        if address.value.port() == 0 {
-            errors.at(path, address, "write a port above 0");
-        }
-        if all[..place]
-            .iter()
-            .any(|other| other.value == address.value)
-        {
-            let message = format!("{} stands twice; each needs its own", address.value);
-            errors.at(path, address, message);
-        }
-    }
-    let operators = &listen.operators;
-    if !operators.value.ip().is_loopback() && !listen.operators_beyond_loopback {
-        let message = "operators must be on loopback, since whoever reaches it can change the \
-                       configuration; or write operators_beyond_loopback: true";
-        errors.at(path, operators, message);
-    }
-}
-
 impl From<Error> for Box<str> {
     fn from(error: Error) -> Self {
         error.to_string().into()
--- /dev/null
+++ b/src/peer/heads.rs
@@ -0,0 +1,124 @@
+//! Heads of plain requests between daemons and of their answers.
+
+use std::io;
+
+use http::StatusCode;
+
+/// Most headers of a head.
+const MAX_HEADERS: usize = 32;
+
+/// How long a body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Length {
+    /// So many bytes.
+    Known(usize),
+    /// It comes in chunks up to an empty one.
+    Chunked,
+}
+
+/// What a head says of what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Framing {
+    length: Length,
+    /// Whether the connection is used again.
+    keep: bool,
+}
+
+/// The head of a request.
+#[derive(Debug)]
+pub(super) struct Request {
+    /// Its path.
+    pub(super) path: Box<str>,
+    /// The length of its body.
+    pub(super) length: Length,
+    /// Whether another request may follow.
+    pub(super) keep: bool,
+}
+
+/// The head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    /// Its status.
+    pub(super) status: StatusCode,
+    /// The length of its body.
+    pub(super) length: Length,
+    /// Whether another request may follow.
+    pub(super) keep: bool,
+}
+
+pub(super) fn wrong(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+fn framing(version: Option<u8>, headers: &[httparse::Header<'_>]) -> io::Result<Framing> {
+    let mut framing = Framing {
+        length: Length::Known(0),
+        keep: version == Some(1),
+    };
+    for header in headers {
+        let value = header.value.trim_ascii();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let length = std::str::from_utf8(value).ok().and_then(|n| n.parse().ok());
+            framing.length = Length::Known(length.ok_or_else(|| wrong("a length is no number"))?);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case(b"chunked") {
+                return Err(wrong("an encoding is not known"));
+            }
+            framing.length = Length::Chunked;
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            framing.keep &= !value.eq_ignore_ascii_case(b"close");
+        }
+    }
+    Ok(framing)
+}
+
+/// Reads the head of a request, if it is there whole, and its length.
+pub(super) fn parse_request(bytes: &[u8]) -> io::Result<Option<(usize, Request)>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let parsed = head.parse(bytes);
+    let httparse::Status::Complete(length) = parsed.map_err(|_| wrong("no head of a request"))?
+    else {
+        return Ok(None);
+    };
+    let framing = framing(head.version, head.headers)?;
+    let request = Request {
+        path: head.path.unwrap_or_default().into(),
+        length: framing.length,
+        keep: framing.keep,
+    };
+    Ok(Some((length, request)))
+}
+
+/// Reads the head of an answer, if it is there whole, and its length.
+pub(super) fn parse_answer(bytes: &[u8]) -> io::Result<Option<(usize, Answer)>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let parsed = head.parse(bytes);
+    let httparse::Status::Complete(length) = parsed.map_err(|_| wrong("no head of an answer"))?
+    else {
+        return Ok(None);
+    };
+    let framing = framing(head.version, head.headers)?;
+    let status = StatusCode::from_u16(head.code.unwrap_or_default());
+    let answer = Answer {
+        status: status.map_err(|_| wrong("no status"))?,
+        length: framing.length,
+        keep: framing.keep,
+    };
+    Ok(Some((length, answer)))
+}
+
+/// Writes the head of a request with a body of so many bytes.
+pub(super) fn request_head(path: &str, host: &str, length: usize) -> Vec<u8> {
+    format!("POST {path} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {length}\r\n\r\n").into()
+}
+
+/// Writes the head of an answer.
+pub(super) fn answer_head(status: StatusCode, length: Length) -> Vec<u8> {
+    let framing = match length {
+        Length::Known(length) => format!("content-length: {length}"),
+        Length::Chunked => "transfer-encoding: chunked".to_owned(),
+    };
+    format!("HTTP/1.1 {status}\r\n{framing}\r\n\r\n").into()
+}
--- a/src/peer/lines.rs
+++ b/src/peer/lines.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::end::{Answer, End, request_head};
+use super::end::End;
+use super::heads::{Answer, request_head};
 use crate::web::Dial;
 
 /// Idle connections that are kept to one daemon.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -18,6 +18,7 @@
     reason = "generated from proto/peer.proto"
 )]
 mod generated;
+mod heads;
 mod id;
 mod ledger;
 mod lines;
--- a/src/peer/plain.rs
+++ b/src/peer/plain.rs
@@ -9,9 +9,10 @@
 use tokio::sync::mpsc;
 
 use super::call::{CONNECT, PATH};
-use super::end::{End, Length};
+use super::end::End;
 use super::generated as wire;
 use super::generated::answer_frame::Frame as AnswerPart;
+use super::heads::Length;
 use super::lines::{Failed, Lines};
 use super::message::{join, take};
 use crate::web::{Chunks, Cut, Dial, Payload};
--- a/src/policy/admission/limit.rs
+++ b/src/policy/admission/limit.rs
@@ -6,8 +6,8 @@
 
 use crate::model::Slots;
 
-/// Share of the slots at which a cold backend server starts. On the users' sites
-/// cold servers take twice as long; whatever is too much, they refuse.
+/// Share of the slots at which a cold backend server starts: cold servers take
+/// about twice as long, and refuse what is too much.
 const COLD_SHARE: f64 = 0.5;
 /// Shortest time between two decreases.
 const MIN_HOLD: Duration = Duration::from_millis(20);
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -20,7 +20,7 @@
 const REJECTS_LOAD: f64 = 2.0;
 /// Share of calls that a server fails by itself above which it is left out, if
 /// others do better: it answers sooner than sound ones, and would draw more
-/// calls the more it fails. Sound servers of the users fail one in 250.
+/// calls the more it fails. Sound servers fail less than one in a hundred.
 const MOST_FAULTS: f64 = 0.25;
 /// Half-life of the faults that were heard: a server that is left out gets a
 /// call of each entry about every second, whose answer tells how it fares now.
