Run a request alone that several callers asked for at all crashes

Two suspects of different requests run alone in that case; two callers of one request did not.

Change: with more than one caller at all crashes each runs alone until a crash meets one without the others, or until six.

A request that ends servers for two callers takes up to two servers more until it is held.

--- a/src/policy/crash/suspect.rs
+++ b/src/policy/crash/suspect.rs
@@ -148,6 +148,9 @@
     /// Returns what may be done with a request; `only` tells whether no other
     /// suspect was under way at the same crashes.
     ///
+    /// Where several callers asked for it at all crashes, only one of them may be
+    /// the cause: each runs alone until a crash meets one without the others.
+    ///
     /// After its time a held request gets one more run, alone, and is held
     /// again if that crashes a server.
     pub(super) fn standing(&self, now: Instant, request: Fingerprint, only: bool) -> Standing {
@@ -156,6 +159,7 @@
         }
         let left = (self.latest + HELD).saturating_duration_since(now);
         let crashes = self.crashes();
+        let only = only && self.callers_at_all().count() <= 1;
         let told = crashes >= SURE_AT || crashes >= HELD_AT && only;
         match crashes {
             0 => Standing::Clear,
@@ -170,9 +174,20 @@
     /// Tells whether a caller's request is meant: where that of one caller was
     /// there at all crashes, those of others may be harmless.
     fn speaks_against(&self, caller: u64) -> bool {
-        let all = self.crash_ids();
-        let was_at = |caller: u64, crash: CrashId| self.strikes.contains(&Strike { crash, caller });
-        let covers = |caller: u64| all.iter().all(|crash| was_at(caller, *crash));
-        covers(caller) || !self.strikes.iter().any(|strike| covers(strike.caller))
+        let mut covering = self.callers_at_all().peekable();
+        covering.peek().is_none() || covering.any(|covers| covers == caller)
+    }
+
+    /// Returns the callers that were there at all crashes.
+    fn callers_at_all(&self) -> impl Iterator<Item = u64> + '_ {
+        let crashes = self.crash_ids();
+        let callers: BTreeSet<u64> = self.strikes.iter().map(|strike| strike.caller).collect();
+        callers.into_iter().filter(move |caller| {
+            let of = |crash: &CrashId| Strike {
+                crash: *crash,
+                caller: *caller,
+            };
+            crashes.iter().all(|crash| self.strikes.contains(&of(crash)))
+        })
     }
 }
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -144,6 +144,40 @@
     assert_eq!(suspects.standing(now, by(DEADLY, TILL)), held);
 }
 
+/// Two callers whose requests for the same are under way at all crashes, of which
+/// one ends each server and the other none: which is which shows when they run
+/// alone.
+#[test]
+fn deadly_request_of_one_of_two_callers_is_held_for_that_one() {
+    let (now, mut suspects) = (Instant::now(), Suspects::default());
+    for number in 1..=3 {
+        suspects.crashed(now, by(DEADLY, TILL), crash(number));
+        suspects.crashed(now, by(DEADLY, DESK), crash(number));
+    }
+    assert_eq!(suspects.standing(now, by(DEADLY, TILL)), Standing::Alone);
+    assert_eq!(suspects.standing(now, by(DEADLY, DESK)), Standing::Alone);
+    suspects.crashed(now, by(DEADLY, TILL), crash(4));
+    let held = Standing::Held(secs(600));
+    assert_eq!(suspects.standing(now, by(DEADLY, TILL)), held);
+    assert_eq!(suspects.standing(now, by(DEADLY, DESK)), Standing::Alone);
+}
+
+/// The same where the request of either ends servers.
+#[test]
+fn deadly_request_of_two_callers_is_held_for_all_once_both_ran_alone() {
+    let (now, mut suspects) = (Instant::now(), Suspects::default());
+    for number in 1..=3 {
+        suspects.crashed(now, by(DEADLY, TILL), crash(number));
+        suspects.crashed(now, by(DEADLY, DESK), crash(number));
+    }
+    suspects.crashed(now, by(DEADLY, TILL), crash(4));
+    suspects.crashed(now, by(DEADLY, DESK), crash(5));
+    let held = Standing::Held(secs(600));
+    for caller in [TILL, DESK, 9] {
+        assert_eq!(suspects.standing(now, by(DEADLY, caller)), held);
+    }
+}
+
 #[rstest]
 #[case::suspect_kept(1, 59, Standing::Few)]
 #[case::suspect_forgotten(1, 60, Standing::Clear)]
