Count a daemon as ready once a neighbour has told all that it knows

Cause: readiness followed the reading of rows, which most daemons no longer do, so that those that leave the store to others were never ready.

Ruled out: ready at the first answer of a neighbour, since that holds 64 members at most, and callers would be sent to a daemon that knows few servers.

Change: ready when an answer holds fewer members than a message may.

The account of the fleet begins in docs/design/fleet.md.

--- a/src/peer/news.rs
+++ b/src/peer/news.rs
@@ -54,6 +54,10 @@
         .map_err(|e: Error| ExchangeError(e.to_string().into()))?;
     shared.term.lock().heard(Instant::now());
     let members = read_members(&answer.members);
+    if members.len() < FIRST_PAGE {
+        // The neighbour has told all that it knows.
+        shared.readiness.found();
+    }
     let known = take_members(shared, |view, now| {
         view.merge_told(now, members.into_iter(), sent.members)
     });
--- a/tests/store_calls.rs
+++ b/tests/store_calls.rs
@@ -86,6 +86,9 @@
         "{at_start} calls at the start, not {most}"
     );
     assert!(rows.names("member").len() as u64 <= USERS);
+    for vm in &vms {
+        assert!(vm.is_ready().await);
+    }
     let changed = Instant::now();
     rows.put("op", "config", &document(9, "svc", 2.0));
     in_force(&vms, 9).await;
