--- a/benches/members.rs
+++ b/benches/members.rs
@@ -46,11 +46,19 @@
     let routes = Routes::new(centre(0), None, Balance::default());
     [
         change,
-        micros(|| drop(black_box(neighbours(&view)))),
-        micros(|| drop(black_box(is_delegate(&view)))),
-        micros(|| drop(black_box(view.page(Change::default(), PAGE, &[])))),
+        micros(|| {
+            black_box(neighbours(&view));
+        }),
+        micros(|| {
+            black_box(is_delegate(&view));
+        }),
+        micros(|| {
+            black_box(view.page(Change::default(), PAGE, &[]));
+        }),
         micros(|| routes.update(estate, &view)),
-        micros(|| drop(black_box(Ring::new(&view)))),
+        micros(|| {
+            black_box(Ring::new(&view));
+        }),
     ]
 }
 
