Wait for servers as targets in the test of inner calls; fill seeds in that of the template

Cause: inner_calls_count_for_the_workspace_of_their_root waited until both members were known and took that for both servers taking calls.

Ruled out: calls charged to another workspace; the set of one server was empty.

Change: the test waits until both servers stand in both tables; what it asserts is unchanged. The other fills in seeds, and asserts what becomes of them.

--- a/tests/fair_share/inner.rs
+++ b/tests/fair_share/inner.rs
@@ -27,8 +27,11 @@
         vm.announce("ready", 1).await;
     }
     for vm in &vms {
-        eventually("both members", || async {
-            (vm.daemon.shared().view.lock().members().count() == 2).then_some(())
+        eventually("both servers as targets", || async {
+            let service = "svc".parse().expect("a name");
+            let table = vm.daemon.shared().routes.table(&service);
+            let known = table.lock().targets().count();
+            (known == 2).then_some(())
         })
         .await;
     }
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -83,10 +83,13 @@
         .replace("{{bounds.quotaWindowS}}", "5")
         .replace("{{bounds.quotaOverage}}", "0.1")
         .replace("{{bounds.quotaSlack}}", "20")
+        .replace("{{seeds}}", "10.1.0.8:8306,10.2.0.9:8306")
         .replace("{{platform.address}}", "10.200.1.7:8309");
     assert!(!text.contains("{{"), "a placeholder is left in\n{text}");
     let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
     let config = config.unwrap_or_else(|e| panic!("{e}"));
+    let seed = "10.2.0.9:8300".parse().expect("an address");
+    assert_eq!(config.neighbours, [seed]);
     let hosting = config.hosting.expect("hosting");
     assert_eq!(hosting.metrics.expect("an address").port(), 7635);
     assert_eq!(hosting.repeats.share, 0.25);
