Read and log what a backend server says of itself in its answers

The adapter reads Server-Limit and Server-Leaving into the product's Notice, the guard logs a change as "backend server says of itself" and counts server_notices. No decision follows from it yet.

Values: the least of several, zero for what is below it; what is no number is unreadable, which is not the same as absent.

--- a/src/call/protocol.rs
+++ b/src/call/protocol.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::{CallHead, Refusal};
-use crate::model::{CallId, KeyDigest, RootId, ServerId, ServiceName, WorkspaceName};
+use crate::model::{CallId, KeyDigest, Notice, RootId, ServerId, ServiceName, WorkspaceName};
 
 /// What the headers of a request say.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,6 +82,11 @@
     /// Tells what an answer of the backend server means.
     fn meaning(&self, head: &CallHead, status: StatusCode, headers: &HeaderMap) -> Meaning;
 
+    /// Reads what a backend server says of itself with an answer.
+    fn notice(&self, _: &HeaderMap) -> Notice {
+        Notice::default()
+    }
+
     /// Returns the status by which a refusal is told to the caller.
     fn status(&self, refusal: &Refusal) -> StatusCode;
 
--- a/src/guard/ask.rs
+++ b/src/guard/ask.rs
@@ -71,7 +71,11 @@
         protocol.address(&mut headers, head, Instant::now(), server);
         let answer = self.backend.send(head, headers, body).await?;
         let (parts, body) = answer.into_parts();
-        match protocol.meaning(head, parts.status, &parts.headers) {
+        let meaning = protocol.meaning(head, parts.status, &parts.headers);
+        if matches!(meaning, Meaning::Answer | Meaning::NotRun) {
+            self.hear_notice(protocol.notice(&parts.headers));
+        }
+        match meaning {
             Meaning::Answer => {}
             Meaning::NotRun => return Err(BackendError::NotRun),
             Meaning::OtherServer(found) => {
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod gate;
 mod lease;
+mod notice;
 mod once;
 mod run_once;
 mod serve;
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -13,7 +13,7 @@
 use super::usage::weights;
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass};
 use crate::call::{Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply};
-use crate::model::{ClassRank, Depth, Retries, ServiceName, Slots};
+use crate::model::{ClassRank, Depth, Notice, Retries, ServiceName, Slots};
 use crate::policy::admission::{Settings, Shed, usable};
 use crate::policy::member::Presence;
 use crate::policy::once::LedgerLimits;
@@ -34,6 +34,7 @@
     pub(super) announced: Mutex<Option<Slots>>,
     pub(super) crashes: Crashes,
     pub(super) trials: Trials,
+    pub(super) notice: Mutex<Notice>,
     pub(super) stopping: AtomicBool,
     pub(super) handle: Handle,
 }
@@ -60,6 +61,7 @@
             announced: Mutex::default(),
             crashes: Crashes::default(),
             trials: Trials::default(),
+            notice: Mutex::default(),
             stopping: AtomicBool::new(false),
             shared,
             handle,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::call::{CallHead, Facts, Meaning, Origin, Protocol, Reason, Refusal, end_to_end};
-use crate::model::{CallId, KeyDigest, RootId, ServerId, Verdict};
+use crate::model::{CallId, KeyDigest, NamedRate, Notice, Rate, RootId, ServerId, Verdict};
 
 /// Identifies one attempt of a caller; servers repeat it in their answers.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -23,6 +23,11 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 /// Set by a server on all answers that are its own.
 const SIGNATURE: HeaderName = HeaderName::from_static("x-server-signature");
+/// Set by a server in need: the requests a second that it takes from all VMs.
+const RATE: HeaderName = HeaderName::from_static("server-limit");
+/// Set to [`YES`] by a server that is about to stop.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const YES: &[u8] = b"1";
 /// The service on whose VM the request began.
 const ORIGIN: HeaderName = HeaderName::from_static("x-caller-service");
 /// The caller's key; nothing else stands in it.
@@ -42,6 +47,23 @@
     CallId::new(xxh3_128(id.as_bytes()))
 }
 
+/// Reads the rate that an answer names, the least where it names several.
+fn named_rate(headers: &HeaderMap) -> NamedRate {
+    if !headers.contains_key(&RATE) {
+        return NamedRate::None;
+    }
+    let words = headers.get_all(&RATE).iter();
+    let words = words.filter_map(|value| value.to_str().ok());
+    let named = words.flat_map(|value| value.split(',')).filter_map(rate);
+    named.min().map_or(NamedRate::Unreadable, NamedRate::Some)
+}
+
+/// Reads one rate; a server that names one below zero takes nothing.
+fn rate(text: &str) -> Option<Rate> {
+    let requests: f64 = text.trim().parse().ok()?;
+    requests.is_finite().then(|| Rate::per_second(requests))
+}
+
 impl Protocol for PlatformProtocol {
     fn read(&self, parts: &Parts) -> Result<Facts, Box<str>> {
         let text = |name: &HeaderName| parts.headers.get(name)?.to_str().ok();
@@ -116,6 +138,14 @@
         Meaning::Answer
     }
 
+    fn notice(&self, headers: &HeaderMap) -> Notice {
+        let leaving = headers.get_all(&LEAVING).iter();
+        Notice {
+            rate: named_rate(headers),
+            leaving: leaving.into_iter().any(|word| word.as_bytes() == YES),
+        }
+    }
+
     /// 503 promises that the request has not run and never will, so it is
     /// said of nothing else.
     fn status(&self, refusal: &Refusal) -> StatusCode {
