--- /dev/null
+++ b/tests/server_leaving.rs
@@ -0,0 +1,39 @@
+//! Backend servers that say with their answers that they are about to stop.
+//!
+//! The load answered here: a server stops while callers go on, and its word in
+//! answers comes before its announcement, or alone. Callers need each request
+//! to go to a server that will still be there when it is to be answered.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use support::hosted::{document, store, vm};
+
+/// Time from which on a leaving server may get nothing more.
+const DRAINED: Duration = Duration::from_secs(2);
+
+// Guards against a server that says only with its answers that it leaves, and
+// goes on getting requests until it is gone.
+#[tokio::test]
+async fn server_that_says_it_leaves_gets_nothing_more() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    vm.seen.say(&[("server-leaving", "1")]);
+    let answer = vm.ask(Method::GET, "/read/1", "r1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let told = Instant::now();
+    tokio::time::sleep(DRAINED).await;
+    // Its announcements may be older than the word, and come later.
+    vm.announce("ready", 2).await;
+    let answer = vm.ask(Method::POST, "/write/2", "r2").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let late = vm.seen.count(told + DRAINED, Instant::now(), &["svc"]);
+    assert_eq!(late, 0);
+}
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bramleymount::config::Config;
 use bramleymount::daemon::Daemon;
@@ -27,6 +27,43 @@
     /// The headers of each run.
     pub heads: Mutex<Vec<HeaderMap>>,
     pub working: AtomicUsize,
+    /// When each request came, and the service on whose VM it began.
+    pub arrivals: Mutex<Vec<Arrival>>,
+    /// What the server says of itself with all answers.
+    pub says: Mutex<HeaderMap>,
+}
+
+/// One request that came to a backend server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub id: String,
+    pub origin: String,
+}
+
+impl Seen {
+    /// Sets what the server says of itself from now on.
+    pub fn say(&self, pairs: &[(&'static str, &str)]) {
+        *self.says.lock() = headers(pairs);
+    }
+
+    /// Returns how many requests of some services came from `from` to `to`.
+    pub fn count(&self, from: Instant, to: Instant, origins: &[&str]) -> usize {
+        let arrivals = self.arrivals.lock();
+        let within = arrivals.iter().filter(|one| one.at >= from && one.at < to);
+        within
+            .filter(|one| origins.contains(&one.origin.as_str()))
+            .count()
+    }
+
+    /// Returns the most requests of some services that came in any `window`
+    /// from `from` on.
+    pub fn most(&self, from: Instant, window: Duration, origins: &[&str]) -> usize {
+        let starts: Vec<_> = self.arrivals.lock().iter().map(|one| one.at).collect();
+        let starts = starts.into_iter().filter(|at| *at >= from);
+        let counts = starts.map(|at| self.count(at, at + window, origins));
+        counts.max().unwrap_or_default()
+    }
 }
 
 struct Working<'s>(&'s AtomicUsize);
@@ -44,6 +81,11 @@
         value.unwrap_or_default().to_owned()
     };
     let path = head.uri.path().to_owned();
+    seen.arrivals.lock().push(Arrival {
+        at: Instant::now(),
+        id: text("x-request-id"),
+        origin: text("x-caller-service"),
+    });
     let body = body
         .collect()
         .await
@@ -52,6 +94,7 @@
     let mut answer = caller_text(StatusCode::OK, "text/plain", "whole answer");
     let id = HeaderValue::from_str(&text("x-request-id")).expect("an id");
     answer.headers_mut().insert("x-request-id", id);
+    answer.headers_mut().extend(seen.says.lock().clone());
     if path.ends_with("/shed") || text("x-expect-instance") != server {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         let told = HeaderValue::from_static("1");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing;
 pub mod hosted;
+pub mod load;
 pub mod rows;
 
 use std::net::SocketAddr;
