--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -69,6 +69,7 @@
             workspace: None,
             deadline,
             expires: deadline,
+            waits: true,
         };
         if admission.arrive(now, waiting).0 == Decision::Start {
             black_box(admission.finish(now, token, Outcome::Answered));
--- a/benches/overload/world/entry.rs
+++ b/benches/overload/world/entry.rs
@@ -153,7 +153,7 @@
             .get_mut(&c.service)
             .expect("a table");
         match table.choose(now, want, &mut self.rng) {
-            Pick::Target(instance) => Ok(self.by_instance[&instance]),
+            Pick::Target(instance) | Pick::Wait(instance) => Ok(self.by_instance[&instance]),
             Pick::Refused(level) => Err(Some(level)),
             Pick::Nothing => Err(None),
         }
--- a/benches/overload/world/guard.rs
+++ b/benches/overload/world/guard.rs
@@ -40,6 +40,7 @@
             workspace: None,
             deadline,
             expires: deadline,
+            waits: true,
         };
         let class = self.roots[self.calls[call].root].class;
         self.servers[id].waiting.insert(call, (class, self.now));
--- a/src/call/head.rs
+++ b/src/call/head.rs
@@ -6,7 +6,7 @@
 use super::Confirm;
 use crate::model::{
     AttemptId, CallId, CallerName, ClassName, Depth, Fingerprint, OnceKey, Priority, Retries,
-    RootId, ServiceName, WorkspaceId,
+    RootId, ServiceName, Told, WorkspaceId,
 };
 use crate::web::Payload;
 
@@ -57,6 +57,11 @@
     pub headers: HeaderMap,
     /// What it asks for, if its body was known whole before it was sent.
     pub fingerprint: Option<Fingerprint>,
+    /// What the entry was told of the backend server that it is sent to.
+    pub told: Option<Told>,
+    /// Whether it waits for the rate of its backend server, since no other one
+    /// has room.
+    pub waits: bool,
 }
 
 /// A call with its body.
--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -72,8 +72,9 @@
     Reason::Timeout,
 ];
 
-const SHED: [Shed; 5] = [
+const SHED: [Shed; 6] = [
     Shed::Overload,
+    Shed::Limited,
     Shed::Downstream,
     Shed::Deadline,
     Shed::Cancelled,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -29,8 +29,8 @@
 use crate::policy::rate::Terms;
 use crate::store::{Feed, HttpPlatform, Platform};
 use crate::tables::{
-    Calls, Current, Decisions, Homes, Journal, Rates, Readiness, Routes, Shared, Splits, Suspects,
-    unix_ms,
+    Calls, Current, Decisions, Homes, Journal, Notices, Rates, Readiness, Routes, Shared, Splits,
+    Suspects, unix_ms,
 };
 use crate::task::{
     Stopping, gossip, keep_duty, keep_homes, keep_row, keep_suspects, poll, refresh, report, stop,
@@ -234,6 +234,7 @@
         protocol,
         calls: Arc::new(Calls::default()),
         suspects: Suspects::default(),
+        notices: Notices::default(),
         rates: Rates::new(
             config
                 .hosting
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -228,6 +228,8 @@
         target: target.into(),
         headers: http::HeaderMap::new(),
         fingerprint: None,
+        told: None,
+        waits: false,
     })
 }
 
--- a/src/entry/again.rs
+++ b/src/entry/again.rs
@@ -5,11 +5,12 @@
 use super::forward::Forward;
 use crate::call::{Reason, Refusal, Scope};
 use crate::model::Verdict;
+use crate::policy::admission::Shed;
 use crate::policy::retry::{Failure, Retry, decide};
 
 /// Most guards that one call is refused by before it is given up; more would
 /// make refusals late.
-const MAX_DETOURS: u32 = 3;
+pub(super) const MAX_DETOURS: u32 = 3;
 
 /// How often a call is asked again of backend servers that refused it. Where
 /// they refuse 55 in 100, as some do for seconds, fewer than one call in two
@@ -91,6 +92,12 @@
         let reason = failed.reason();
         let elsewhere = reason.may_differ_elsewhere() || reason.is_overload();
         self.detours += 1;
-        elsewhere && self.detours <= MAX_DETOURS
+        elsewhere && (self.detours <= MAX_DETOURS || self.may_wait_after(failed))
+    }
+
+    /// Tells whether a call that found no room below the rate of a backend
+    /// server may still wait there.
+    pub(super) fn may_wait_after(&self, failed: &Refusal) -> bool {
+        !self.waits && failed.reason() == Reason::Shed(Shed::Limited)
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -8,12 +8,13 @@
 use tokio::time::Instant;
 
 use super::accept::Accepted;
+use super::again::MAX_DETOURS;
 use super::context::Context;
 use super::purse::Purse;
 use super::sending::Sending;
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
 use crate::guard::held;
-use crate::model::{AttemptId, Instance, Retries, Verdict};
+use crate::model::{AttemptId, Instance, Retries, Told, Verdict};
 use crate::peer::{self, Message};
 use crate::policy::admission::{Met, Shed};
 use crate::policy::crash::{Standing, Suspect};
@@ -51,6 +52,9 @@
     pub(super) sent: u32,
     /// Guards that refused it before its backend server saw it.
     pub(super) detours: u32,
+    /// Whether it waits for the rate that a backend server named, since no
+    /// other one has room.
+    pub(super) waits: bool,
 }
 
 impl<'e> Forward<'e> {
@@ -71,6 +75,7 @@
             rejected_by: Vec::new(),
             sent: 0,
             detours: 0,
+            waits: false,
         }
     }
 
@@ -78,10 +83,14 @@
     pub(super) async fn run(mut self, body: Payload) -> Ended {
         let result = match body {
             Payload::Whole(bytes) => self.attempts(bytes).await,
-            stream @ Payload::Stream { .. } => match self.target(Attempt::plan()) {
-                Ok((attempt, target)) => Box::pin(self.attempt(attempt, target, stream)).await,
-                Err(refusal) => Err(refusal),
-            },
+            stream @ Payload::Stream { .. } => {
+                // It can't be sent elsewhere once it has begun.
+                self.waits = true;
+                match self.target(Attempt::plan()) {
+                    Ok((attempt, target)) => Box::pin(self.attempt(attempt, target, stream)).await,
+                    Err(refusal) => Err(refusal),
+                }
+            }
         };
         let result = result.map_err(|refusal| self.weigh(refusal));
         if let Some(parent) = &self.accepted.parent {
@@ -148,7 +157,7 @@
             if !self.again(&failed) {
                 return Err(failed);
             }
-            if self.head().once.is_none() {
+            if self.head().once.is_none() && !self.may_wait_after(&failed) {
                 self.tried.push(target);
             }
             self.retries += 1;
@@ -164,8 +173,11 @@
     }
 
     /// Chooses where an attempt goes, or says why nowhere.
-    fn target(&self, attempt: Attempt<Planned>) -> Result<(Attempt<Planned>, Instance), Refusal> {
-        let head = self.head();
+    fn target(
+        &mut self,
+        attempt: Attempt<Planned>,
+    ) -> Result<(Attempt<Planned>, Instance), Refusal> {
+        let head = &self.accepted.head;
         if Instant::now() >= head.deadline {
             return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
         }
@@ -173,6 +185,8 @@
             return Err(held(attempt, left));
         }
         if let Some(once) = &head.once {
+            // No other instance may start it.
+            self.waits = true;
             return match self.place(&once.key) {
                 Place::At(instance) if self.may_reach(instance) => Ok((attempt, instance)),
                 Place::At(_) => Err(attempt.refuse_once(Refuse::OwnerUnreachable)),
@@ -184,26 +198,41 @@
         let picked = self.table(|table| self.choose(table, now, want));
         match picked {
             Pick::Target(instance) => Ok((attempt, instance)),
-            Pick::Refused(_) => {
-                let mut refusal = attempt.refuse(Reason::Shed(Shed::Overload), "");
-                refusal.retry_after = Some(self.context.retry_after());
-                Err(refusal)
+            Pick::Wait(instance) => {
+                self.waits = true;
+                Ok((attempt, instance))
             }
+            Pick::Refused(_) => Err(self.refuse(now, attempt)),
             Pick::Nothing => Err(attempt.refuse(Reason::Unreachable, "no server takes calls")),
         }
     }
 
+    /// Refuses a call whose level no server of the service admits.
+    fn refuse(&self, now: Instant, attempt: Attempt<Planned>) -> Refusal {
+        let wait = self.table(|table| table.wait(now));
+        let shed = wait.map_or(Shed::Overload, |_| Shed::Limited);
+        let mut refusal = attempt.refuse(Reason::Shed(shed), "");
+        let soonest = wait.unwrap_or_default();
+        refusal.retry_after = Some(self.context.retry_after().max(soonest));
+        refusal
+    }
+
     /// Chooses a target; once the call has been sent to as many backend servers
     /// as it may, one of those that refused it without running it.
     fn choose(&self, table: &mut Table, now: Instant, want: Want) -> Pick {
         if self.rejected_by.len() >= self.accepted.attempts as usize {
             return table.choose_among(now, &self.rejected_by);
         }
-        match table.choose_except(now, want, &self.tried, &mut rand::rng()) {
+        let picked = match table.choose_except(now, want, &self.tried, &mut rand::rng()) {
             Pick::Nothing if !self.rejected_by.is_empty() => {
                 table.choose_among(now, &self.rejected_by)
             }
             picked => picked,
+        };
+        match picked {
+            // No more guards are to send it elsewhere.
+            Pick::Target(instance) if self.detours >= MAX_DETOURS => Pick::Wait(instance),
+            picked => picked,
         }
     }
 
@@ -244,8 +273,9 @@
         let journal = &self.context.shared.journal;
         journal.note(self.head().call, Step::Sent, Detail::Target(target));
         let sent = Sending::new(self, target);
+        let told = self.context.shared.notices.of(target.address);
         let result = if target == self.context.shared.instance {
-            let call = self.call(attempt.id(), loan.retries, body);
+            let call = self.call(attempt.id(), loan.retries, body, told);
             // On the heap, so that calls to other daemons need no room for it.
             Box::pin(self.context.guard.serve(call)).await
         } else {
@@ -255,6 +285,8 @@
                 body,
                 held: self.holds(target),
                 suspect: self.suspect(),
+                told,
+                waits: self.waits,
             };
             peer::send(&self.context.pool, target, attempt, message).await
         };
@@ -269,11 +301,19 @@
     }
 
     /// Makes the call of one attempt for the guard of this VM.
-    fn call(&self, attempt: AttemptId, account: Retries, body: Payload) -> Call {
+    fn call(
+        &self,
+        attempt: AttemptId,
+        account: Retries,
+        body: Payload,
+        told: Option<Told>,
+    ) -> Call {
         Call {
             head: CallHead {
                 attempt,
                 account,
+                told,
+                waits: self.waits,
                 ..self.head().clone()
             },
             body,
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -9,8 +9,9 @@
 use super::accept::Accepted;
 use super::context::Context;
 use super::patience::Patience;
-use crate::call::Refusal;
+use crate::call::{Reason, Refusal};
 use crate::model::{ClassRank, Level, Priority, RouteName, ServiceName, Verdict};
+use crate::policy::admission::Shed;
 use crate::policy::front::{Outlook, RefusedCaller, RetryDetector, backoff, boosted};
 
 /// Most routes, and most classes of services, of which anything is known; the
@@ -79,7 +80,9 @@
         let is_told = accepted.options.backoff
             && accepted.parent.is_none()
             && refusal.verdict() == Verdict::NotRun
-            && refusal.reason().is_overload();
+            && refusal.reason().is_overload()
+            // The server's rate says when there is room.
+            && refusal.reason() != Reason::Shed(Shed::Limited);
         let (true, Some(patience)) = (is_told, &accepted.patience) else {
             return;
         };
--- a/src/entry/sending.rs
+++ b/src/entry/sending.rs
@@ -43,6 +43,10 @@
             }
             None => Report::Failed,
         };
+        if let Some(news) = news {
+            let notices = &self.forward.context.shared.notices;
+            notices.hear(self.target.address, news.told);
+        }
         let now = Instant::now();
         self.forward.table(|table| {
             table.report(now, self.target, report);
--- a/src/guard/answer.rs
+++ b/src/guard/answer.rs
@@ -99,7 +99,7 @@
                 self.pass_on(answered.length, first, rest, (pass, held))
             }
         };
-        head.news = self.gate.news();
+        head.news = self.news();
         Reply { head, body }
     }
 
--- a/src/guard/ask.rs
+++ b/src/guard/ask.rs
@@ -69,11 +69,14 @@
         let protocol = &self.shared.protocol;
         let mut headers = head.headers.clone();
         protocol.address(&mut headers, head, Instant::now(), server);
+        let (run, sent) = (self.run(), Instant::now());
         let answer = self.backend.send(head, headers, body).await?;
         let (parts, body) = answer.into_parts();
         let meaning = protocol.meaning(head, parts.status, &parts.headers);
-        if matches!(meaning, Meaning::Answer | Meaning::NotRun) {
-            self.hear_notice(protocol.notice(&parts.headers));
+        if matches!(meaning, Meaning::Answer | Meaning::NotRun) && run == self.run() {
+            // A refusal or an error says nothing by what it leaves out.
+            let in_order = meaning == Meaning::Answer && !parts.status.is_server_error();
+            self.hear_notice(sent, protocol.notice(&parts.headers), in_order);
         }
         match meaning {
             Meaning::Answer => {}
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -8,7 +8,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::model::{ClassRank, GuardNews, Priority, Slots, WorkspaceId};
+use crate::call::CallHead;
+use crate::model::{ClassRank, GuardNews, NamedRate, Rate, Slots, WorkspaceId};
 use crate::policy::admission::{
     Admission, Decision, Event, Load, Met, Outcome, Settings, Shed, Token, Usage, Waiting, Weights,
 };
@@ -20,6 +21,8 @@
     admission: Admission,
     waiting: HashMap<Token, oneshot::Sender<Result<(), Shed>>>,
     next: u64,
+    /// Whether a task lets calls start that wait for the server's rate.
+    pacing: bool,
 }
 
 /// Lets calls through to the backend server in the order of admission.
@@ -35,6 +38,7 @@
                 admission: Admission::new(Instant::now(), settings),
                 waiting: HashMap::new(),
                 next: 0,
+                pacing: false,
             }),
         })
     }
@@ -44,25 +48,15 @@
     /// # Errors
     ///
     /// Returns why the call is shed; it has not been started then.
-    pub async fn enter(
-        self: &Arc<Self>,
-        priority: Priority,
-        workspace: Option<WorkspaceId>,
-        deadline: Instant,
-    ) -> Result<Pass, Shed> {
-        let result = self.admit(priority, workspace, deadline).await;
+    pub async fn enter(self: &Arc<Self>, head: &CallHead) -> Result<Pass, Shed> {
+        let result = self.admit(head).await;
         if result.is_err() {
-            self.count_shed(workspace);
+            self.count_shed(head.workspace);
         }
         result
     }
 
-    async fn admit(
-        self: &Arc<Self>,
-        priority: Priority,
-        workspace: Option<WorkspaceId>,
-        deadline: Instant,
-    ) -> Result<Pass, Shed> {
+    async fn admit(self: &Arc<Self>, head: &CallHead) -> Result<Pass, Shed> {
         let now = Instant::now();
         let (decision, token, waiter) = {
             let mut inner = self.inner.lock();
@@ -70,10 +64,11 @@
             let token = Token(inner.next);
             let call = Waiting {
                 token,
-                priority,
-                workspace,
-                deadline,
-                expires: deadline,
+                priority: head.priority,
+                workspace: head.workspace,
+                deadline: head.deadline,
+                expires: head.deadline,
+                waits: head.waits,
             };
             let (sender, receiver) = oneshot::channel();
             inner.waiting.insert(token, sender);
@@ -87,7 +82,10 @@
         match decision {
             Decision::Start => Ok(self.pass(token)),
             Decision::Shed(shed) => Err(shed),
-            Decision::Wait(until) => self.wait(token, until, waiter).await,
+            Decision::Wait(until) => {
+                self.pace(now);
+                self.wait(token, until, waiter).await
+            }
         }
     }
 
@@ -179,9 +177,13 @@
         self.inner.lock().admission.news(Instant::now())
     }
 
-    /// Returns when a refused caller may come back.
-    pub fn retry_after(&self) -> Duration {
-        self.inner.lock().admission.retry_after(&mut rand::rng())
+    /// Returns when a caller may come back that was refused for `shed`.
+    pub fn retry_after(&self, shed: Shed) -> Duration {
+        let admission = &self.inner.lock().admission;
+        match shed {
+            Shed::Limited => admission.return_after(Instant::now(), &mut rand::rng()),
+            _ => admission.retry_after(&mut rand::rng()),
+        }
     }
 
     /// Returns the load, and counts of calls since the last report.
@@ -201,6 +203,64 @@
     }
 }
 
+/// Calls that wait for the rate that the backend server named.
+impl Gate {
+    /// Takes what an answer to a call says that was sent at `sent`; returns
+    /// whether that changes the rate.
+    pub fn hear_rate(self: &Arc<Self>, sent: Instant, rate: NamedRate) -> bool {
+        let now = Instant::now();
+        let is_news = self.inner.lock().admission.hear_rate(now, sent, rate);
+        if is_news {
+            self.with(|admission| admission.expire(now));
+            self.pace(now);
+        }
+        is_news
+    }
+
+    /// Takes a rate that another daemon heard of; returns whether it is news.
+    pub fn adopt_rate(self: &Arc<Self>, rate: Rate) -> bool {
+        let now = Instant::now();
+        let is_news = self.inner.lock().admission.adopt_rate(now, rate);
+        if is_news {
+            self.pace(now);
+        }
+        is_news
+    }
+
+    /// Returns the rate that the backend server named, if it holds.
+    pub fn rate(&self) -> Option<Rate> {
+        self.inner.lock().admission.rate()
+    }
+
+    /// Has waiting calls started at the server's rate, if there are any.
+    fn pace(self: &Arc<Self>, now: Instant) {
+        let mut inner = self.inner.lock();
+        let Some(next) = inner.admission.next_start(now) else {
+            return;
+        };
+        if !std::mem::replace(&mut inner.pacing, true) {
+            tokio::spawn(Arc::clone(self).start_paced(next));
+        }
+    }
+
+    async fn start_paced(self: Arc<Self>, mut next: Instant) {
+        loop {
+            tokio::time::sleep_until(next).await;
+            let now = Instant::now();
+            let mut inner = self.inner.lock();
+            let events = inner.admission.expire(now);
+            inner.deliver(events);
+            match inner.admission.next_start(now) {
+                Some(later) => next = later,
+                None => {
+                    inner.pacing = false;
+                    return;
+                }
+            }
+        }
+    }
+}
+
 impl Inner {
     fn deliver(&mut self, events: Vec<Event>) {
         for event in events {
--- a/src/guard/notice.rs
+++ b/src/guard/notice.rs
@@ -1,25 +1,74 @@
 //! What the backend server says of itself with its answers.
 
+use tokio::time::Instant;
+
 use super::Guard;
-use crate::model::Notice;
+use crate::model::{GuardNews, NamedRate, Notice, Rate, RunId, Told};
 
 impl Guard {
-    /// Takes what an answer says of its server.
-    pub(super) fn hear_notice(&self, notice: Notice) {
-        let before = std::mem::replace(&mut *self.notice.lock(), notice);
-        if before == notice {
+    /// Returns the run of the backend server that is present, if it said so.
+    pub(super) fn run(&self) -> Option<RunId> {
+        self.presence.lock().run()
+    }
+
+    /// Takes what an answer to a call says that was sent at `sent`; what it
+    /// leaves out counts if it is `in_order`.
+    pub(super) fn hear_notice(&self, sent: Instant, notice: Notice, in_order: bool) {
+        match notice.rate {
+            NamedRate::None if !in_order => return,
+            NamedRate::Unreadable => self.explain("its rate is no number", None),
+            NamedRate::None | NamedRate::Some(_) => {}
+        }
+        let before = self.gate.rate();
+        if self.gate.hear_rate(sent, notice.rate) {
+            self.shared.metrics.count("server_limits");
+            self.explain("takes", before);
+        }
+    }
+
+    /// Takes what an entry was told of the backend server before.
+    pub(super) fn take_told(&self, told: Told) {
+        if self.run() != Some(told.run) {
             return;
         }
-        self.shared.metrics.count("server_notices");
+        if let Some(rate) = told.rate
+            && self.gate.adopt_rate(rate)
+        {
+            self.explain("takes, as an entry was told", None);
+        }
+    }
+
+    /// Returns what this guard tells of itself and of its backend server.
+    pub(super) fn news(&self) -> GuardNews {
+        GuardNews {
+            told: self.told(),
+            ..self.gate.news()
+        }
+    }
+
+    fn told(&self) -> Option<Told> {
+        let rate = self.gate.rate();
+        let presence = self.presence.lock();
+        rate?;
+        let run = presence.run()?;
+        let leaving = false;
+        Some(Told { run, rate, leaving })
+    }
+
+    fn explain(&self, what: &str, before: Option<Rate>) {
         if !self.shared.decisions.may_log() {
             return;
         }
+        let text = |rate: Option<Rate>| rate.map_or("any".to_owned(), |rate| rate.to_string());
         let server = self.server();
+        let load = self.gate.load();
         spdlog::info!("backend server says of itself", kv: {
             server = server.as_ref().map_or("", |server| server.as_str()),
-            takes = notice.rate.to_string().as_str(),
-            took = before.rate.to_string().as_str(),
-            leaving = notice.leaving
+            what,
+            takes = text(self.gate.rate()).as_str(),
+            took = text(before).as_str(),
+            in_flight = load.0,
+            waiting = load.1
         });
     }
 }
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -113,7 +113,7 @@
                 account,
                 // Kept answers do not tell, and calls with a key are not judged.
                 onward: false,
-                news: self.gate.news(),
+                news: self.news(),
                 kept: again,
             },
             body: Payload::Whole(kept.body.unwrap_or_default()),
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -13,7 +13,7 @@
 use super::usage::weights;
 use super::{Gate, Lease, LeaseState, OnceCalls, Pass};
 use crate::call::{Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply};
-use crate::model::{ClassRank, Depth, Notice, Retries, ServiceName, Slots};
+use crate::model::{ClassRank, Depth, Retries, ServiceName, Slots};
 use crate::policy::admission::{Settings, Shed, usable};
 use crate::policy::member::Presence;
 use crate::policy::once::LedgerLimits;
@@ -34,7 +34,6 @@
     pub(super) announced: Mutex<Option<Slots>>,
     pub(super) crashes: Crashes,
     pub(super) trials: Trials,
-    pub(super) notice: Mutex<Notice>,
     pub(super) stopping: AtomicBool,
     pub(super) handle: Handle,
 }
@@ -61,7 +60,6 @@
             announced: Mutex::default(),
             crashes: Crashes::default(),
             trials: Trials::default(),
-            notice: Mutex::default(),
             stopping: AtomicBool::new(false),
             shared,
             handle,
@@ -136,6 +134,9 @@
     pub async fn serve(self: &Arc<Self>, call: Call) -> Result<Reply, Refusal> {
         let attempt = Attempt::with_id(call.head.attempt);
         let account = call.head.account;
+        if let Some(told) = call.head.told {
+            self.take_told(told);
+        }
         let result = match self.check(&call.head) {
             Err(reason) => Err(self.home(attempt.refuse(reason, ""), account)),
             Ok(()) => match (&call.head.once, call.body) {
@@ -159,9 +160,11 @@
             },
         };
         result.map_err(|mut refusal| {
-            refusal.news = Some(self.gate.news());
-            if refusal.reason().is_overload() {
-                refusal.retry_after = Some(self.gate.retry_after());
+            refusal.news = Some(self.news());
+            if let Reason::Shed(shed) = refusal.reason()
+                && shed.is_overload()
+            {
+                refusal.retry_after = Some(self.gate.retry_after(shed));
             }
             refusal
         })
@@ -191,10 +194,7 @@
     }
 
     pub(super) async fn enter(&self, head: &CallHead) -> Result<Pass, Shed> {
-        let entered = self
-            .gate
-            .enter(head.priority, head.workspace, head.deadline);
-        let result = entered.await;
+        let result = self.gate.enter(head).await;
         let journal = &self.shared.journal;
         match &result {
             Ok(_) => journal.note(head.call, Step::Started, Detail::None),
--- a/src/model/news.rs
+++ b/src/model/news.rs
@@ -1,6 +1,8 @@
 //! What a guard tells of itself.
 
-use super::{ClassRank, Level, Percent};
+use std::time::Duration;
+
+use super::{ClassRank, Level, Percent, Told};
 
 /// A set of classes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -76,4 +78,8 @@
     pub faults: Percent,
     /// Whether it takes no new calls.
     pub leaving: bool,
+    /// What its backend server has said of itself, if anything.
+    pub told: Option<Told>,
+    /// How long a call waits there for the rate that its server named.
+    pub room: Duration,
 }
--- a/src/model/notice.rs
+++ b/src/model/notice.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::Rate;
+use super::{Rate, RunId};
 
 /// What an answer says of the requests a second that its server takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -34,3 +34,18 @@
     /// Whether it is about to stop.
     pub leaving: bool,
 }
+
+/// What one run of a backend server has said of itself, as daemons tell it to
+/// each other.
+///
+/// An entry that was told tells it back with its calls, so a guard that has
+/// started again beside the run knows it before the first call of any such entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// The run that it is true of.
+    pub run: RunId,
+    /// The requests a second that it takes, if it named a rate.
+    pub rate: Option<Rate>,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
--- a/src/model/rate.rs
+++ b/src/model/rate.rs
@@ -20,6 +20,16 @@
         Self((requests.max(0.0) * PARTS).round() as u64)
     }
 
+    /// Makes a rate of thousandths of a request a second.
+    pub const fn from_thousandths(parts: u64) -> Self {
+        Self(parts)
+    }
+
+    /// Returns the thousandths of a request a second.
+    pub const fn as_thousandths(self) -> u64 {
+        self.0
+    }
+
     /// Returns the requests a second.
     pub fn get(self) -> f64 {
         self.0 as f64 / PARTS
--- /dev/null
+++ b/src/model/run_id.rs
@@ -0,0 +1,47 @@
+//! Short id of one run of a backend server.
+
+use std::fmt;
+use std::str::FromStr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Born, ServerId};
+use crate::error::Error;
+
+/// Tells one run of a backend server from others, also from those that had the
+/// same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RunId(u64);
+
+impl RunId {
+    /// Makes the id of a run of `server`, which started at `born` if it tells.
+    pub fn of(server: &ServerId, born: Option<Born>) -> Self {
+        let born = born.map_or(0, Born::as_millis);
+        Self(xxh3_64_with_seed(server.as_str().as_bytes(), born))
+    }
+
+    /// Makes an id of a number that another daemon sent.
+    pub const fn new(raw: u64) -> Self {
+        Self(raw)
+    }
+
+    /// Returns the id as a number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RunId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for RunId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let wrong = |_| Error::value("run", format!("\"{text}\" is no hexadecimal number"));
+        u64::from_str_radix(text, 16).map(Self).map_err(wrong)
+    }
+}
--- a/src/peer/call.rs
+++ b/src/peer/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::call::CallHead;
-use crate::model::Retries;
+use crate::model::{Retries, Told};
 use crate::policy::crash::Suspect;
 use crate::web::Payload;
 
@@ -30,4 +30,8 @@
     pub held: bool,
     /// What is known of crashes that the request was under way at.
     pub suspect: Option<Suspect>,
+    /// What this side was told of the backend server that it goes to.
+    pub told: Option<Told>,
+    /// Whether it waits for the rate that the backend server named.
+    pub waits: bool,
 }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -11,6 +11,7 @@
 use super::generated as wire;
 use super::id::{attempt_of, id_bytes, id_of};
 use super::suspect::suspect_out;
+use super::told::{room_in, room_out, told_in, told_out};
 use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Scope, Sent};
 use crate::declare::Estate;
 use crate::error::Error;
@@ -93,6 +94,8 @@
         asked_by: head.fingerprint.map_or(0, |asks| asks.caller),
         suspect: message.suspect.as_ref().map(|s| suspect_out(s, now)),
         workspace: head.workspace.map_or(0, WorkspaceId::get),
+        told: message.told.as_ref().map(told_out),
+        waits: message.waits,
     }
 }
 
@@ -149,6 +152,8 @@
         target: head.target.into(),
         headers: headers_in(head.headers)?,
         fingerprint,
+        told: head.told.as_ref().map(told_in),
+        waits: head.waits,
     })
 }
 
@@ -175,6 +180,8 @@
         faults: u32::from(head.news.faults.get()),
         leaving: head.news.leaving,
         onward: head.onward,
+        told: head.news.told.as_ref().map(told_out),
+        room_ms: room_out(head.news.room),
     }
 }
 
@@ -200,6 +207,8 @@
             load: head.load,
             faults: Percent::new(head.faults),
             leaving: head.leaving,
+            told: head.told.as_ref().map(told_in),
+            room: room_in(head.room_ms),
         },
         onward: head.onward,
         kept: head.kept,
@@ -224,6 +233,8 @@
         load: news.load,
         faults: u32::from(news.faults.get()),
         leaving: news.leaving,
+        told: news.told.as_ref().map(told_out),
+        room_ms: room_out(news.room),
         crash: refusal.crash.map_or(0, CrashId::get),
     }
 }
@@ -259,6 +270,8 @@
             load: message.load,
             faults: Percent::new(message.faults),
             leaving: message.leaving,
+            told: message.told.as_ref().map(told_in),
+            room: room_in(message.room_ms),
         });
     }
     refusal
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -68,6 +68,25 @@
     /// Short id of the workspace that the tree is for; 0 if not known.
     #[prost(fixed32, tag = "24")]
     pub workspace: u32,
+    /// What the sender was told of the backend server behind the instance.
+    #[prost(message, optional, tag = "25")]
+    pub told: ::core::option::Option<Told>,
+    /// Whether it waits for the rate that the backend server named.
+    #[prost(bool, tag = "26")]
+    pub waits: bool,
+}
+/// What one run of a backend server has said of itself.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Told {
+    #[prost(fixed64, tag = "1")]
+    pub run: u64,
+    /// Whether it named a rate, in thousandths of a request a second.
+    #[prost(bool, tag = "2")]
+    pub limited: bool,
+    #[prost(uint64, tag = "3")]
+    pub rate: u64,
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
 /// Says that a held call may start now, or lets it start.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -132,6 +151,12 @@
     /// Whether the backend server made calls onwards for it.
     #[prost(bool, tag = "15")]
     pub onward: bool,
+    /// What the backend server has said of itself.
+    #[prost(message, optional, tag = "16")]
+    pub told: ::core::option::Option<Told>,
+    /// Milliseconds that a call waits for the rate that it named.
+    #[prost(uint32, tag = "17")]
+    pub room_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refusal {
@@ -167,6 +192,12 @@
     /// The crash that the call was under way at; 0 if its server did not crash.
     #[prost(fixed64, tag = "14")]
     pub crash: u64,
+    /// What the backend server has said of itself.
+    #[prost(message, optional, tag = "15")]
+    pub told: ::core::option::Option<Told>,
+    /// Milliseconds that a call waits for the rate that it named.
+    #[prost(uint32, tag = "16")]
+    pub room_ms: u32,
 }
 /// Closes a streamed body: its length and digest as a whole.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -33,6 +33,7 @@
 mod served;
 mod server;
 mod suspect;
+mod told;
 
 pub use ask::ExchangeError;
 pub use call::Message;
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -9,12 +9,12 @@
 use super::line::Line;
 use super::{
     Backlog, Chain, Decision, Event, FairQueue, Faults, Limit, Load, Met, Outcome, Paid, Queue,
-    Shed, Threshold, Token, Waiting, Weights,
+    Shed, Threshold, Throttle, Token, Waiting, Weights,
 };
 use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
 
 /// Longest wait of a call that is not protected.
-const MAX_WAIT: Duration = Duration::from_millis(200);
+pub(super) const MAX_WAIT: Duration = Duration::from_millis(200);
 /// Time that a full queue takes to be served.
 const QUEUE_TIME: Duration = Duration::from_millis(50);
 /// Least and greatest length of the queue as a share of the limit.
@@ -40,9 +40,10 @@
 /// Admits, queues and sheds the calls to one backend server.
 #[derive(Debug)]
 pub struct Admission {
-    limit: Limit,
-    queue: Line,
-    threshold: Threshold,
+    pub(super) limit: Limit,
+    pub(super) queue: Line,
+    pub(super) threshold: Threshold,
+    pub(super) throttle: Throttle,
     chain: Chain,
     faults: Faults,
     protected: Option<ClassRank>,
@@ -71,6 +72,7 @@
             limit,
             queue: Line::Plain(Queue::default()),
             threshold: Threshold::new(now),
+            throttle: Throttle::default(),
             chain: Chain::default(),
             faults: Faults::default(),
             protected: settings.protected,
@@ -97,8 +99,13 @@
         self.queue.fair()
     }
 
-    /// Forgets what was learned of the backend server.
+    /// Forgets what is known of the backend server, of which another run came.
     pub fn forget(&mut self, slots: Slots) {
+        self.relearn(slots);
+        self.throttle.forget();
+    }
+
+    fn relearn(&mut self, slots: Slots) {
         self.limit = Limit::warm(slots);
         self.faults = Faults::default();
         self.queue.forget();
@@ -106,7 +113,7 @@
 
     /// Starts anew with a cold backend server.
     pub fn restart(&mut self, slots: Slots) {
-        self.forget(slots);
+        self.relearn(slots);
         self.limit = Limit::cold(slots);
         self.leaving = false;
     }
@@ -127,6 +134,9 @@
         }
         let level = call.priority.level();
         self.tick(now);
+        if !call.waits && self.is_limited(now) {
+            return (Decision::Shed(Shed::Limited), events);
+        }
         self.threshold.arrived(level);
         if self.too_late(now, call.deadline) {
             return (Decision::Shed(Shed::Deadline), events);
@@ -136,7 +146,7 @@
             return (Decision::Shed(Shed::Downstream), events);
         }
         self.queue.arrived(now, &call);
-        if self.queue.is_empty() && self.running.len() < self.limit.get() {
+        if self.queue.is_empty() && self.may_start(now) {
             self.start(now, &call);
             return (Decision::Start, events);
         }
@@ -146,6 +156,9 @@
     }
 
     fn enqueue(&mut self, now: Instant, call: Waiting, events: &mut Vec<Event>) -> Decision {
+        if self.is_limited(now) {
+            return self.enqueue_limited(now, call, events);
+        }
         if self.queue.len() >= self.queue_bound() {
             self.threshold.shed();
             match self.queue.make_room(&call) {
@@ -211,6 +224,8 @@
         self.threshold.shed();
         if call.deadline <= now {
             Shed::Deadline
+        } else if self.throttle.rate().is_some() {
+            Shed::Limited
         } else {
             Shed::Overload
         }
@@ -248,6 +263,7 @@
             level: self.threshold.level(),
             below,
             latency: self.limit.latency().unwrap_or_default(),
+            rate: self.throttle.rate(),
         }
     }
 
@@ -279,6 +295,8 @@
             load: u32::try_from(load).unwrap_or(u32::MAX),
             faults: self.faults.share(),
             leaving: self.leaving,
+            told: None,
+            room: self.room(now),
         }
     }
 
@@ -292,12 +310,17 @@
         let backlog = Backlog {
             waiting: self.queue.len(),
             bound: self.queue_bound(),
-            idle: self.queue.is_empty() && self.running.len() < self.limit.get(),
+            idle: self.queue.is_empty() && self.may_start(now),
         };
         self.threshold.tick(now, backlog);
     }
 
-    fn is_protected(&self, priority: Priority) -> bool {
+    /// Tells whether a slot is free and the server's rate lets a call start.
+    fn may_start(&self, now: Instant) -> bool {
+        self.running.len() < self.limit.get() && self.throttle.is_open(now)
+    }
+
+    pub(super) fn is_protected(&self, priority: Priority) -> bool {
         self.protected.is_some_and(|rank| priority.rank() <= rank)
     }
 
@@ -305,17 +328,23 @@
         let latency = self.limit.latency().unwrap_or(QUEUE_TIME).as_secs_f64();
         let share = QUEUE_TIME.as_secs_f64() / latency.max(1e-6);
         let share = share.clamp(*QUEUE_SHARE.start(), *QUEUE_SHARE.end());
-        ((self.limit.get() as f64 * share) as usize).max(MIN_QUEUE)
+        let bound = (self.limit.get() as f64 * share) as usize;
+        bound.min(self.limited_bound()).max(MIN_QUEUE)
     }
 
     fn too_late(&self, now: Instant, deadline: Instant) -> bool {
         let left = deadline.saturating_duration_since(now);
-        let need = self.limit.latency().unwrap_or_default().mul_f64(0.5);
-        left.is_zero() || left < need
+        left.is_zero() || left < self.need()
+    }
+
+    /// Returns the time that a call needs at the least once it has started.
+    pub(super) fn need(&self) -> Duration {
+        self.limit.latency().unwrap_or_default().mul_f64(0.5)
     }
 
     fn start(&mut self, now: Instant, call: &Waiting) {
         self.threshold.started();
+        self.throttle.start(now);
         self.started += 1;
         let run = Running {
             started: now,
@@ -326,7 +355,7 @@
     }
 
     fn fill(&mut self, now: Instant, events: &mut Vec<Event>) {
-        while self.running.len() < self.limit.get() {
+        while self.may_start(now) {
             let Some(call) = self.queue.pop_first() else {
                 return;
             };
--- /dev/null
+++ b/src/policy/admission/limited.rs
@@ -0,0 +1,115 @@
+//! Admission to a backend server that has named how many calls a second it takes.
+//!
+//! Calls that find no room are sent away at once, since other servers may have
+//! some. Those that come back since none has wait in the order of importance.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::control::MAX_WAIT;
+use super::{Admission, Decision, Event, Shed, Waiting};
+use crate::model::{NamedRate, Rate};
+
+/// Part of the time left that a call may wait whose class is not protected:
+/// callers' objectives are a third to a fifth of what they wait at most, and an
+/// answer past them is worth less than the return of the caller.
+const WAIT_PART: u32 = 4;
+/// Calls that may wait for each that may run.
+const MOST_WAITING: usize = 4;
+/// Time of waiting that the level aims at, as the least wait of a full queue.
+const FULL: u32 = 2;
+/// Shortest time between two looks at calls that wait.
+const LOOK: Duration = Duration::from_millis(10);
+/// Spread of the time after which refused callers may come back, as a multiple
+/// of the time in which those before them are served.
+const RETURN: std::ops::Range<f64> = 1.0..1.5;
+
+impl Admission {
+    /// Takes what an answer to a call says that was sent at `sent`; returns
+    /// whether that changes the rate.
+    pub fn hear_rate(&mut self, now: Instant, sent: Instant, rate: NamedRate) -> bool {
+        self.throttle.hear(now, sent, rate)
+    }
+
+    /// Takes a rate that another daemon heard of; returns whether it is news.
+    pub fn adopt_rate(&mut self, now: Instant, rate: Rate) -> bool {
+        self.throttle.adopt(now, rate)
+    }
+
+    /// Returns the rate that the backend server named, if it holds.
+    pub fn rate(&self) -> Option<Rate> {
+        self.throttle.rate()
+    }
+
+    /// Returns when calls may start next that wait for the server's rate.
+    pub fn next_start(&self, now: Instant) -> Option<Instant> {
+        let waits = self.throttle.rate().is_some() && !self.queue.is_empty();
+        waits.then(|| now + self.throttle.wait(now, 0).max(LOOK))
+    }
+
+    /// Returns how long a call of the least importance waits for the rate.
+    pub fn room(&self, now: Instant) -> Duration {
+        match self.throttle.rate() {
+            Some(_) => self.throttle.wait(now, self.queue.len()),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns when a caller may come back that the rate left no room for.
+    pub fn return_after<R: Rng>(&self, now: Instant, rng: &mut R) -> Duration {
+        self.room(now).mul_f64(rng.random_range(RETURN))
+    }
+
+    /// Tells whether the rate lets no call start now.
+    pub(super) fn is_limited(&self, now: Instant) -> bool {
+        !self.throttle.is_open(now)
+    }
+
+    /// Returns the calls that wait at a level that is in balance, times two.
+    pub(super) fn limited_bound(&self) -> usize {
+        let Some(rate) = self.throttle.rate() else {
+            return usize::MAX;
+        };
+        (rate.get() * (MAX_WAIT * FULL).as_secs_f64()) as usize
+    }
+
+    /// Lets a call wait if it can start in time, and sheds those that no longer
+    /// can since it goes before them.
+    pub(super) fn enqueue_limited(
+        &mut self,
+        now: Instant,
+        call: Waiting,
+        events: &mut Vec<Event>,
+    ) -> Decision {
+        let latest = self.latest_start(now, &call);
+        let ahead = self.queue.ahead(call.priority);
+        let is_full = self.queue.len() >= self.limit.get() * MOST_WAITING;
+        if is_full || now + self.throttle.wait(now, ahead) > latest {
+            self.threshold.shed();
+            return Decision::Shed(Shed::Limited);
+        }
+        let expires = latest;
+        self.queue.push(now, Waiting { expires, ..call });
+        loop {
+            let last = now + self.throttle.wait(now, self.queue.len().saturating_sub(1));
+            let Some(late) = self.queue.pop_late(|call| last > call.expires) else {
+                return Decision::Wait(latest);
+            };
+            self.threshold.shed();
+            events.push(Event::Shed(late.token, Shed::Limited));
+        }
+    }
+
+    /// Returns until when a call may wait.
+    fn latest_start(&self, now: Instant, call: &Waiting) -> Instant {
+        let left = call.deadline.saturating_duration_since(now);
+        let spare = left.saturating_sub(self.need());
+        if self.is_protected(call.priority) {
+            now + spare
+        } else {
+            now + spare / WAIT_PART
+        }
+    }
+}
--- a/src/policy/admission/line.rs
+++ b/src/policy/admission/line.rs
@@ -3,6 +3,7 @@
 use tokio::time::Instant;
 
 use super::{FairQueue, Outcome, Paid, Queue, Token, Waiting, Weights};
+use crate::model::Priority;
 
 /// The calls that wait.
 #[derive(Debug)]
@@ -75,6 +76,23 @@
         }
     }
 
+    /// Returns the number of calls that go before a new one of `priority`; all
+    /// where the order is not by priority alone.
+    pub(super) fn ahead(&self, priority: Priority) -> usize {
+        match self {
+            Self::Plain(queue) => queue.ahead(priority),
+            Self::Fair(queue) => queue.len(),
+        }
+    }
+
+    /// Takes out the least important call if `is_late` says so of it.
+    pub(super) fn pop_late(&mut self, is_late: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
+        match self {
+            Self::Plain(queue) if queue.least().is_some_and(is_late) => queue.pop_least(),
+            Self::Plain(_) | Self::Fair(_) => None,
+        }
+    }
+
     pub(super) fn remove(&mut self, token: Token) -> Option<Waiting> {
         match self {
             Self::Plain(queue) => queue.remove(token),
--- a/src/policy/admission/load.rs
+++ b/src/policy/admission/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::model::Level;
+use crate::model::{Level, Rate};
 
 /// The load of one guard, with counts since the last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,4 +23,6 @@
     pub below: Level,
     /// Mean time of an answer.
     pub latency: Duration,
+    /// Calls a second that the backend server takes, if it named a rate.
+    pub rate: Option<Rate>,
 }
--- a/src/policy/admission/queue.rs
+++ b/src/policy/admission/queue.rs
@@ -23,6 +23,9 @@
     pub deadline: Instant,
     /// When the wait ends at the latest.
     pub expires: Instant,
+    /// Whether it waits for the rate that the backend server named; it is
+    /// better off elsewhere if not.
+    pub waits: bool,
 }
 
 /// Orders by priority, then newest first.
@@ -79,6 +82,11 @@
         self.calls.values().next()
     }
 
+    /// Returns the number of calls that go before a new one of `priority`.
+    pub fn ahead(&self, priority: Priority) -> usize {
+        self.calls.range((priority, u64::MAX)..).count()
+    }
+
     /// Takes out the call named `token`.
     pub fn remove(&mut self, token: Token) -> Option<Waiting> {
         let key = self.keys.remove(&token)?;
--- a/src/policy/admission/shed.rs
+++ b/src/policy/admission/shed.rs
@@ -7,6 +7,8 @@
 pub enum Shed {
     /// More important work filled the slots and the queue.
     Overload,
+    /// The backend server takes no more calls a second than it was given.
+    Limited,
     /// A service further down the chain refuses calls of this level.
     Downstream,
     /// The call could no longer be answered before its deadline.
@@ -22,6 +24,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::Limited => "server-limit",
             Self::Downstream => "downstream-overload",
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
@@ -31,7 +34,7 @@
 
     /// Tells whether the shedding is a sign of more demand than capacity.
     pub const fn is_overload(self) -> bool {
-        matches!(self, Self::Overload | Self::Downstream)
+        matches!(self, Self::Overload | Self::Limited | Self::Downstream)
     }
 }
 
--- a/src/policy/member/presence.rs
+++ b/src/policy/member/presence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::model::{Born, ServerId, Slots};
+use crate::model::{Born, RunId, ServerId, Slots};
 
 /// Runs that are remembered as gone, so that late news of them is known to be
 /// old. A VM sees a few runs a day.
@@ -58,6 +58,10 @@
 }
 
 impl Run {
+    fn id(&self) -> RunId {
+        RunId::of(&self.server, self.born)
+    }
+
     /// Tells whether this run is of the same server and started later, by what
     /// both say of their start.
     fn follows(&self, other: &Self) -> bool {
@@ -89,6 +93,11 @@
         self.present.as_ref().map(|present| &present.run.server)
     }
 
+    /// Returns the run that is present.
+    pub fn run(&self) -> Option<RunId> {
+        self.present.as_ref().map(|present| present.run.id())
+    }
+
     /// Takes an announcement.
     pub fn announce(&mut self, news: &Announcement) -> Presented {
         let run = Run {
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -18,6 +18,9 @@
 pub enum Pick {
     /// Send the call there.
     Target(Instance),
+    /// No server has room below the rate that it named; the call may wait there,
+    /// where there is some first.
+    Wait(Instance),
     /// Every target is known to refuse work of this level.
     Refused(Level),
     /// There is no target that can be reached.
@@ -44,7 +47,7 @@
 }
 
 impl Choice<'_> {
-    fn is_open(&self, target: &Target) -> bool {
+    pub(super) fn is_open(&self, target: &Target) -> bool {
         target.state == TargetState::Serving && !self.tried.contains(&target.instance)
     }
 
@@ -53,6 +56,7 @@
             && self.want.avoid != Some(target.instance)
             && self.ejector.admits(now, target.instance)
             && !target.is_faulty(now, self.least)
+            && target.has_room(now)
     }
 }
 
@@ -83,6 +87,20 @@
     })
 }
 
+/// Chooses the target that has room first of those whose servers have named a
+/// rate and have none now, if there are any.
+pub(super) fn first_room(now: Instant, choice: Choice<'_>) -> Option<Pick> {
+    let all = || choice.near.iter().chain(choice.far);
+    let full = || all().filter(|t| choice.is_open(t) && !t.has_room(now));
+    let first = full().min_by_key(|target| target.wait(now))?;
+    let demand = mean(now, full(), choice.want.protected)?;
+    let level = demand.of(choice.want.level.rank());
+    if choice.want.level < level {
+        return Some(Pick::Refused(level));
+    }
+    Some(Pick::Wait(first.instance))
+}
+
 /// Returns the mean of what some targets demand, if there are any.
 fn mean<'t>(
     now: Instant,
@@ -135,7 +153,7 @@
         (Some(target), None) | (None, Some(target)) => Pick::Target(target.instance),
         (None, None) => match near_demands.into_iter().chain(far_demands).min() {
             Some(level) => Pick::Refused(level),
-            None => last_resort(choice, rng),
+            None => first_room(now, choice).unwrap_or_else(|| last_resort(choice, rng)),
         },
     }
 }
--- a/src/policy/route/table.rs
+++ b/src/policy/route/table.rs
@@ -1,6 +1,7 @@
 //! The targets of one service, as one entry uses them.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use rand::Rng;
 use tokio::time::Instant;
@@ -121,7 +122,12 @@
         tried: &[Instance],
         rng: &mut R,
     ) -> Pick {
-        let choice = Choice {
+        let found = pick(now, self.choice(now, want, tried), rng);
+        self.count(found)
+    }
+
+    fn choice<'a>(&'a self, now: Instant, want: Want, tried: &'a [Instance]) -> Choice<'a> {
+        Choice {
             least: self.least_faults(now),
             tried,
             near: &self.near,
@@ -129,14 +135,25 @@
             ejector: &self.ejector,
             want,
             by_time: self.usual.is_some(),
-        };
-        let found = pick(now, choice, rng);
-        if let Pick::Target(instance) = found {
+        }
+    }
+
+    /// Counts a call as sent to what was found.
+    fn count(&mut self, found: Pick) -> Pick {
+        if let Pick::Target(instance) | Pick::Wait(instance) = found {
             self.sent(instance);
         }
         found
     }
 
+    /// Returns how long calls wait for the rates that servers named, where none
+    /// that serves has room.
+    pub fn wait(&self, now: Instant) -> Option<Duration> {
+        let serving = self.targets().filter(|t| t.state == TargetState::Serving);
+        let least = serving.map(|target| target.wait(now)).min();
+        least.filter(|wait| !wait.is_zero())
+    }
+
     /// Returns the smallest share of calls that any serving target fails by
     /// itself.
     fn least_faults(&self, now: Instant) -> f64 {
@@ -151,7 +168,7 @@
     }
 
     /// Chooses again among targets that a call has been refused by, the one
-    /// with the least load.
+    /// with the least load; the call waits there for a rate, if one was named.
     pub fn choose_among(&mut self, now: Instant, among: &[Instance]) -> Pick {
         let open = self
             .targets()
@@ -162,7 +179,7 @@
         match best {
             Some(instance) => {
                 self.sent(instance);
-                Pick::Target(instance)
+                Pick::Wait(instance)
             }
             None => Pick::Nothing,
         }
--- a/src/policy/route/target.rs
+++ b/src/policy/route/target.rs
@@ -58,6 +58,8 @@
     level: Heard,
     below: Heard,
     classes: RankSet,
+    /// When there is room below the rate that its server named, if it did.
+    room: Option<Instant>,
     rejects: f64,
     faults: Option<(f64, Instant)>,
     pace: Pace,
@@ -76,6 +78,7 @@
             level: Heard::default(),
             below: Heard::default(),
             classes: RankSet::default(),
+            room: None,
             rejects: 0.0,
             faults: None,
             pace: Pace::default(),
@@ -106,11 +109,24 @@
         self.below.hear(now, news.demand.below);
         self.classes = news.demand.classes;
         self.faults = Some((news.faults.share(), now));
+        let rate = news.told.and_then(|told| told.rate);
+        self.room = rate.map(|_| now + news.room);
         if news.leaving {
             self.state = TargetState::Leaving;
         }
     }
 
+    /// Returns how long a call waits there for the rate that its server named.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let room = self.room.unwrap_or(now);
+        room.saturating_duration_since(now)
+    }
+
+    /// Tells whether a call goes to its server without a wait for its rate.
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.wait(now).is_zero()
+    }
+
     /// Takes note of whether its backend server refused a call by itself.
     pub fn rejected(&mut self, rejected: bool) {
         let sign = if rejected { 1.0 } else { 0.0 };
--- /dev/null
+++ b/src/tables/notices.rs
@@ -0,0 +1,68 @@
+//! What backend servers have said of themselves, as this daemon's entry was told.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::model::Told;
+
+/// Most servers that are remembered; the one heard of longest ago goes first.
+const MAX_KNOWN: usize = 1024;
+/// How long what was told is told back; a guard that starts again hears of it
+/// from the first call.
+const KEPT: Duration = Duration::from_secs(600);
+
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    told: Told,
+    at: Instant,
+}
+
+/// What backend servers have said of themselves, by the VM they are on.
+///
+/// It outlives the guards that told it: a guard that has started again beside
+/// the same run of its server has not heard it yet.
+#[derive(Debug, Default)]
+pub struct Notices {
+    by_vm: Mutex<HashMap<SocketAddr, Notice>>,
+}
+
+impl Notices {
+    /// Takes what the guard at `address` told; nothing if its server is in no
+    /// need and stays.
+    pub fn hear(&self, address: SocketAddr, told: Option<Told>) {
+        let mut by_vm = self.by_vm.lock();
+        let Some(told) = told else {
+            // Answers may be older than a server's word that it leaves.
+            if !by_vm.get(&address).is_some_and(|known| known.told.leaving) {
+                by_vm.remove(&address);
+            }
+            return;
+        };
+        let known = by_vm.get(&address).map(|known| known.told);
+        let same = known.filter(|known| known.run == told.run);
+        let leaving = told.leaving || same.is_some_and(|known| known.leaving);
+        if known.is_none() && by_vm.len() >= MAX_KNOWN {
+            remove_oldest(&mut by_vm);
+        }
+        let (told, at) = (Told { leaving, ..told }, Instant::now());
+        by_vm.insert(address, Notice { told, at });
+    }
+
+    /// Returns what the server on the VM of `address` has said of itself.
+    pub fn of(&self, address: SocketAddr) -> Option<Told> {
+        let by_vm = self.by_vm.lock();
+        let known = by_vm.get(&address)?;
+        (known.at.elapsed() < KEPT).then_some(known.told)
+    }
+}
+
+fn remove_oldest(by_vm: &mut HashMap<SocketAddr, Notice>) {
+    let oldest = by_vm.iter().min_by_key(|(_, known)| known.at);
+    if let Some(address) = oldest.map(|(address, _)| *address) {
+        by_vm.remove(&address);
+    }
+}
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    Calls, Current, Decisions, Homes, Journal, Rates, Readiness, Routes, Splits, Suspects,
+    Calls, Current, Decisions, Homes, Journal, Notices, Rates, Readiness, Routes, Splits, Suspects,
 };
 use crate::call::Protocol;
 use crate::config::Config;
@@ -42,6 +42,8 @@
     pub calls: Arc<Calls>,
     /// Requests that were under way at crashes.
     pub suspects: Suspects,
+    /// What backend servers have said of themselves.
+    pub notices: Notices,
     /// Credit of workspaces.
     pub rates: Rates,
     /// Recent decisions.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -26,6 +26,7 @@
         workspace: None,
         deadline,
         expires: deadline,
+        waits: true,
     }
 }
 
--- a/tests/fair_share/load.rs
+++ b/tests/fair_share/load.rs
@@ -156,6 +156,7 @@
             workspace: asker.id,
             deadline: self.now + PATIENCE,
             expires: self.now + PATIENCE,
+            waits: true,
         };
         let work = Work {
             place,
--- a/tests/fair_share/main.rs
+++ b/tests/fair_share/main.rs
@@ -224,6 +224,7 @@
         workspace: None,
         deadline,
         expires: deadline,
+        waits: true,
     }
 }
 
--- a/tests/front/world.rs
+++ b/tests/front/world.rs
@@ -235,6 +235,7 @@
             workspace: None,
             deadline,
             expires: deadline,
+            waits: true,
         };
         let (decision, events) = self.admission.arrive(self.at(now), call);
         match decision {
--- /dev/null
+++ b/tests/limited_admission.rs
@@ -0,0 +1,186 @@
+//! Admission to a backend server that has named how many calls a second it takes.
+//!
+//! The load answered here: more calls than the rate, of several classes, while
+//! other servers of the service have room or none has. Callers need those that fit
+//! elsewhere to be sent there at once; where nothing fits, the most important to be
+//! served first, nobody to wait for an answer that comes too late, and a refusal to
+//! say when there will be room.
+
+#![allow(missing_docs)]
+
+use std::time::Duration;
+
+use bramleymount::model::{ClassRank, Depth, NamedRate, Priority, Rate, RootId, Slots};
+use bramleymount::policy::admission::{
+    Admission, Decision, Event, Outcome, Settings, Shed, Token, Waiting,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const LEFT: Duration = Duration::from_secs(6);
+
+fn call(token: u64, rank: usize, now: Instant) -> Waiting {
+    let root = RootId::new(u128::from(token));
+    Waiting {
+        token: Token(token),
+        priority: Priority::new(ClassRank::new(rank), Depth::new(0), root),
+        workspace: None,
+        deadline: now + LEFT,
+        expires: now + LEFT,
+        waits: true,
+    }
+}
+
+/// A server of many slots that takes ten calls a second; rank 0 is protected.
+fn limited(now: Instant) -> Admission {
+    let settings = Settings {
+        slots: Slots::new(119),
+        cold: false,
+        protected: Some(ClassRank::new(0)),
+    };
+    let mut guard = Admission::new(now, settings);
+    let rate = NamedRate::Some(Rate::per_second(10.0));
+    assert!(guard.hear_rate(now, now, rate));
+    guard
+}
+
+fn started(events: &[Event]) -> Vec<u64> {
+    let started = events.iter().filter_map(|event| match event {
+        Event::Start(token) => Some(token.0),
+        Event::Shed(..) => None,
+    });
+    started.collect()
+}
+
+/// Lets calls start as the gate does until `now` + `time`, each ended at once.
+fn run(guard: &mut Admission, now: &mut Instant, time: Duration) -> Vec<u64> {
+    let end = *now + time;
+    let mut order = Vec::new();
+    while let Some(next) = guard.next_start(*now).filter(|next| *next <= end) {
+        *now = next;
+        let tokens = started(&guard.expire(*now));
+        for token in &tokens {
+            guard.finish(*now, Token(*token), Outcome::Answered);
+        }
+        order.extend(tokens);
+    }
+    *now = end;
+    order
+}
+
+#[test]
+fn arrive_sends_away_what_may_go_elsewhere() {
+    let now = Instant::now();
+    let mut guard = limited(now);
+    for token in 0..200 {
+        let call = Waiting {
+            waits: false,
+            ..call(token, 1, now)
+        };
+        let (decision, events) = guard.arrive(now, call);
+        assert_eq!(decision, Decision::Shed(Shed::Limited));
+        assert!(events.is_empty());
+    }
+    // That others take them is no sign of more work than the service can do.
+    let later = now + Duration::from_secs(1);
+    let (decision, _) = guard.arrive(later, call(200, 1, later));
+    assert_eq!(decision, Decision::Start);
+    assert_eq!(guard.news(later).demand.level.get(), 0);
+}
+
+#[test]
+fn arrive_starts_waiting_calls_by_class_at_the_rate() {
+    let mut now = Instant::now();
+    let mut guard = limited(now);
+    for (token, rank) in [(1, 2), (2, 1), (3, 0), (4, 1), (5, 0)] {
+        let (decision, events) = guard.arrive(now, call(token, rank, now));
+        assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
+        assert!(events.is_empty());
+    }
+    let order = run(&mut guard, &mut now, Duration::from_millis(520));
+    let rank = |token: &u64| [2, 1, 0, 1, 0][*token as usize - 1];
+    let ranks: Vec<usize> = order.iter().map(rank).collect();
+    assert_eq!(ranks, [0, 0, 1, 1, 2]);
+}
+
+/// At ten a second, a class that is not protected waits for a quarter of its time
+/// and a protected one for all of it.
+#[rstest]
+#[case::plain(1, 15)]
+#[case::protected(0, 60)]
+fn arrive_refuses_at_once_what_could_not_start_in_time(#[case] rank: usize, #[case] most: usize) {
+    let now = Instant::now();
+    let mut guard = limited(now);
+    let decisions = (0..80).map(|token| {
+        let (decision, events) = guard.arrive(now, call(token, rank, now));
+        // In one class some waiting ones may be given up for others.
+        let given_up = events.len();
+        (matches!(decision, Decision::Wait(_)), given_up)
+    });
+    let (mut waiting, mut given_up) = (0, 0);
+    for (waits, late) in decisions {
+        waiting += usize::from(waits);
+        given_up += late;
+    }
+    assert!(
+        (most - 1..=most).contains(&(waiting - given_up)),
+        "{waiting} {given_up}"
+    );
+    let wait = guard.return_after(now, &mut SmallRng::seed_from_u64(1));
+    let true_wait = Duration::from_millis(100) * most as u32;
+    assert!(wait >= true_wait.mul_f64(0.9), "{wait:?}");
+    assert!(wait <= true_wait.mul_f64(1.6), "{wait:?}");
+}
+
+#[test]
+fn arrive_gives_up_the_least_important_for_more_important_ones() {
+    let now = Instant::now();
+    let mut guard = limited(now);
+    for token in 0..10 {
+        guard.arrive(now, call(token, 2, now));
+    }
+    let mut given_up = Vec::new();
+    for token in 100..120 {
+        let (decision, events) = guard.arrive(now, call(token, 0, now));
+        assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
+        given_up.extend(events);
+    }
+    assert_eq!(given_up.len(), 10);
+    assert!(
+        given_up
+            .iter()
+            .all(|event| matches!(event, Event::Shed(Token(0..10), Shed::Limited)))
+    );
+}
+
+/// All servers of a service in need: the level rises, so that callers and trees
+/// above are refused where they begin.
+#[test]
+fn level_rises_where_nothing_else_has_room() {
+    let mut now = Instant::now();
+    let mut guard = limited(now);
+    for token in 0..400 {
+        now += Duration::from_millis(10);
+        guard.arrive(now, call(token, 1, now));
+        for event in guard.expire(now) {
+            if let Event::Start(token) = event {
+                guard.finish(now, token, Outcome::Answered);
+            }
+        }
+    }
+    let level = guard.news(now).demand.level;
+    assert_eq!(level.rank(), ClassRank::new(1), "{level}");
+}
+
+#[test]
+fn forget_lets_calls_of_another_run_start() {
+    let now = Instant::now();
+    let mut guard = limited(now);
+    let (decision, _) = guard.arrive(now, call(1, 1, now));
+    assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
+    guard.forget(Slots::new(119));
+    assert_eq!(started(&guard.expire(now)), [1]);
+    assert_eq!(guard.room(now), Duration::ZERO);
+}
--- /dev/null
+++ b/tests/limited_targets.rs
@@ -0,0 +1,126 @@
+//! Choice between backend servers some of which take few calls a second.
+//!
+//! The load answered here: servers in need name a rate and have no room below it
+//! most of the time. Callers need their calls to go to servers that have room, in
+//! other data centres too; where none has, to the one that has some first, unless
+//! less important work is refused there anyway.
+
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bramleymount::model::{
+    CentreName, ClassRank, Demand, GuardNews, Instance, Level, Rate, RunId, Slots, StartStamp, Told,
+};
+use bramleymount::policy::route::{Pick, Report, Table, Target, Want};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+fn centre(name: &str) -> CentreName {
+    name.parse().expect("a name")
+}
+
+fn instance(n: u16) -> Instance {
+    let address = SocketAddr::from(([10, 0, 0, 1], n));
+    Instance::new(address, StartStamp::new(1, 0))
+}
+
+/// Two near targets and a far one.
+fn table() -> Table {
+    let mut table = Table::new(centre("near"));
+    let target = |n, at: &str| Target::new(instance(n), centre(at), Slots::new(27));
+    table.update(vec![target(1, "near"), target(2, "near"), target(3, "far")]);
+    table
+}
+
+fn want() -> Want {
+    Want {
+        level: Level::new(ClassRank::new(1), 0),
+        protected: false,
+        avoid: None,
+    }
+}
+
+fn told(table: &mut Table, now: Instant, n: u16, room_ms: u64, level: Level) {
+    let news = GuardNews {
+        demand: Demand {
+            level,
+            ..Demand::default()
+        },
+        told: Some(Told {
+            run: RunId::new(u64::from(n)),
+            rate: Some(Rate::per_second(5.0)),
+            leaving: false,
+        }),
+        room: Duration::from_millis(room_ms),
+        ..GuardNews::default()
+    };
+    table.sent(instance(n));
+    table.report(now, instance(n), Report::Heard(news));
+}
+
+#[test]
+fn choose_passes_over_targets_without_room() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    told(&mut table, now, 1, 200, Level::OPEN);
+    for _ in 0..50 {
+        let picked = table.choose(now, want(), &mut rng);
+        assert!(
+            matches!(picked, Pick::Target(i) if i != instance(1)),
+            "{picked:?}"
+        );
+    }
+    told(&mut table, now, 2, 200, Level::OPEN);
+    let picked = table.choose(now, want(), &mut rng);
+    assert_eq!(picked, Pick::Target(instance(3)));
+}
+
+#[test]
+fn choose_uses_a_target_again_once_it_has_room() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    told(&mut table, now, 1, 200, Level::OPEN);
+    let later = now + Duration::from_millis(200);
+    let picked: Vec<_> = (0..50)
+        .map(|_| table.choose(later, want(), &mut rng))
+        .collect();
+    assert!(picked.contains(&Pick::Target(instance(1))));
+}
+
+#[test]
+fn choose_waits_where_there_is_room_first() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    for (n, room) in [(1, 300), (2, 100), (3, 200)] {
+        told(&mut table, now, n, room, Level::OPEN);
+    }
+    assert_eq!(table.choose(now, want(), &mut rng), Pick::Wait(instance(2)));
+    assert_eq!(table.wait(now), Some(Duration::from_millis(100)));
+}
+
+#[test]
+fn choose_refuses_by_class_where_none_has_room() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    let level = Level::new(ClassRank::new(0), 0);
+    for n in [1, 2, 3] {
+        told(&mut table, now, n, 300, level);
+    }
+    assert_eq!(table.choose(now, want(), &mut rng), Pick::Refused(level));
+    let urgent = Want { level, ..want() };
+    let picked = table.choose(now, urgent, &mut rng);
+    assert!(matches!(picked, Pick::Wait(_)), "{picked:?}");
+}
+
+#[test]
+fn hear_ends_the_wait_where_the_server_names_no_rate() {
+    let (mut table, now) = (table(), Instant::now());
+    for n in [1, 2, 3] {
+        told(&mut table, now, n, 300, Level::OPEN);
+    }
+    table.report(now, instance(2), Report::Heard(GuardNews::default()));
+    assert_eq!(table.wait(now), None);
+}
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -6,7 +6,8 @@
 
 use bramleymount::call::{Attempt, CallHead, Meaning, Origin, Protocol, Reason, Refusal};
 use bramleymount::model::{
-    AttemptId, CallId, ClassRank, Depth, Priority, Retries, RootId, ServerId, ServiceName, Version,
+    AttemptId, CallId, ClassRank, Depth, NamedRate, Priority, Rate, Retries, RootId, ServerId,
+    ServiceName, Version,
 };
 use bramleymount::platform::{PlatformProtocol, read_document};
 use bramleymount::policy::admission::Shed;
@@ -45,6 +46,8 @@
         target: "/a".into(),
         headers,
         fingerprint: None,
+        told: None,
+        waits: false,
     }
 }
 
@@ -145,6 +148,7 @@
 fn refusals() -> Vec<Refusal> {
     let shed = [
         Shed::Overload,
+        Shed::Limited,
         Shed::Downstream,
         Shed::Deadline,
         Shed::Cancelled,
@@ -327,3 +331,40 @@
         .collect();
     assert_eq!(limits, [Some((2.5, 4)), None, None]);
 }
+
+#[rstest]
+#[case::absent(&[], NamedRate::None)]
+#[case::decimal(&["21.9"], NamedRate::Some(Rate::per_second(21.9)))]
+#[case::nothing(&["0"], NamedRate::Some(Rate::per_second(0.0)))]
+#[case::below_one(&[" 0.25 "], NamedRate::Some(Rate::per_second(0.25)))]
+#[case::below_zero(&["-3"], NamedRate::Some(Rate::per_second(0.0)))]
+#[case::huge(&["1e300"], NamedRate::Some(Rate::per_second(1e300)))]
+#[case::endless(&["inf"], NamedRate::Unreadable)]
+#[case::no_number(&["NaN"], NamedRate::Unreadable)]
+#[case::text(&["some"], NamedRate::Unreadable)]
+#[case::empty(&[""], NamedRate::Unreadable)]
+#[case::twice(&["30", "8"], NamedRate::Some(Rate::per_second(8.0)))]
+#[case::once_readable(&["some", "8"], NamedRate::Some(Rate::per_second(8.0)))]
+fn notice_reads_the_rate(#[case] values: &[&'static str], #[case] expected: NamedRate) {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append("server-limit", HeaderValue::from_static(value));
+    }
+    assert_eq!(PlatformProtocol.notice(&headers).rate, expected);
+}
+
+#[rstest]
+#[case::absent(None, false)]
+#[case::said("1", true)]
+#[case::not("0", false)]
+#[case::other("yes", false)]
+fn notice_reads_that_the_server_leaves(
+    #[case] value: impl Into<Option<&'static str>>,
+    #[case] expected: bool,
+) {
+    let mut headers = HeaderMap::new();
+    if let Some(value) = value.into() {
+        headers.insert("server-leaving", HeaderValue::from_static(value));
+    }
+    assert_eq!(PlatformProtocol.notice(&headers).leaving, expected);
+}
--- a/tests/single_calls.rs
+++ b/tests/single_calls.rs
@@ -97,6 +97,7 @@
             workspace: None,
             deadline,
             expires: deadline,
+            waits: true,
         };
         let (decision, events) = self.admission.arrive(self.at(now), call);
         match decision {
