Send nothing more to a backend server that says in its answers that it leaves

Cause: as with the rate, nobody read the word; the guard knew only announcements.

Change: either word counts, whichever comes first, and the one in an answer holds to the end of the run: announcements are late and may be older. The guard drains as for an announced leaving, sheds what waits and tells the estate; the word travels with the news of answers and back with calls, so a guard that starts again beside the run sends nothing on for entries that were told.

--- a/src/guard/notice.rs
+++ b/src/guard/notice.rs
@@ -14,6 +14,11 @@
     /// Takes what an answer to a call says that was sent at `sent`; what it
     /// leaves out counts if it is `in_order`.
     pub(super) fn hear_notice(&self, sent: Instant, notice: Notice, in_order: bool) {
+        if notice.leaving
+            && let Some(run) = self.run()
+        {
+            self.leave_for_good(run);
+        }
         match notice.rate {
             NamedRate::None if !in_order => return,
             NamedRate::Unreadable => self.explain("its rate is no number", None),
@@ -31,6 +36,9 @@
         if self.run() != Some(told.run) {
             return;
         }
+        if told.leaving {
+            self.leave_for_good(told.run);
+        }
         if let Some(rate) = told.rate
             && self.gate.adopt_rate(rate)
         {
@@ -49,12 +57,24 @@
     fn told(&self) -> Option<Told> {
         let rate = self.gate.rate();
         let presence = self.presence.lock();
-        rate?;
+        let leaving = presence.leaves();
+        if rate.is_none() && !leaving {
+            return None;
+        }
         let run = presence.run()?;
-        let leaving = false;
         Some(Told { run, rate, leaving })
     }
 
+    /// Sends a run nothing more that said with an answer that it leaves.
+    fn leave_for_good(&self, run: RunId) {
+        if !self.presence.lock().leave(run) {
+            return;
+        }
+        self.drain();
+        self.shared.announced.notify_one();
+        self.explain("leaves", None);
+    }
+
     fn explain(&self, what: &str, before: Option<Rate>) {
         if !self.shared.decisions.may_log() {
             return;
--- a/src/policy/member/presence.rs
+++ b/src/policy/member/presence.rs
@@ -75,6 +75,9 @@
     run: Run,
     sequence: u64,
     intent: Intent,
+    /// Whether it said with an answer that it leaves, which holds to its end:
+    /// announcements come late, and older ones may say otherwise.
+    leaves: bool,
 }
 
 /// Orders announcements that may come late, twice or from a run that is gone.
@@ -98,6 +101,27 @@
         self.present.as_ref().map(|present| present.run.id())
     }
 
+    /// Tells whether the present run leaves for good: it said so with an answer,
+    /// or has said goodbye.
+    pub fn leaves(&self) -> bool {
+        let mut present = self.present.iter();
+        present.any(|present| present.leaves || self.gone.contains(&present.run))
+    }
+
+    /// Takes note that a run said with an answer that it leaves; returns whether
+    /// that is news of the run that is present.
+    pub fn leave(&mut self, run: RunId) -> bool {
+        let Some(present) = &mut self.present else {
+            return false;
+        };
+        let is_news = present.run.id() == run && !present.leaves;
+        if is_news {
+            present.leaves = true;
+            present.intent = Intent::Leave;
+        }
+        is_news
+    }
+
     /// Takes an announcement.
     pub fn announce(&mut self, news: &Announcement) -> Presented {
         let run = Run {
@@ -113,6 +137,8 @@
             return Presented::Old;
         }
         let before = same.map(|last| last.intent);
+        let leaves = same.is_some_and(|last| last.leaves);
+        let intent = if leaves { Intent::Leave } else { news.intent };
         if before.is_none()
             && let Some(replaced) = self.present.take()
         {
@@ -121,9 +147,10 @@
         self.present = Some(Present {
             run,
             sequence: news.sequence,
-            intent: news.intent,
+            intent,
+            leaves,
         });
-        match (news.intent, before) {
+        match (intent, before) {
             (Intent::Leave, _) => Presented::Leaving,
             (Intent::Serve, Some(Intent::Serve)) => Presented::Renewed,
             (Intent::Serve, Some(Intent::Leave)) => Presented::Stays,
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -170,3 +170,33 @@
     assert!(presence.depart(&id("a"), Some(Born::from_millis(2_000))));
     assert!(!presence.serves());
 }
+
+/// A server's word in its answers comes before its announcements, which may be
+/// late.
+#[test]
+fn leave_holds_against_later_announcements_of_the_run() {
+    let mut presence = Presence::default();
+    presence.announce(&serve("a", 3));
+    let run = presence.run().expect("a run");
+    assert!(presence.leave(run));
+    assert!(!presence.leave(run));
+    assert!(presence.leaves() && !presence.serves());
+    assert_eq!(presence.announce(&serve("a", 4)), Presented::Leaving);
+    assert!(!presence.serves());
+    assert_eq!(presence.announce(&serve("b", 1)), Presented::Arrived);
+    assert!(presence.serves() && !presence.leaves());
+}
+
+#[test]
+fn leave_is_of_one_run_of_a_server() {
+    let mut presence = Presence::default();
+    let born = |millis| Announcement {
+        born: Some(Born::from_millis(millis)),
+        ..serve("a", 1)
+    };
+    presence.announce(&born(1));
+    let first = presence.run().expect("a run");
+    presence.announce(&born(2));
+    assert!(!presence.leave(first));
+    assert!(presence.serves());
+}
