Keep a server's word at entries until the server answers without it

Cause: the entry forgot the word at the first refusal of the new guard, which had not heard its server yet and so had nothing to tell. Now only an answer of the server clears it.

--- a/src/entry/sending.rs
+++ b/src/entry/sending.rs
@@ -43,9 +43,12 @@
             }
             None => Report::Failed,
         };
-        if let Some(news) = news {
-            let notices = &self.forward.context.shared.notices;
-            notices.hear(self.target.address, news.told);
+        let notices = &self.forward.context.shared.notices;
+        match (result, news.and_then(|news| news.told)) {
+            (_, Some(told)) => notices.hear(self.target.address, told),
+            (Ok(_), None) => notices.hear_none(self.target.address),
+            // A guard that refuses may not have heard its server yet.
+            (Err(_), None) => {}
         }
         let now = Instant::now();
         self.forward.table(|table| {
--- a/src/tables/notices.rs
+++ b/src/tables/notices.rs
@@ -31,17 +31,19 @@
 }
 
 impl Notices {
-    /// Takes what the guard at `address` told; nothing if its server is in no
-    /// need and stays.
-    pub fn hear(&self, address: SocketAddr, told: Option<Told>) {
+    /// Takes note that the server on the VM of `address` has answered, and has
+    /// nothing to say of itself.
+    pub fn hear_none(&self, address: SocketAddr) {
+        let mut by_vm = self.by_vm.lock();
+        // Answers may be older than a server's word that it leaves.
+        if by_vm.get(&address).is_some_and(|known| !known.told.leaving) {
+            by_vm.remove(&address);
+        }
+    }
+
+    /// Takes what the guard at `address` told of its server.
+    pub fn hear(&self, address: SocketAddr, told: Told) {
         let mut by_vm = self.by_vm.lock();
-        let Some(told) = told else {
-            // Answers may be older than a server's word that it leaves.
-            if !by_vm.get(&address).is_some_and(|known| known.told.leaving) {
-                by_vm.remove(&address);
-            }
-            return;
-        };
         let known = by_vm.get(&address).map(|known| known.told);
         let same = known.filter(|known| known.run == told.run);
         let leaving = told.leaving || same.is_some_and(|known| known.leaving);
--- a/tests/server_leaving.rs
+++ b/tests/server_leaving.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use support::hosted::{document, store, vm};
+use support::eventually;
+use support::hosted::{document, store, vm, vm_beside};
 
 /// Time from which on a leaving server may get nothing more.
 const DRAINED: Duration = Duration::from_secs(2);
@@ -37,3 +38,32 @@
     let late = vm.seen.count(told + DRAINED, Instant::now(), &["svc"]);
     assert_eq!(late, 0);
 }
+
+// Guards against a daemon that starts again beside a server that leaves, and takes
+// a late announcement for a server that stays, though entries know better.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guard_that_starts_again_hears_from_entries_that_its_server_leaves() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let leaver = vm("svc", address).await;
+    leaver.announce("ready", 1).await;
+    let entry = vm_beside("till", address).await;
+    entry.wait_ready().await;
+    leaver.seen.say(&[("server-leaving", "1")]);
+    eventually("the word", || async {
+        let answer = entry.ask(Method::GET, "/read/1", "r1").await;
+        (answer.status == StatusCode::OK).then_some(())
+    })
+    .await;
+    let leaver = leaver.restart().await;
+    leaver.announce("ready", 2).await;
+    let before = leaver.seen.arrivals.lock().len();
+    let refused = eventually("a call that meets the guard", || async {
+        let answer = entry.ask(Method::GET, "/read/2", "r2").await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        text.contains("leaving").then_some(answer.status)
+    })
+    .await;
+    assert_eq!(refused, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(leaver.seen.arrivals.lock().len(), before);
+}
--- a/tests/server_limit.rs
+++ b/tests/server_limit.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use bramleymount::policy::route::TargetState;
+use http::Method;
 use support::eventually;
 use support::hosted::{Vm, document, store, vm, vm_beside};
 use support::load::reads;
@@ -66,7 +67,7 @@
     needy.seen.say(&[("server-limit", "10.0")]);
     let start = Instant::now();
     let entries: Vec<_> = entries.iter().collect();
-    let ends = reads(&entries, 120, WINDOW + TOLD * 2).await;
+    let ends = reads(&entries, "/read/", 120, WINDOW + TOLD * 2).await;
     let most = needy.seen.most(start + TOLD, WINDOW, &origins);
     assert!(most <= allowed(10.0), "it got {most} in 4 s");
     // It is in need, not gone: what it takes is used.
@@ -74,3 +75,115 @@
     assert_eq!(ends.served, ends.all(), "{ends:?}");
     assert!(sound.seen.arrivals.lock().len() > ends.all() / 2);
 }
+
+// Guards against a daemon that starts again beside a server in need and lets a
+// queue go before its first answer, though the entries had been told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guard_that_starts_again_keeps_the_limit() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let (needy, _sound) = (server(address).await, server(address).await);
+    let entry = entry("till", address, 2).await;
+    needy.seen.say(&[("server-limit", "3")]);
+    let start = Instant::now();
+    let load = async |time| reads(&[&entry], "/read/late-", 100, time).await;
+    load(TOLD * 3).await;
+    let needy = needy.restart().await;
+    let beats = async {
+        eventually("its daemon", || async {
+            (needy.announce("ready", 2).await.status == 200).then_some(())
+        })
+        .await;
+    };
+    // More than the other server can do, so that calls wait for this one.
+    let (ends, ()) = tokio::join!(load(WINDOW), beats);
+    let again = needy
+        .seen
+        .count(start + TOLD * 3, Instant::now(), &["till"]);
+    assert!(again > 3, "it got {again} after the start");
+    let most = needy.seen.most(start + TOLD, WINDOW, &["till"]);
+    assert!(most <= allowed(3.0), "it got {most} in 4 s");
+    assert_eq!(ends.failed, 0, "{ends:?}");
+}
+
+/// A document whose reads of `/read/` go before those of `/low/`.
+fn two_classes() -> String {
+    let route = |path: &str, priority: u32| {
+        format!(
+            r#""r-{path}":{{"authority":"a.example","pathPrefix":"/{path}/",
+            "routeType":"idempotent","timeoutS":4,"goalS":1,"priority":{priority},
+            "upstream":"svc","attempts":2}}"#
+        )
+    };
+    format!(
+        r#"{{"version":7,"routes":{{{},{}}},
+        "services":{{"svc":{{"healthPath":"/h","maxConns":100}}}}}}"#,
+        route("read", 0),
+        route("low", 2)
+    )
+}
+
+// Guards against refusals by chance, and against callers told to come back when
+// there is no room yet, where all servers of a service are in need.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_that_fit_nowhere_wait_and_are_refused_by_class() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &two_classes());
+    let servers = [server(address).await, server(address).await];
+    let origins = ["till", "desk"];
+    let entries = [
+        entry(origins[0], address, 2).await,
+        entry(origins[1], address, 2).await,
+    ];
+    for server in &servers {
+        server.seen.say(&[("server-limit", "12")]);
+    }
+    let entries: Vec<_> = entries.iter().collect();
+    let start = Instant::now();
+    let time = WINDOW + TOLD * 2;
+    // Together the servers take 24 a second, and one more a class at the start.
+    let (high, low) = tokio::join!(
+        reads(&entries, "/read/", 18, time),
+        reads(&entries, "/low/", 60, time)
+    );
+    assert!(high.served * 100 >= high.all() * 97, "{high:?}");
+    assert!(low.served > 0 && low.refused * 2 > low.all(), "{low:?}");
+    assert_eq!((high.failed, low.failed), (0, 0));
+    assert!(low.told.len() >= low.refused, "all are told when to return");
+    for server in &servers {
+        let most = server.seen.most(start + TOLD, WINDOW, &origins);
+        assert!(most <= allowed(12.0), "it got {most} in 4 s");
+        let mut ids: Vec<_> = server
+            .seen
+            .arrivals
+            .lock()
+            .iter()
+            .map(|a| a.id.clone())
+            .collect();
+        let all = ids.len();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), all, "a call came twice");
+    }
+}
+
+// Guards against a limit that outlives the need.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_ends_once_answers_no_longer_name_it() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let needy = server(address).await;
+    let entry = entry("till", address, 1).await;
+    needy.seen.say(&[("server-limit", "0")]);
+    reads(&[&entry], "/read/a", 20, TOLD).await;
+    needy.seen.say(&[]);
+    // A server that takes nothing is asked now and then.
+    eventually("the end of the need", || async {
+        entry.ask(Method::GET, "/read/b", "b").await;
+        needy.daemon.guard().gate().rate().is_none().then_some(())
+    })
+    .await;
+    tokio::time::sleep(TOLD).await;
+    let ends = reads(&[&entry], "/read/c", 100, TOLD).await;
+    assert_eq!(ends.served, ends.all(), "{ends:?}");
+}
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -66,6 +66,9 @@
     }
 }
 
+/// How long the answers to `/late-` take.
+const LATE: Duration = Duration::from_millis(300);
+
 struct Working<'s>(&'s AtomicUsize);
 
 impl Drop for Working<'_> {
@@ -106,6 +109,9 @@
     seen.heads.lock().push(head.headers.clone());
     seen.working.fetch_add(1, Ordering::SeqCst);
     let _working = Working(&seen.working);
+    if path.contains("/late-") {
+        tokio::time::sleep(LATE).await;
+    }
     if path.ends_with("/slow") {
         tokio::time::sleep(Duration::from_secs(20)).await;
     }
@@ -128,6 +134,7 @@
     pub service: String,
     /// Where its backend server listens.
     pub backend: SocketAddr,
+    settings: String,
     running: Option<Listening>,
 }
 
@@ -147,6 +154,15 @@
     vm
 }
 
+async fn daemon(settings: &str) -> Daemon {
+    eventually("the daemon's addresses", || async {
+        let config = Config::parse(Path::new("settings.yaml"), settings.as_bytes());
+        let config = config.unwrap_or_else(|e| panic!("{e}"));
+        Daemon::start(config).await.ok()
+    })
+    .await
+}
+
 /// Starts the daemon of a VM whose backend server is started elsewhere.
 pub async fn vm_beside(service: &str, store: SocketAddr) -> Vm {
     vm_beside_with(service, store, "").await
@@ -163,10 +179,8 @@
          announcements: {announcements}\n  readiness: {readiness}\ngrace: 6s\n{lines}\n",
         port(),
     );
-    let config = Config::parse(Path::new("settings.yaml"), text.as_bytes());
-    let config = config.unwrap_or_else(|e| panic!("{e}"));
     Vm {
-        daemon: Daemon::start(config).await.expect("a daemon"),
+        daemon: daemon(&text).await,
         callers,
         announcements,
         readiness,
@@ -175,11 +189,19 @@
         server: format!("i-{}", backend.port()),
         service: service.into(),
         backend,
+        settings: text,
         running: None,
     }
 }
 
 impl Vm {
+    /// Kills the daemon and starts it again beside the server, which runs on.
+    pub async fn restart(mut self) -> Self {
+        self.daemon.kill();
+        self.daemon = daemon(&self.settings).await;
+        self
+    }
+
     pub async fn announce(&self, state: &str, sequence: u64) -> Answer {
         let more = format!(r#""state":"{state}","coldLeftS":0,"sequence":{sequence}"#);
         self.announce_with(&more).await
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -8,11 +8,13 @@
 use super::hosted::Vm;
 
 /// Requests that callers sent, by how they ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ends {
     pub served: usize,
     pub refused: usize,
     pub failed: usize,
+    /// When callers were told to come back.
+    pub told: Vec<Duration>,
 }
 
 impl Ends {
@@ -21,24 +23,27 @@
     }
 }
 
-/// Sends reads to the entries in turn, so many a second, and waits for all
-/// answers.
-pub async fn reads(entries: &[&Vm], per_second: u32, time: Duration) -> Ends {
+/// Sends reads of paths that begin with `path` to the entries in turn, so many a
+/// second, and waits for all answers.
+pub async fn reads(entries: &[&Vm], path: &str, per_second: u32, time: Duration) -> Ends {
     let gap = Duration::from_secs(1) / per_second;
     let count = (time.as_secs_f64() * f64::from(per_second)) as usize;
     let asks = (0..count).map(async |n| {
         tokio::time::sleep(gap * n as u32).await;
         let entry = entries[n % entries.len()];
-        let (path, id) = (format!("/read/{n}"), format!("r{n}"));
-        entry.ask(Method::GET, &path, &id).await.status
+        let (path, id) = (format!("{path}{n}"), format!("{path}{n}"));
+        let answer = entry.ask(Method::GET, &path, &id).await;
+        (answer.status, answer.headers.get("retry-after").cloned())
     });
     let mut ends = Ends::default();
-    for status in join_all(asks).await {
+    for (status, after) in join_all(asks).await {
         match status {
             StatusCode::OK => ends.served += 1,
             StatusCode::SERVICE_UNAVAILABLE => ends.refused += 1,
             _ => ends.failed += 1,
         }
+        let after = after.and_then(|after| after.to_str().ok()?.parse().ok());
+        ends.told.extend(after.map(Duration::from_secs_f64));
     }
     ends
 }
