Judge the level of a limited guard by a second of calls

Callers of the more important class were refused (6 of 90) while the server's rate had room for all of them: with all servers of a service in need, a guard that takes 12 calls a second closed its windows after 250 ms, with three calls in each, and cut through the protected class by chance; its queue was held to 0.4 s of calls where calls may wait for a quarter of their time.

Change: where the server has named a rate, a window lasts up to a second and the level aims at half a second of calls waiting. Ruled out: entries that hear old levels (the refused ones met the level of the moment).

--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -14,7 +14,7 @@
 use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
 
 /// Longest wait of a call that is not protected.
-pub(super) const MAX_WAIT: Duration = Duration::from_millis(200);
+const MAX_WAIT: Duration = Duration::from_millis(200);
 /// Time that a full queue takes to be served.
 const QUEUE_TIME: Duration = Duration::from_millis(50);
 /// Least and greatest length of the queue as a share of the limit.
@@ -311,6 +311,7 @@
             waiting: self.queue.len(),
             bound: self.queue_bound(),
             idle: self.queue.is_empty() && self.may_start(now),
+            limited: self.throttle.rate().is_some(),
         };
         self.threshold.tick(now, backlog);
     }
--- a/src/policy/admission/limited.rs
+++ b/src/policy/admission/limited.rs
@@ -8,7 +8,6 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::control::MAX_WAIT;
 use super::{Admission, Decision, Event, Shed, Waiting};
 use crate::model::{NamedRate, Rate};
 
@@ -18,8 +17,9 @@
 const WAIT_PART: u32 = 4;
 /// Calls that may wait for each that may run.
 const MOST_WAITING: usize = 4;
-/// Time of waiting that the level aims at, as the least wait of a full queue.
-const FULL: u32 = 2;
+/// Time that a full queue takes to be served; the level aims at half of it, well
+/// within callers' objectives.
+const QUEUE_TIME: Duration = Duration::from_secs(1);
 /// Shortest time between two looks at calls that wait.
 const LOOK: Duration = Duration::from_millis(10);
 /// Spread of the time after which refused callers may come back, as a multiple
@@ -67,12 +67,12 @@
         !self.throttle.is_open(now)
     }
 
-    /// Returns the calls that wait at a level that is in balance, times two.
+    /// Returns the calls that fill the queue.
     pub(super) fn limited_bound(&self) -> usize {
         let Some(rate) = self.throttle.rate() else {
             return usize::MAX;
         };
-        (rate.get() * (MAX_WAIT * FULL).as_secs_f64()) as usize
+        (rate.get() * QUEUE_TIME.as_secs_f64()) as usize
     }
 
     /// Lets a call wait if it can start in time, and sheds those that no longer
--- a/src/policy/admission/threshold.rs
+++ b/src/policy/admission/threshold.rs
@@ -12,6 +12,8 @@
 const MIN_WINDOW: Duration = Duration::from_millis(50);
 /// Longest window, for guards that see few calls.
 const MAX_WINDOW: Duration = Duration::from_millis(250);
+/// The same where the backend server has named a rate, by which few calls start.
+const LIMITED_WINDOW: Duration = Duration::from_secs(1);
 /// Calls that make a window long enough.
 const ENOUGH: u32 = 20;
 /// Demand that is let through over the measured capacity, so that the queue
@@ -42,6 +44,8 @@
     pub bound: usize,
     /// Whether slots were free just now.
     pub idle: bool,
+    /// Whether calls start at a rate that the backend server named.
+    pub limited: bool,
 }
 
 /// Counts arrivals by level and sets the level that admits what can be served.
@@ -108,7 +112,12 @@
     pub fn tick(&mut self, now: Instant, backlog: Backlog) {
         let age = now.saturating_duration_since(self.opened);
         let idle = backlog.idle && self.shed == 0;
-        let enough = self.started >= ENOUGH || age >= MAX_WINDOW || idle;
+        let longest = if backlog.limited {
+            LIMITED_WINDOW
+        } else {
+            MAX_WINDOW
+        };
+        let enough = self.started >= ENOUGH || age >= longest || idle;
         if age < MIN_WINDOW || !enough {
             return;
         }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -158,6 +158,7 @@
                 waiting: 0,
                 bound: 20,
                 idle: !shed,
+                limited: false,
             },
         );
     };
--- a/tests/limited_admission.rs
+++ b/tests/limited_admission.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use bramleymount::model::{ClassRank, Depth, NamedRate, Priority, Rate, RootId, Slots};
+use bramleymount::model::{ClassRank, Depth, Level, NamedRate, Priority, Rate, RootId, Slots};
 use bramleymount::policy::admission::{
     Admission, Decision, Event, Outcome, Settings, Shed, Token, Waiting,
 };
@@ -54,17 +54,37 @@
     started.collect()
 }
 
+/// Ends at once what has started, and what starts then.
+fn finish(guard: &mut Admission, now: Instant, events: Vec<Event>) -> Vec<u64> {
+    let mut order = started(&events);
+    let mut ended = 0;
+    while let Some(token) = order.get(ended) {
+        let events = guard.finish(now, Token(*token), Outcome::Answered);
+        order.extend(started(&events));
+        ended += 1;
+    }
+    order
+}
+
+/// Lets a call arrive, ended at once if it starts.
+fn arrive(guard: &mut Admission, now: Instant, call: Waiting) {
+    let (decision, mut events) = guard.arrive(now, call);
+    if decision == Decision::Start {
+        events.push(Event::Start(call.token));
+    }
+    finish(guard, now, events);
+    let events = guard.expire(now);
+    finish(guard, now, events);
+}
+
 /// Lets calls start as the gate does until `now` + `time`, each ended at once.
 fn run(guard: &mut Admission, now: &mut Instant, time: Duration) -> Vec<u64> {
     let end = *now + time;
     let mut order = Vec::new();
     while let Some(next) = guard.next_start(*now).filter(|next| *next <= end) {
         *now = next;
-        let tokens = started(&guard.expire(*now));
-        for token in &tokens {
-            guard.finish(*now, Token(*token), Outcome::Answered);
-        }
-        order.extend(tokens);
+        let events = guard.expire(*now);
+        order.extend(finish(guard, *now, events));
     }
     *now = end;
     order
@@ -163,12 +183,7 @@
     let mut guard = limited(now);
     for token in 0..400 {
         now += Duration::from_millis(10);
-        guard.arrive(now, call(token, 1, now));
-        for event in guard.expire(now) {
-            if let Event::Start(token) = event {
-                guard.finish(now, token, Outcome::Answered);
-            }
-        }
+        arrive(&mut guard, now, call(token, 1, now));
     }
     let level = guard.news(now).demand.level;
     assert_eq!(level.rank(), ClassRank::new(1), "{level}");
@@ -184,3 +199,19 @@
     assert_eq!(started(&guard.expire(now)), [1]);
     assert_eq!(guard.room(now), Duration::ZERO);
 }
+
+/// A rate below what two classes ask for together and above what the higher one
+/// does: few calls start in a moment, and the level must not cut the higher one.
+#[test]
+fn level_spares_the_class_that_the_rate_has_room_for() {
+    let mut now = Instant::now();
+    let mut guard = limited(now);
+    let first = Level::new(ClassRank::new(0), 0);
+    for token in 0..600 {
+        now += Duration::from_millis(25);
+        let rank = if token % 6 == 0 { 0 } else { 2 };
+        arrive(&mut guard, now, call(token, rank, now));
+        let level = guard.news(now).demand.level;
+        assert!(level <= first, "{level} at call {token}");
+    }
+}
