Soak: servers that name limits and leave by their answers, counted by where requests began

They now name 0, 0.8, 4.5 or 15 requests a second for 8 to 10 s, whatever else happens to their VM, and some leave with no word but that in their answers. The servers' own counts are judged by the VM at which requests began: in any 4 s of a need one and a half times the limit and five, of VMs that passed the word on half a second before and were not killed, stopped, paused or cut since; and no request sent 2 s after its VM passed on that the server leaves.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -19,6 +19,7 @@
 use crate::estate::{Addresses, SLOTS, deadly_of, service};
 use crate::pipeliner::is_pipelined;
 use crate::record::{Record, Run};
+use crate::words;
 
 /// How often the server announces itself.
 const BEAT: Duration = Duration::from_millis(500);
@@ -41,7 +42,12 @@
     id: String,
     born: u64,
     sequence: u64,
+    /// Whether its announcements say that it leaves.
     leaving: bool,
+    /// Whether its answers do.
+    says_so: bool,
+    /// The requests a second that it takes, while it is in need.
+    limit: Option<f64>,
 }
 
 /// The state that handlers and announcements share.
@@ -105,6 +111,8 @@
             born: 0,
             sequence: 0,
             leaving: false,
+            says_so: false,
+            limit: None,
         };
         Self {
             shared: Arc::new(Shared {
@@ -134,6 +142,8 @@
                 born,
                 sequence: 0,
                 leaving: false,
+                says_so: false,
+                limit: None,
             };
         }
         *self.shared.left.lock() = None;
@@ -180,9 +190,34 @@
         async move { shared.crashed.notified().await }
     }
 
+    /// Names a rate with all answers of this run from now on; returns whether it
+    /// named none before.
+    pub(crate) fn limit(&self, rate: f64) -> bool {
+        self.shared.told.lock().limit.replace(rate).is_none()
+    }
+
+    /// Names no rate any more.
+    pub(crate) fn recover(&self) {
+        let mut told = self.shared.told.lock();
+        told.limit = None;
+        self.shared
+            .record
+            .words
+            .recovered((self.shared.vm, told.born));
+    }
+
+    /// Says with answers alone that the server leaves.
+    pub(crate) fn say_leaving(&self) {
+        self.shared.told.lock().says_so = true;
+    }
+
     /// Says that the server leaves; returns whether that was acknowledged.
     pub(crate) async fn leave(&self, wait: Duration) -> bool {
-        self.shared.told.lock().leaving = true;
+        {
+            let mut told = self.shared.told.lock();
+            told.leaving = true;
+            told.says_so = true;
+        }
         let end = Instant::now() + wait;
         while Instant::now() < end {
             if self.shared.left.lock().is_some() {
@@ -249,7 +284,9 @@
         value.unwrap_or_default().to_owned()
     };
     let (id, meant) = (text("x-request-id"), text("x-expect-instance"));
-    let own = shared.told.lock().id.clone();
+    let told = shared.told.lock().clone();
+    let own = told.id.clone();
+    let server = (shared.vm, told.born);
     let mut answer = caller_text(StatusCode::OK, "text/plain", format!("answer to {id}"));
     let mut put = |name: &'static str, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
@@ -262,6 +299,14 @@
         *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST;
         return answer;
     }
+    put(words::RUN, &words::name(server));
+    if told.says_so {
+        put("server-leaving", "1");
+    }
+    if let Some(rate) = told.limit {
+        shared.record.words.named(server, rate);
+        put("server-limit", &rate.to_string());
+    }
     let path = head.uri.path();
     let deadly = deadly_of(path);
     let rejected = deadly.is_none() && rand::rng().random_ratio(REJECTED, 100);
@@ -273,6 +318,7 @@
     };
     let run = Run {
         vm: shared.vm,
+        server,
         service: service(shared.vm),
         origin: text("x-caller-service"),
         at: Instant::now(),
--- a/examples/soak/caller.rs
+++ b/examples/soak/caller.rs
@@ -148,6 +148,7 @@
         let Ok(body) = body.collect().await else {
             return End::Cut;
         };
+        self.record.words.passed(self.vm, &head.headers);
         let of = head
             .headers
             .get("x-request-id")
--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -12,13 +12,14 @@
 use crate::faults::World;
 use crate::record::{End, Record, Run, Sent};
 use crate::vm::touches;
+use crate::words;
 
 /// How long a VM must have been undisturbed for bounds on time to hold.
-const CONTACT: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT: Duration = Duration::from_secs(3);
 /// Until a version is in force everywhere.
 const IN_FORCE: Duration = Duration::from_millis(2250);
 /// Until a server that leaves gets nothing more.
-const DRAINED: Duration = Duration::from_millis(2000);
+pub(crate) const DRAINED: Duration = Duration::from_millis(2000);
 /// Until the work of a request ends that its caller left.
 const ENDED: Duration = Duration::from_millis(500);
 /// The window in which repeats are counted.
@@ -28,7 +29,7 @@
 const CRASHES: usize = 3;
 const MOST_LATER: usize = 3;
 /// Time of the process that watches, which may be late itself.
-const LATE: Duration = Duration::from_millis(100);
+pub(crate) const LATE: Duration = Duration::from_millis(100);
 
 /// One broken promise.
 #[derive(Clone, Debug)]
@@ -53,6 +54,7 @@
             ("UNASKED", unasked(one)),
             ("CONFIG", config(world, one)),
             ("DRAIN", drain(world, one)),
+            ("DRAIN", words::leaving(world, &record.words, one)),
             ("LOST", lost(world, one)),
         ];
         for (rule, what) in found {
@@ -66,6 +68,7 @@
     }
     broken.extend(gone(world, sent.values()));
     broken.extend(budget(sent.values()));
+    broken.extend(words::limit(world, &record.words, sent.values()));
     broken.extend(deadly(world, record, sent.values()));
     broken.extend(record.held.lock().iter().map(|id| Broken {
         rule: "HELD",
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -21,6 +21,11 @@
 /// Until a server that leaves may end: the platform's bound, and a little more.
 const LEAVING: Duration = Duration::from_millis(2500);
 
+/// How long a server is in need at the least: until the bound holds, and a window.
+const NEED: Duration = Duration::from_secs(8);
+/// The requests a second that servers in need take.
+const LIMITS: [f64; 4] = [0.0, 0.8, 4.5, 15.0];
+
 /// How long a server is away that a request has crashed.
 const CRASHED: Duration = Duration::from_secs(1);
 
@@ -39,12 +44,16 @@
     },
     /// The backend server leaves as planned, and another one comes.
     Replace,
+    /// The same, but only its answers say so.
+    Slip,
+    /// The backend server names how many requests a second it takes.
+    Need,
     Configure {
         count: u32,
     },
 }
 
-const FAULTS: [Fault; 18] = [
+const FAULTS: [Fault; 22] = [
     Fault::Kill,
     Fault::Kill,
     Fault::Terminate,
@@ -62,6 +71,10 @@
     Fault::Crash { same_id: true },
     Fault::Crash { same_id: false },
     Fault::Replace,
+    Fault::Slip,
+    Fault::Need,
+    Fault::Need,
+    Fault::Need,
     Fault::Configure { count: 3 },
 ];
 
@@ -112,6 +125,8 @@
             Fault::Store(trouble) => self.trouble(trouble, time).await,
             Fault::Crash { same_id } => self.crash(vm, same_id, time).await,
             Fault::Replace => self.replace(vm).await,
+            Fault::Slip => self.slip(vm).await,
+            Fault::Need => self.need(vm, time).await,
             Fault::Configure { count } => {
                 for _ in 0..count {
                     self.configure();
@@ -122,11 +137,12 @@
     }
 
     async fn kill(&self, vm: usize, time: Duration) {
-        let place = self.vms[vm].disturb();
+        let (place, since) = (self.vms[vm].disturb(), Instant::now());
         self.vms[vm].signal(Signal::Kill);
         self.vms[vm].wait(PATIENCE).await;
         tokio::time::sleep(time).await;
         self.start(vm);
+        self.vms[vm].upset(since);
         self.vms[vm].calm(place);
     }
 
@@ -161,18 +177,20 @@
     }
 
     async fn pause(&self, vm: usize, time: Duration) {
-        let place = self.vms[vm].disturb();
+        let (place, since) = (self.vms[vm].disturb(), Instant::now());
         self.vms[vm].signal(Signal::Stop);
         tokio::time::sleep(time).await;
         self.vms[vm].signal(Signal::Continue);
+        self.vms[vm].upset(since);
         self.vms[vm].calm(place);
     }
 
     async fn cut(&self, vm: usize, mode: Mode, time: Duration) {
-        let place = self.vms[vm].disturb();
+        let (place, since) = (self.vms[vm].disturb(), Instant::now());
         self.proxies[vm].set(mode);
         tokio::time::sleep(time).await;
         self.proxies[vm].set(Mode::Pass);
+        self.vms[vm].upset(since);
         self.vms[vm].calm(place);
     }
 
@@ -210,6 +228,26 @@
         }
     }
 
+    /// Lets a server be in need, whatever else happens to its VM.
+    async fn need(&self, vm: usize, time: Duration) {
+        let rate = LIMITS[time.as_millis() as usize % LIMITS.len()];
+        let began = self.backends[vm].lock().await.limit(rate);
+        if began {
+            tokio::time::sleep(NEED + time).await;
+            self.backends[vm].lock().await.recover();
+        }
+    }
+
+    async fn slip(&self, vm: usize) {
+        let mut backend = self.backends[vm].lock().await;
+        backend.say_leaving();
+        tokio::time::sleep(LEAVING * 2).await;
+        let place = self.vms[vm].disturb();
+        backend.crash();
+        self.restart(vm, &mut backend, false).await;
+        self.vms[vm].calm(place);
+    }
+
     async fn replace(&self, vm: usize) {
         let mut backend = self.backends[vm].lock().await;
         if backend.leave(LEAVING).await {
@@ -247,6 +285,12 @@
         let time = Duration::from_millis(rng.random_range(200..2500));
         let pause = Duration::from_millis(rng.random_range(100..1200));
         let shared = matches!(fault, Fault::Store(_) | Fault::Configure { .. });
+        if fault == Fault::Need {
+            let world = Arc::clone(world);
+            under_way.spawn(async move { world.inject(vm, fault, time).await });
+            tokio::time::sleep(pause).await;
+            continue;
+        }
         let (world, busy, store_busy) = (
             Arc::clone(world),
             Arc::clone(&busy),
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -17,6 +17,7 @@
 #[path = "../../tests/support/rows.rs"]
 mod rows;
 mod vm;
+mod words;
 
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -5,11 +5,15 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use crate::words::{RunKey, Words};
+
 /// One run of a request at a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     /// The VM of the backend server.
     pub(crate) vm: usize,
+    /// The run of the backend server.
+    pub(crate) server: RunKey,
     pub(crate) service: &'static str,
     /// The service that the request is said to come from.
     pub(crate) origin: String,
@@ -63,6 +67,8 @@
     pub(crate) held: Mutex<Vec<String>>,
     /// Runs of requests that nobody sent.
     pub(crate) unasked: Mutex<Vec<String>>,
+    /// What servers said of themselves.
+    pub(crate) words: Words,
 }
 
 impl Record {
--- a/examples/soak/vm.rs
+++ b/examples/soak/vm.rs
@@ -48,6 +48,8 @@
     child: Mutex<Option<Child>>,
     /// When it was disturbed without a plan: killed, paused, cut, restarted.
     pub(crate) disturbed: Mutex<Vec<Span>>,
+    /// When its daemon was killed, paused or cut.
+    pub(crate) upset: Mutex<Vec<Span>>,
     /// When its daemon was told to stop, and when it had.
     pub(crate) stops: Mutex<Vec<Span>>,
 }
@@ -69,6 +71,7 @@
             log: dir.join(format!("vm-{vm}.log")),
             child: Mutex::default(),
             disturbed: Mutex::default(),
+            upset: Mutex::default(),
             stops: Mutex::default(),
         })
     }
@@ -125,6 +128,11 @@
         }
     }
 
+    /// Notes that a disturbance of the daemon itself lasted from `since` on.
+    pub(crate) fn upset(&self, since: Instant) {
+        self.upset.lock().push((since, Some(Instant::now())));
+    }
+
     /// Notes that a disturbance begins; returns its place.
     pub(crate) fn disturb(&self) -> usize {
         let mut disturbed = self.disturbed.lock();
