Tell refused callers when the server that refused them takes them

Callers whom a backend server refused (X-Not-Executed) were told to come back after 0.125 to 0.375 s of our own drawing, whatever the server had said: the same class as LIMIT, its Retry-After was read by nobody.

Change: the time travels with the refusal to the caller; other servers are still tried first, as before. Test: refused_caller_is_told_when_the_server_takes_it failed before (0.366 in place of 3.500).

--- a/src/guard/answer.rs
+++ b/src/guard/answer.rs
@@ -30,7 +30,11 @@
                 .unsent()
                 .refuse(Reason::Unreachable, cause.clone())
                 .of_key(),
-            BackendError::NotRun => attempt.unsent().refuse(Reason::Rejected, ""),
+            BackendError::NotRun(retry_after) => {
+                let mut refusal = attempt.unsent().refuse(Reason::Rejected, "");
+                refusal.retry_after = *retry_after;
+                refusal
+            }
             BackendError::OtherServer(found) => {
                 let found = found.as_ref().map_or("", |server| server.as_str());
                 attempt.unsent().refuse(Reason::Replaced, found)
--- a/src/guard/ask.rs
+++ b/src/guard/ask.rs
@@ -73,14 +73,15 @@
         let answer = self.backend.send(head, headers, body).await?;
         let (parts, body) = answer.into_parts();
         let meaning = protocol.meaning(head, parts.status, &parts.headers);
+        let notice = protocol.notice(&parts.headers);
         if matches!(meaning, Meaning::Answer | Meaning::NotRun) && run == self.run() {
             // A refusal or an error says nothing by what it leaves out.
             let in_order = meaning == Meaning::Answer && !parts.status.is_server_error();
-            self.hear_notice(sent, protocol.notice(&parts.headers), in_order);
+            self.hear_notice(sent, notice, in_order);
         }
         match meaning {
             Meaning::Answer => {}
-            Meaning::NotRun => return Err(BackendError::NotRun),
+            Meaning::NotRun => return Err(BackendError::NotRun(notice.retry_after)),
             Meaning::OtherServer(found) => {
                 self.displaced(server, found.as_ref());
                 return Err(BackendError::OtherServer(found));
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -41,8 +41,8 @@
     Crashed(CrashId),
     /// Its answer was no HTTP, or none to this call.
     Garbage(Box<str>),
-    /// It said itself that it has not run the call.
-    NotRun,
+    /// It said itself that it has not run the call, and perhaps when it will.
+    NotRun(Option<Duration>),
     /// Another run stands at its address and has not run the call.
     OtherServer(Option<ServerId>),
 }
@@ -52,7 +52,7 @@
     pub(super) const fn is_fault(&self) -> bool {
         match self {
             Self::Cut(_) | Self::Crashed(_) | Self::Garbage(_) => true,
-            Self::Connect(_) | Self::Gone(_) | Self::NotRun | Self::OtherServer(_) => false,
+            Self::Connect(_) | Self::Gone(_) | Self::NotRun(_) | Self::OtherServer(_) => false,
         }
     }
 }
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -171,7 +171,7 @@
                 let change = match error {
                     BackendError::Connect(_)
                     | BackendError::Gone(_)
-                    | BackendError::NotRun
+                    | BackendError::NotRun(_)
                     | BackendError::OtherServer(_) => Change::Release,
                     BackendError::Cut(_) | BackendError::Crashed(_) | BackendError::Garbage(_) => {
                         Change::Lose
--- a/src/model/notice.rs
+++ b/src/model/notice.rs
@@ -1,6 +1,7 @@
 //! What a backend server says of itself with its answers.
 
 use std::fmt;
+use std::time::Duration;
 
 use super::{Rate, RunId};
 
@@ -33,6 +34,8 @@
     pub rate: NamedRate,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// After which time it takes a request that it refused, if it says so.
+    pub retry_after: Option<Duration>,
 }
 
 /// What one run of a backend server has said of itself, as daemons tell it to
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::header::EXPECT;
+use http::header::{EXPECT, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use tokio::time::Instant;
@@ -64,6 +64,12 @@
     requests.is_finite().then(|| Rate::per_second(requests))
 }
 
+/// Reads a time in seconds, which may have fractions.
+fn seconds(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 impl Protocol for PlatformProtocol {
     fn read(&self, parts: &Parts) -> Result<Facts, Box<str>> {
         let text = |name: &HeaderName| parts.headers.get(name)?.to_str().ok();
@@ -143,6 +149,7 @@
         Notice {
             rate: named_rate(headers),
             leaving: leaving.into_iter().any(|word| word.as_bytes() == YES),
+            retry_after: headers.get(RETRY_AFTER).and_then(seconds),
         }
     }
 
--- a/tests/platform_daemon.rs
+++ b/tests/platform_daemon.rs
@@ -343,3 +343,18 @@
     let answer = vm.ask(Method::POST, "/write/1", "r1").await;
     assert_eq!(answer.status, StatusCode::OK);
 }
+
+// Guards against callers that are told to come back at a time of the daemon's own,
+// though the server that refused them had said when.
+#[tokio::test]
+async fn refused_caller_is_told_when_the_server_takes_it() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 2.0));
+    let vm = vm("svc", address).await;
+    vm.wait_ready().await;
+    vm.announce("ready", 1).await;
+    vm.seen.say(&[("retry-after", "3.5")]);
+    let answer = vm.ask(Method::POST, "/write/shed", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.headers["retry-after"], "3.500");
+}
