Show the rate that a backend server names in figures, load lines and refusals

An operator could see that calls were refused as server-limit, and not by which rate or until when. The load line and a gauge carry the rate, the refusal says what the server takes and when there is room.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -187,6 +187,7 @@
     listen(address, move |_, _| {
         let gauges = Gauges {
             load: guard.gate().load(),
+            rate: guard.gate().rate(),
             version: shared.current.version().get(),
         };
         let mut text = page(&shared.metrics.rows(Group::Class), gauges);
--- a/src/guard/notice.rs
+++ b/src/guard/notice.rs
@@ -4,6 +4,7 @@
 
 use super::Guard;
 use crate::model::{GuardNews, NamedRate, Notice, Rate, RunId, Told};
+use crate::policy::admission::Shed;
 
 impl Guard {
     /// Returns the run of the backend server that is present, if it said so.
@@ -54,6 +55,17 @@
         }
     }
 
+    /// Says more on why a call was shed, for people.
+    pub(super) fn detail(&self, shed: Shed) -> String {
+        match (shed, self.gate.rate()) {
+            (Shed::Limited, Some(rate)) => {
+                let room = self.gate.news().room.as_millis();
+                format!("its server takes {rate}, room in {room} ms")
+            }
+            _ => String::new(),
+        }
+    }
+
     fn told(&self) -> Option<Told> {
         let rate = self.gate.rate();
         let presence = self.presence.lock();
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -223,7 +223,8 @@
         let mut pass = match self.enter(&head).await {
             Ok(pass) => pass,
             Err(shed) => {
-                return Err(self.home(attempt.refuse(Reason::Shed(shed), ""), head.account));
+                let refusal = attempt.refuse(Reason::Shed(shed), self.detail(shed));
+                return Err(self.home(refusal, head.account));
             }
         };
         if let Some(confirm) = confirm {
--- a/src/metrics/page.rs
+++ b/src/metrics/page.rs
@@ -3,9 +3,10 @@
 use std::fmt::Write;
 
 use super::Row;
+use crate::model::Rate;
 
 /// The names of all figures, with unit and meaning.
-pub const NAMES: [(&str, &str); 7] = [
+pub const NAMES: [(&str, &str); 8] = [
     (
         "bramleymount_calls_total",
         "calls that ended at the entry, by class and ending",
@@ -27,6 +28,10 @@
         "bramleymount_guard_limit",
         "most calls that the backend server is given",
     ),
+    (
+        "bramleymount_guard_rate",
+        "calls a second that the backend server takes; absent if it named no rate",
+    ),
     (
         "bramleymount_configuration_version",
         "the version in force, 0 if none",
@@ -38,6 +43,8 @@
 pub struct Gauges {
     /// Calls in flight, calls that wait, and the limit.
     pub load: (usize, usize, usize),
+    /// Calls a second that the backend server takes, if it named a rate.
+    pub rate: Option<Rate>,
     /// The version of the configuration.
     pub version: u64,
 }
@@ -58,6 +65,9 @@
             3 => line(&mut text, name, gauges.load.0 as u64),
             4 => line(&mut text, name, gauges.load.1 as u64),
             5 => line(&mut text, name, gauges.load.2 as u64),
+            6 => gauges.rate.iter().for_each(|rate| {
+                let _ = writeln!(text, "{name} {}", rate.get());
+            }),
             _ => line(&mut text, name, gauges.version),
         }
     }
--- a/src/task/report.rs
+++ b/src/task/report.rs
@@ -27,6 +27,7 @@
                 service,
                 in_flight = load.running,
                 limit = load.limit,
+                rate = load.rate.map_or_else(String::new, |rate| rate.to_string()).as_str(),
                 waiting = load.waiting,
                 started = load.started,
                 shed = load.shed,
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -9,6 +9,7 @@
 use bramleymount::metrics::{
     Ending, Gauges, Group, Metrics, NAMES, WORKSPACE_NAMES, WorkspaceRow, page, workspaces,
 };
+use bramleymount::model::Rate;
 
 fn read(name: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
@@ -23,6 +24,7 @@
     metrics.ended("rank-0", "other", Ending::Shed, latency, 0);
     let gauges = Gauges {
         load: (3, 2, 27),
+        rate: Some(Rate::per_second(21.9)),
         version: 7,
     };
     let text = page(&metrics.rows(Group::Class), gauges);
@@ -33,6 +35,7 @@
         "bramleymount_guard_in_flight 3",
         "bramleymount_guard_waiting 2",
         "bramleymount_guard_limit 27",
+        "bramleymount_guard_rate 21.9",
         "bramleymount_configuration_version 7",
     ] {
         assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
