--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -19,6 +19,7 @@
 mod vm;
 mod words;
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -197,6 +198,13 @@
     for what in world.broken.lock().iter() {
         println!("BROKEN {what}");
     }
+    let mut rules: BTreeMap<&str, usize> = BTreeMap::new();
+    for one in broken {
+        *rules.entry(one.rule).or_default() += 1;
+    }
+    for (rule, count) in rules {
+        println!("{count} of {rule}");
+    }
     for one in broken.iter().take(SHOWN) {
         println!(
             "BROKEN {} {} at {:.2}: {}",
