Wait only at servers in order; count sheds of workspaces where calls end; soak: one rate a need

Found while reading the diff: where no server has room below its rate, a call could wait at one that cannot be reached (choose_does_not_wait_at_a_target_out_of_reach), and calls that go on to another server counted as shed of their workspace.

Traced in the logs of the daemons: the stand-in was given a second rate during a need (0.8 then 15, 0 then 4.5), which the guard followed and the check did not know. The stand-in keeps its rate for a need now; the check is unchanged.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -190,10 +190,13 @@
         async move { shared.crashed.notified().await }
     }
 
-    /// Names a rate with all answers of this run from now on; returns whether it
-    /// named none before.
+    /// Names a rate with all answers of this run from now on, unless it names one;
+    /// returns whether it named none before.
     pub(crate) fn limit(&self, rate: f64) -> bool {
-        self.shared.told.lock().limit.replace(rate).is_none()
+        let mut told = self.shared.told.lock();
+        let began = told.limit.is_none();
+        told.limit.get_or_insert(rate);
+        began
     }
 
     /// Names no rate any more.
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -50,8 +50,11 @@
     /// Returns why the call is shed; it has not been started then.
     pub async fn enter(self: &Arc<Self>, head: &CallHead) -> Result<Pass, Shed> {
         let result = self.admit(head).await;
-        if result.is_err() {
-            self.count_shed(head.workspace);
+        match result {
+            // It is sent to another server.
+            Err(Shed::Limited) if !head.waits => {}
+            Err(_) => self.count_shed(head.workspace),
+            Ok(_) => {}
         }
         result
     }
--- a/src/policy/route/pick.rs
+++ b/src/policy/route/pick.rs
@@ -47,16 +47,20 @@
 }
 
 impl Choice<'_> {
-    pub(super) fn is_open(&self, target: &Target) -> bool {
+    fn is_open(&self, target: &Target) -> bool {
         target.state == TargetState::Serving && !self.tried.contains(&target.instance)
     }
 
-    pub(super) fn is_sound(&self, now: Instant, target: &Target) -> bool {
+    /// Tells whether a target is in order, whether or not it has room.
+    fn is_in_order(&self, now: Instant, target: &Target) -> bool {
         self.is_open(target)
             && self.want.avoid != Some(target.instance)
             && self.ejector.admits(now, target.instance)
             && !target.is_faulty(now, self.least)
-            && target.has_room(now)
+    }
+
+    pub(super) fn is_sound(&self, now: Instant, target: &Target) -> bool {
+        self.is_in_order(now, target) && target.has_room(now)
     }
 }
 
@@ -89,9 +93,9 @@
 
 /// Chooses the target that has room first of those whose servers have named a
 /// rate and have none now, if there are any.
-pub(super) fn first_room(now: Instant, choice: Choice<'_>) -> Option<Pick> {
+fn first_room(now: Instant, choice: Choice<'_>) -> Option<Pick> {
     let all = || choice.near.iter().chain(choice.far);
-    let full = || all().filter(|t| choice.is_open(t) && !t.has_room(now));
+    let full = || all().filter(|t| choice.is_in_order(now, t) && !t.has_room(now));
     let first = full().min_by_key(|target| target.wait(now))?;
     let demand = mean(now, full(), choice.want.protected)?;
     let level = demand.of(choice.want.level.rank());
--- a/tests/limited_targets.rs
+++ b/tests/limited_targets.rs
@@ -124,3 +124,15 @@
     table.report(now, instance(2), Report::Heard(GuardNews::default()));
     assert_eq!(table.wait(now), None);
 }
+
+#[test]
+fn choose_does_not_wait_at_a_target_out_of_reach() {
+    let (mut table, now) = (table(), Instant::now());
+    let mut rng = StdRng::seed_from_u64(1);
+    for (n, room) in [(1, 300), (2, 100), (3, 200)] {
+        told(&mut table, now, n, room, Level::OPEN);
+    }
+    table.sent(instance(2));
+    table.report(now, instance(2), Report::Silent);
+    assert_eq!(table.choose(now, want(), &mut rng), Pick::Wait(instance(3)));
+}
