--- /dev/null
+++ b/src/entry/choice.rs
@@ -0,0 +1,101 @@
+//! Where an attempt at a call goes.
+
+use tokio::time::Instant;
+
+use super::again::MAX_DETOURS;
+use super::forward::Forward;
+use crate::call::{Attempt, Planned, Reason, Refusal};
+use crate::guard::held;
+use crate::model::Instance;
+use crate::policy::admission::Shed;
+use crate::policy::crash::{Standing, Suspect};
+use crate::policy::once::{Place, Refuse};
+use crate::policy::route::{Pick, Table, Want};
+
+impl Forward<'_> {
+    /// Chooses where an attempt goes, or says why nowhere.
+    pub(super) fn target(
+        &mut self,
+        attempt: Attempt<Planned>,
+    ) -> Result<(Attempt<Planned>, Instance), Refusal> {
+        let head = &self.accepted.head;
+        if Instant::now() >= head.deadline {
+            return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
+        }
+        if let Some(Standing::Held(left)) = self.standing() {
+            return Err(held(attempt, left));
+        }
+        if let Some(once) = &head.once {
+            // No other instance may start it.
+            self.waits = true;
+            return match self.place(&once.key) {
+                Place::At(instance) if self.may_reach(instance) => Ok((attempt, instance)),
+                Place::At(_) => Err(attempt.refuse_once(Refuse::OwnerUnreachable)),
+                Place::Refused(refuse) => Err(attempt.refuse_once(refuse)),
+            };
+        }
+        let want = self.want();
+        let now = Instant::now();
+        let picked = self.table(|table| self.choose(table, now, want));
+        match picked {
+            Pick::Target(instance) => Ok((attempt, instance)),
+            Pick::Wait(instance) => {
+                self.waits = true;
+                Ok((attempt, instance))
+            }
+            Pick::Refused(_) => Err(self.refuse(now, attempt)),
+            Pick::Nothing => Err(attempt.refuse(Reason::Unreachable, "no server takes calls")),
+        }
+    }
+
+    /// Refuses a call whose level no server of the service admits.
+    fn refuse(&self, now: Instant, attempt: Attempt<Planned>) -> Refusal {
+        let wait = self.table(|table| table.wait(now));
+        let shed = wait.map_or(Shed::Overload, |_| Shed::Limited);
+        let mut refusal = attempt.refuse(Reason::Shed(shed), "");
+        let soonest = wait.unwrap_or_default();
+        refusal.retry_after = Some(self.context.retry_after().max(soonest));
+        refusal
+    }
+
+    /// Chooses a target; once the call has been sent to as many backend servers
+    /// as it may, one of those that refused it without running it.
+    fn choose(&self, table: &mut Table, now: Instant, want: Want) -> Pick {
+        if self.rejected_by.len() >= self.accepted.attempts as usize {
+            return table.choose_among(now, &self.rejected_by);
+        }
+        let picked = match table.choose_except(now, want, &self.tried, &mut rand::rng()) {
+            Pick::Nothing if !self.rejected_by.is_empty() => {
+                table.choose_among(now, &self.rejected_by)
+            }
+            picked => picked,
+        };
+        match picked {
+            // No more guards are to send it elsewhere.
+            Pick::Target(instance) if self.detours >= MAX_DETOURS => Pick::Wait(instance),
+            picked => picked,
+        }
+    }
+
+    /// Returns what is known of crashes that the request was under way at. The
+    /// guard that it goes to may not have heard of them yet: a caller comes
+    /// again sooner than news gets around.
+    pub(super) fn suspect(&self) -> Option<Suspect> {
+        let request = self.head().fingerprint?;
+        self.context.shared.suspects.get(request)
+    }
+
+    /// Returns what may be done with the request by what is known of crashes.
+    fn standing(&self) -> Option<Standing> {
+        let request = self.head().fingerprint?;
+        Some(self.context.shared.suspects.standing(request))
+    }
+
+    fn want(&self) -> Want {
+        Want {
+            level: self.head().priority.level(),
+            protected: self.accepted.protected,
+            avoid: None,
+        }
+    }
+}
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -8,20 +8,16 @@
 use tokio::time::Instant;
 
 use super::accept::Accepted;
-use super::again::MAX_DETOURS;
 use super::context::Context;
 use super::purse::Purse;
 use super::sending::Sending;
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
-use crate::guard::held;
 use crate::model::{AttemptId, Instance, Retries, Told, Verdict};
 use crate::peer::{self, Message};
-use crate::policy::admission::{Met, Shed};
-use crate::policy::crash::{Standing, Suspect};
+use crate::policy::admission::Met;
 use crate::policy::front::{CUT_OFF, is_cut_off};
-use crate::policy::once::{Place, Refuse};
 use crate::policy::retry::{Account, Loan, Safety};
-use crate::policy::route::{Pick, Table, Want};
+use crate::policy::route::Table;
 use crate::tables::{Detail, Step};
 use crate::web::Payload;
 
@@ -172,92 +168,6 @@
         &self.accepted.head
     }
 
-    /// Chooses where an attempt goes, or says why nowhere.
-    fn target(
-        &mut self,
-        attempt: Attempt<Planned>,
-    ) -> Result<(Attempt<Planned>, Instance), Refusal> {
-        let head = &self.accepted.head;
-        if Instant::now() >= head.deadline {
-            return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
-        }
-        if let Some(Standing::Held(left)) = self.standing() {
-            return Err(held(attempt, left));
-        }
-        if let Some(once) = &head.once {
-            // No other instance may start it.
-            self.waits = true;
-            return match self.place(&once.key) {
-                Place::At(instance) if self.may_reach(instance) => Ok((attempt, instance)),
-                Place::At(_) => Err(attempt.refuse_once(Refuse::OwnerUnreachable)),
-                Place::Refused(refuse) => Err(attempt.refuse_once(refuse)),
-            };
-        }
-        let want = self.want();
-        let now = Instant::now();
-        let picked = self.table(|table| self.choose(table, now, want));
-        match picked {
-            Pick::Target(instance) => Ok((attempt, instance)),
-            Pick::Wait(instance) => {
-                self.waits = true;
-                Ok((attempt, instance))
-            }
-            Pick::Refused(_) => Err(self.refuse(now, attempt)),
-            Pick::Nothing => Err(attempt.refuse(Reason::Unreachable, "no server takes calls")),
-        }
-    }
-
-    /// Refuses a call whose level no server of the service admits.
-    fn refuse(&self, now: Instant, attempt: Attempt<Planned>) -> Refusal {
-        let wait = self.table(|table| table.wait(now));
-        let shed = wait.map_or(Shed::Overload, |_| Shed::Limited);
-        let mut refusal = attempt.refuse(Reason::Shed(shed), "");
-        let soonest = wait.unwrap_or_default();
-        refusal.retry_after = Some(self.context.retry_after().max(soonest));
-        refusal
-    }
-
-    /// Chooses a target; once the call has been sent to as many backend servers
-    /// as it may, one of those that refused it without running it.
-    fn choose(&self, table: &mut Table, now: Instant, want: Want) -> Pick {
-        if self.rejected_by.len() >= self.accepted.attempts as usize {
-            return table.choose_among(now, &self.rejected_by);
-        }
-        let picked = match table.choose_except(now, want, &self.tried, &mut rand::rng()) {
-            Pick::Nothing if !self.rejected_by.is_empty() => {
-                table.choose_among(now, &self.rejected_by)
-            }
-            picked => picked,
-        };
-        match picked {
-            // No more guards are to send it elsewhere.
-            Pick::Target(instance) if self.detours >= MAX_DETOURS => Pick::Wait(instance),
-            picked => picked,
-        }
-    }
-
-    /// Returns what is known of crashes that the request was under way at. The
-    /// guard that it goes to may not have heard of them yet: a caller comes
-    /// again sooner than news gets around.
-    fn suspect(&self) -> Option<Suspect> {
-        let request = self.head().fingerprint?;
-        self.context.shared.suspects.get(request)
-    }
-
-    /// Returns what may be done with the request by what is known of crashes.
-    fn standing(&self) -> Option<Standing> {
-        let request = self.head().fingerprint?;
-        Some(self.context.shared.suspects.standing(request))
-    }
-
-    fn want(&self) -> Want {
-        Want {
-            level: self.head().priority.level(),
-            protected: self.accepted.protected,
-            avoid: None,
-        }
-    }
-
     pub(super) fn table<T>(&self, use_it: impl FnOnce(&mut Table) -> T) -> T {
         use_it(&mut self.targets.lock())
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod arrival;
 mod body;
+mod choice;
 mod context;
 mod forward;
 mod front;
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::call::CallHead;
-use crate::model::{ClassRank, GuardNews, NamedRate, Rate, Slots, WorkspaceId};
+use crate::model::{ClassRank, GuardNews, Slots, WorkspaceId};
 use crate::policy::admission::{
     Admission, Decision, Event, Load, Met, Outcome, Settings, Shed, Token, Usage, Waiting, Weights,
 };
@@ -17,17 +17,17 @@
 /// Slot time and sheds by workspace, the greatest first.
 pub type Usages = Vec<(Option<WorkspaceId>, Usage)>;
 
-struct Inner {
-    admission: Admission,
+pub(super) struct Inner {
+    pub(super) admission: Admission,
     waiting: HashMap<Token, oneshot::Sender<Result<(), Shed>>>,
     next: u64,
     /// Whether a task lets calls start that wait for the server's rate.
-    pacing: bool,
+    pub(super) pacing: bool,
 }
 
 /// Lets calls through to the backend server in the order of admission.
 pub struct Gate {
-    inner: Mutex<Inner>,
+    pub(super) inner: Mutex<Inner>,
 }
 
 impl Gate {
@@ -119,7 +119,7 @@
         }
     }
 
-    fn with(&self, change: impl FnOnce(&mut Admission) -> Vec<Event>) {
+    pub(super) fn with(&self, change: impl FnOnce(&mut Admission) -> Vec<Event>) {
         let mut inner = self.inner.lock();
         let events = change(&mut inner.admission);
         inner.deliver(events);
@@ -206,66 +206,8 @@
     }
 }
 
-/// Calls that wait for the rate that the backend server named.
-impl Gate {
-    /// Takes what an answer to a call says that was sent at `sent`; returns
-    /// whether that changes the rate.
-    pub fn hear_rate(self: &Arc<Self>, sent: Instant, rate: NamedRate) -> bool {
-        let now = Instant::now();
-        let is_news = self.inner.lock().admission.hear_rate(now, sent, rate);
-        if is_news {
-            self.with(|admission| admission.expire(now));
-            self.pace(now);
-        }
-        is_news
-    }
-
-    /// Takes a rate that another daemon heard of; returns whether it is news.
-    pub fn adopt_rate(self: &Arc<Self>, rate: Rate) -> bool {
-        let now = Instant::now();
-        let is_news = self.inner.lock().admission.adopt_rate(now, rate);
-        if is_news {
-            self.pace(now);
-        }
-        is_news
-    }
-
-    /// Returns the rate that the backend server named, if it holds.
-    pub fn rate(&self) -> Option<Rate> {
-        self.inner.lock().admission.rate()
-    }
-
-    /// Has waiting calls started at the server's rate, if there are any.
-    fn pace(self: &Arc<Self>, now: Instant) {
-        let mut inner = self.inner.lock();
-        let Some(next) = inner.admission.next_start(now) else {
-            return;
-        };
-        if !std::mem::replace(&mut inner.pacing, true) {
-            tokio::spawn(Arc::clone(self).start_paced(next));
-        }
-    }
-
-    async fn start_paced(self: Arc<Self>, mut next: Instant) {
-        loop {
-            tokio::time::sleep_until(next).await;
-            let now = Instant::now();
-            let mut inner = self.inner.lock();
-            let events = inner.admission.expire(now);
-            inner.deliver(events);
-            match inner.admission.next_start(now) {
-                Some(later) => next = later,
-                None => {
-                    inner.pacing = false;
-                    return;
-                }
-            }
-        }
-    }
-}
-
 impl Inner {
-    fn deliver(&mut self, events: Vec<Event>) {
+    pub(super) fn deliver(&mut self, events: Vec<Event>) {
         for event in events {
             let (token, result) = match event {
                 Event::Start(token) => (token, Ok(())),
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod notice;
 mod once;
+mod paced;
 mod run_once;
 mod serve;
 mod trial;
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -3,15 +3,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use rand::Rng;
 use tokio::time::Instant;
 
 use super::line::Line;
 use super::{
-    Backlog, Chain, Decision, Event, FairQueue, Faults, Limit, Load, Met, Outcome, Paid, Queue,
-    Shed, Threshold, Throttle, Token, Waiting, Weights,
+    Backlog, Chain, Decision, Event, FairQueue, Faults, Limit, Met, Outcome, Paid, Queue, Shed,
+    Threshold, Throttle, Token, Waiting, Weights,
 };
-use crate::model::{ClassRank, Demand, GuardNews, Level, Priority, Slots};
+use crate::model::{ClassRank, Level, Priority, Slots};
 
 /// Longest wait of a call that is not protected.
 const MAX_WAIT: Duration = Duration::from_millis(200);
@@ -21,11 +20,6 @@
 const QUEUE_SHARE: std::ops::RangeInclusive<f64> = 0.5..=4.0;
 /// Fewest calls that may wait.
 const MIN_QUEUE: usize = 4;
-/// Mean of the spread of `Retry-After` at no excess.
-const RETRY_BASE: Duration = Duration::from_secs(1);
-/// Longest mean of `Retry-After`.
-const RETRY_MAX: Duration = Duration::from_secs(30);
-
 /// What admission needs to know of the service and its rules.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -44,17 +38,17 @@
     pub(super) queue: Line,
     pub(super) threshold: Threshold,
     pub(super) throttle: Throttle,
-    chain: Chain,
-    faults: Faults,
+    pub(super) chain: Chain,
+    pub(super) faults: Faults,
     protected: Option<ClassRank>,
-    running: HashMap<Token, Running>,
-    leaving: bool,
-    started: u64,
-    shed: u64,
+    pub(super) running: HashMap<Token, Running>,
+    pub(super) leaving: bool,
+    pub(super) started: u64,
+    pub(super) shed: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Running {
+pub(super) struct Running {
     started: Instant,
     level: Level,
     paid: Option<Paid>,
@@ -246,66 +240,6 @@
         self.leaving = false;
     }
 
-    /// Tells whether new calls are refused since the backend server leaves.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving
-    }
-
-    /// Returns the load, and counts of calls since the last report.
-    pub fn report(&mut self, now: Instant) -> Load {
-        let (below, _) = self.chain.highest(now);
-        Load {
-            running: self.running.len(),
-            waiting: self.queue.len(),
-            limit: self.limit.get(),
-            started: std::mem::take(&mut self.started),
-            shed: std::mem::take(&mut self.shed),
-            level: self.threshold.level(),
-            below,
-            latency: self.limit.latency().unwrap_or_default(),
-            rate: self.throttle.rate(),
-        }
-    }
-
-    /// Returns the number of calls in flight at the backend server.
-    pub fn in_flight(&self) -> usize {
-        self.running.len()
-    }
-
-    /// Returns the number of calls that wait.
-    pub fn waiting(&self) -> usize {
-        self.queue.len()
-    }
-
-    /// Returns the present limit of calls in flight.
-    pub fn limit(&self) -> usize {
-        self.limit.get()
-    }
-
-    /// Returns what answers carry of this guard.
-    pub fn news(&self, now: Instant) -> GuardNews {
-        let (below, classes) = self.chain.highest(now);
-        let load = self.running.len() + self.queue.len();
-        GuardNews {
-            demand: Demand {
-                level: self.threshold.level(),
-                below,
-                classes,
-            },
-            load: u32::try_from(load).unwrap_or(u32::MAX),
-            faults: self.faults.share(),
-            leaving: self.leaving,
-            told: None,
-            room: self.room(now),
-        }
-    }
-
-    /// Returns when a refused caller may come back, spread at random.
-    pub fn retry_after<R: Rng>(&self, rng: &mut R) -> Duration {
-        let mean = RETRY_BASE.mul_f64(self.threshold.excess()).min(RETRY_MAX);
-        mean.mul_f64(rng.random_range(0.5..1.5))
-    }
-
     fn tick(&mut self, now: Instant) {
         let backlog = Backlog {
             waiting: self.queue.len(),
--- a/src/policy/admission/mod.rs
+++ b/src/policy/admission/mod.rs
@@ -19,6 +19,7 @@
 mod spent;
 mod threshold;
 mod throttle;
+mod told;
 mod weights;
 
 pub use chain::{Chain, Met};
--- /dev/null
+++ b/src/policy/admission/told.rs
@@ -0,0 +1,76 @@
+//! What admission tells of itself.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::{Admission, Load};
+use crate::model::{Demand, GuardNews};
+
+/// Mean of the spread of `Retry-After` at no excess.
+const RETRY_BASE: Duration = Duration::from_secs(1);
+/// Longest mean of `Retry-After`.
+const RETRY_MAX: Duration = Duration::from_secs(30);
+
+impl Admission {
+    /// Tells whether new calls are refused since the backend server leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the load, and counts of calls since the last report.
+    pub fn report(&mut self, now: Instant) -> Load {
+        let (below, _) = self.chain.highest(now);
+        Load {
+            running: self.running.len(),
+            waiting: self.queue.len(),
+            limit: self.limit.get(),
+            started: std::mem::take(&mut self.started),
+            shed: std::mem::take(&mut self.shed),
+            level: self.threshold.level(),
+            below,
+            latency: self.limit.latency().unwrap_or_default(),
+            rate: self.throttle.rate(),
+        }
+    }
+
+    /// Returns the number of calls in flight at the backend server.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the present limit of calls in flight.
+    pub fn limit(&self) -> usize {
+        self.limit.get()
+    }
+
+    /// Returns what answers carry of this guard.
+    pub fn news(&self, now: Instant) -> GuardNews {
+        let (below, classes) = self.chain.highest(now);
+        let load = self.running.len() + self.queue.len();
+        GuardNews {
+            demand: Demand {
+                level: self.threshold.level(),
+                below,
+                classes,
+            },
+            load: u32::try_from(load).unwrap_or(u32::MAX),
+            faults: self.faults.share(),
+            leaving: self.leaving,
+            told: None,
+            room: self.room(now),
+        }
+    }
+
+    /// Returns when a refused caller may come back, spread at random.
+    pub fn retry_after<R: Rng>(&self, rng: &mut R) -> Duration {
+        let mean = RETRY_BASE.mul_f64(self.threshold.excess()).min(RETRY_MAX);
+        mean.mul_f64(rng.random_range(0.5..1.5))
+    }
+}
