--- a/src/policy/admission/shed.rs
+++ b/src/policy/admission/shed.rs
@@ -24,7 +24,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
-            Self::Limited => "server-limit",
+            Self::Limited => "server-rate",
             Self::Downstream => "downstream-overload",
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
