Drop records of crashes whole, with all their callers

What callers saw: a harmless request is refused with 503 and a Retry-After of ten minutes because the same request of another caller crashes servers.

Cause: of one request twelve records (crash and caller) were kept, those with the highest crash ids and callers. With more, the record of the caller whose request caused a crash could be dropped and those of others kept. Then no caller was in flight at all crashes, and the request was quarantined for all. Five to seven callers at three crashes are enough.

Change: whole crashes are dropped, eight are kept; of a crash with more than eight callers, any caller may have been in flight.

--- a/src/policy/crash/suspect.rs
+++ b/src/policy/crash/suspect.rs
@@ -1,6 +1,7 @@
 //! One request that was in flight at crashes.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -15,8 +16,10 @@
 /// Crashes after which a request is quarantined even if another one was in flight
 /// at all of them: by then both have run alone.
 const CERTAIN_CRASHES: usize = 6;
-/// Most crash records that are kept of one request.
-const MAX_RECORDS: usize = 12;
+/// Most crashes of which records of one request are kept.
+const MAX_CRASHES: usize = 8;
+/// Most callers whose records are kept of one crash.
+const MAX_CRASH_CALLERS: usize = 8;
 /// Most callers that are remembered as answered, for one request.
 const MAX_ANSWERED_CALLERS: usize = 8;
 /// How long a request is suspected after the last crash. Callers that repeat it
@@ -80,11 +83,25 @@
         true
     }
 
-    /// Keeps the records with the highest crash ids, so that daemons that exchange
-    /// more than the maximum end up with the same ones.
+    /// Keeps the crashes with the highest ids, and of each the callers with the
+    /// highest digests, so that daemons that exchange more than the maximum end up
+    /// with the same records.
+    ///
+    /// A crash is dropped with all its callers: without the record of the caller
+    /// whose request caused it, it would count against the others.
     fn trim(&mut self) {
-        while self.records.len() > MAX_RECORDS {
-            self.records.pop_first();
+        let crashes = self.crash_ids();
+        let excess = crashes.len().saturating_sub(MAX_CRASHES);
+        for dropped in crashes.iter().take(excess) {
+            self.records.retain(|record| record.crash != *dropped);
+        }
+        for crash in crashes.iter().skip(excess) {
+            let of_crash = self.records.range(records_of(*crash)).copied();
+            let of_crash: Vec<CrashRecord> = of_crash.collect();
+            let excess = of_crash.len().saturating_sub(MAX_CRASH_CALLERS);
+            for record in &of_crash[..excess] {
+                self.records.remove(record);
+            }
         }
     }
 
@@ -190,13 +207,22 @@
         let crashes = self.crash_ids();
         let callers: BTreeSet<u64> = self.records.iter().map(|record| record.caller).collect();
         callers.into_iter().filter(move |caller| {
-            let record_of = |crash: &CrashId| CrashRecord {
-                crash: *crash,
-                caller: *caller,
-            };
             crashes
                 .iter()
-                .all(|crash| self.records.contains(&record_of(crash)))
+                .all(|crash| self.may_have_caller(*crash, *caller))
         })
     }
+
+    /// Returns whether a caller's request may have been in flight at a crash; of
+    /// one with many callers not all are recorded.
+    fn may_have_caller(&self, crash: CrashId, caller: u64) -> bool {
+        self.records.contains(&CrashRecord { crash, caller })
+            || self.records.range(records_of(crash)).count() >= MAX_CRASH_CALLERS
+    }
+}
+
+/// Returns the range of the records of one crash.
+fn records_of(crash: CrashId) -> RangeInclusive<CrashRecord> {
+    let record = |caller| CrashRecord { crash, caller };
+    record(u64::MIN)..=record(u64::MAX)
 }
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -285,6 +285,35 @@
     );
 }
 
+/// Guards against a crash of which only some callers are kept: without the caller
+/// whose request caused it, the others are quarantined for ten minutes.
+#[rstest]
+#[case::many_callers(7, 3)]
+#[case::many_crashes(2, 14)]
+fn record_crash_keeps_all_callers_of_a_crash(#[case] callers: u64, #[case] crashes: u64) {
+    let (now, mut suspects) = (Instant::now(), Suspects::default());
+    for number in 1..=crashes {
+        suspects.record_crash(now, request_by(DEADLY, CALLER_A), crash(number));
+        if number > 2 && number < 6 || number == 1 {
+            for other in 1..callers {
+                suspects.record_crash(now, request_by(DEADLY, CALLER_A + other), crash(number));
+            }
+        }
+    }
+    let quarantined = RunRestriction::Quarantined(secs(600));
+    assert_eq!(
+        suspects.restriction(now, request_by(DEADLY, CALLER_A)),
+        quarantined
+    );
+    for other in 1..callers {
+        assert_eq!(
+            suspects.restriction(now, request_by(DEADLY, CALLER_A + other)),
+            RunRestriction::OneAtOnce,
+            "caller {other}"
+        );
+    }
+}
+
 #[test]
 fn merge_from_three_daemons_adds_up() {
     let now = Instant::now();
