Record a crash with all requests in flight, and report them to entries

What callers saw: for some milliseconds to a tenth of a second, longer on a busy machine, a harmless request in flight beside a deadly one is refused with 503 and told to return in ten minutes.

Cause: each call recorded itself when it noticed that its connection was lost. Until the deadly one had done so too, the crash counted against the others only; if no caller was in flight at all recorded crashes, all were quarantined. Entries learned from a refusal only that their own call was in flight, and quarantined it until gossip told them of the others.

Change: the first call that finds the crash records all requests in flight at once. A refusal reports what the guard knows of the request and, if it may be quarantined, of other candidates. So no daemon knows a crash in part.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -17,5 +17,5 @@
 };
 pub use protocol::{AnswerMeaning, Protocol, RequestInfo, RequestOrigin};
 pub use reason::Reason;
-pub use refusal::{Refusal, VerdictScope};
+pub use refusal::{CrashReport, Refusal, VerdictScope};
 pub use reply::{Reply, ReplyHead};
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -4,6 +4,7 @@
 
 use super::Reason;
 use crate::model::{CrashId, GuardStatus, Retries, Verdict};
+use crate::policy::crash::Suspect;
 
 /// What a verdict of `not-run` applies to if the call has an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,7 +33,16 @@
     /// The status of the guard, if one was reached.
     pub guard_status: Option<GuardStatus>,
     /// The crash during which the call was in flight, if its server crashed.
-    pub crash: Option<CrashId>,
+    pub crash: Option<Box<CrashReport>>,
+}
+
+/// What a guard reports of a crash to the entry of a call that was in flight.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The crash.
+    pub crash: CrashId,
+    /// The request, and others that may be the cause, as the guard knows them.
+    pub suspects: Box<[Suspect]>,
 }
 
 impl Refusal {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -204,10 +204,11 @@
             };
             peer::send(&self.context.pool, target, attempt, outgoing).await
         };
-        if let Some(crash) = result.as_ref().err().and_then(|refusal| refusal.crash) {
-            self.context
-                .shared
-                .record_crash(self.head().fingerprint, crash);
+        if let Err(refusal) = &result
+            && let Some(report) = &refusal.crash
+        {
+            let request = self.head().fingerprint;
+            self.context.shared.record_crash(request, report);
         }
         reporter.report(&result);
         self.settle_grant(grant, &result);
--- a/src/guard/crash.rs
+++ b/src/guard/crash.rs
@@ -1,12 +1,13 @@
 //! Detection of backend server crashes after a lost connection.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
 use super::Guard;
-use crate::model::CrashId;
+use crate::model::{CrashId, Fingerprint};
 
 /// Timeout of connecting to check whether the backend server still listens; on
 /// loopback a port without a listener refuses at once.
@@ -26,11 +27,63 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashProbe {
     last: Mutex<(Option<ProbeResult>, u64)>,
+    in_flight: parking_lot::Mutex<InFlight>,
+}
+
+/// The requests in flight at the backend server.
+#[derive(Debug, Default)]
+struct InFlight {
+    next_id: u64,
+    requests: HashMap<u64, (Instant, Fingerprint)>,
+}
+
+/// Keeps a request registered as in flight until it is dropped.
+#[derive(Debug)]
+pub(super) struct InFlightGuard<'p> {
+    probe: &'p CrashProbe,
+    id: u64,
+}
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        self.probe.in_flight.lock().requests.remove(&self.id);
+    }
+}
+
+impl CrashProbe {
+    /// Registers a request sent at `sent_at` as in flight; `None` without a
+    /// fingerprint.
+    pub(super) fn register(
+        &self,
+        sent_at: Instant,
+        request: Option<Fingerprint>,
+    ) -> Option<InFlightGuard<'_>> {
+        let request = request?;
+        let mut in_flight = self.in_flight.lock();
+        let id = in_flight.next_id;
+        in_flight.next_id += 1;
+        in_flight.requests.insert(id, (sent_at, request));
+        Some(InFlightGuard { probe: self, id })
+    }
+
+    /// Returns the requests that a crash found at `time` may have ended.
+    fn ended_at(&self, time: Instant) -> Vec<Fingerprint> {
+        let in_flight = self.in_flight.lock();
+        let sent = in_flight.requests.values().copied();
+        let sent = sent.filter(|(sent_at, _)| *sent_at < time);
+        let mut requests: Vec<Fingerprint> = sent.map(|(_, request)| request).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        requests
+    }
 }
 
 impl Guard {
     /// Returns the crash that ended a call, if there was one; the call was sent at
     /// `sent_at` and has just lost its connection.
+    ///
+    /// The first call to find a crash records all requests in flight, also those
+    /// that have not noticed yet that their connections are lost.
     pub(super) async fn detect_crash(&self, sent_at: Instant) -> Option<CrashId> {
         let lost_at = Instant::now();
         let mut state = self.crash_probe.last.lock().await;
@@ -54,18 +107,21 @@
         });
         *last = Some(ProbeResult { probed_at, crash });
         if let Some(crash) = crash {
-            self.log_crash(crash);
+            let requests = self.crash_probe.ended_at(probed_at);
+            self.shared.record_own_crash(&requests, crash);
+            self.log_crash(crash, requests.len());
         }
         crash
     }
 
-    fn log_crash(&self, crash: CrashId) {
+    fn log_crash(&self, crash: CrashId, suspects: usize) {
         self.shared.metrics.count("backend_crashes");
         let server = self.server();
         spdlog::warn!("backend server crashed", kv: {
             server = server.as_ref().map_or("", |server| server.as_str()),
             crash = crash.to_string().as_str(),
-            calls = self.shared.parent_calls.len()
+            calls = self.shared.parent_calls.len(),
+            suspects
         });
     }
 }
--- a/src/guard/reply.rs
+++ b/src/guard/reply.rs
@@ -7,8 +7,8 @@
 use super::backend::{AnswerBody, BackendError, copy_body, stream};
 use super::server_request::ServerAnswer;
 use super::{Guard, SlotPermit};
-use crate::call::{Attempt, Reason, Refusal, Reply, ReplyHead, Sent};
-use crate::model::{GuardStatus, Retries};
+use crate::call::{Attempt, CrashReport, Reason, Refusal, Reply, ReplyHead, Sent};
+use crate::model::{Fingerprint, GuardStatus, Retries};
 use crate::policy::admission::Outcome;
 use crate::tables::{ParentCall, ParentCallGuard};
 use crate::web::{Chunks, Payload};
@@ -23,6 +23,7 @@
         &self,
         attempt: Attempt<Sent>,
         error: &BackendError,
+        fingerprint: Option<Fingerprint>,
         held: &ParentCallGuard,
     ) -> Refusal {
         let refusal = match error {
@@ -44,7 +45,11 @@
             }
             BackendError::Crashed(crash) => {
                 let mut refusal = attempt.abandon(Reason::Crashed, crash.to_string());
-                refusal.crash = Some(*crash);
+                let evidence = |request| self.shared.suspects.evidence(request);
+                refusal.crash = Some(Box::new(CrashReport {
+                    crash: *crash,
+                    suspects: fingerprint.map(evidence).unwrap_or_default().into(),
+                }));
                 refusal
             }
             BackendError::InvalidAnswer(cause) => {
--- a/src/guard/run_once.rs
+++ b/src/guard/run_once.rs
@@ -190,7 +190,8 @@
                     | BackendError::Crashed(_)
                     | BackendError::InvalidAnswer(_) => LedgerUpdate::Lose,
                 };
-                (update, Err(self.refuse_failed(attempt, &error, &held)))
+                let refusal = self.refuse_failed(attempt, &error, head.fingerprint, &held);
+                (update, Err(refusal))
             }
             Ok(Ok(answer)) => {
                 self.record_end(&mut slot, &held, answer.status);
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -248,7 +248,7 @@
             Err(_) => return Err(self.close_call(attempt.abandon(Reason::Timeout, ""), &held)),
             Ok(Err(error)) => {
                 slot.record_fault(error.is_fault());
-                return Err(self.refuse_failed(attempt, &error, &held));
+                return Err(self.refuse_failed(attempt, &error, head.fingerprint, &held));
             }
             Ok(Ok(answer)) => answer,
         };
--- a/src/guard/server_request.rs
+++ b/src/guard/server_request.rs
@@ -39,10 +39,10 @@
     ) -> Result<ServerAnswer, BackendError> {
         let sent_at = Instant::now();
         let server = self.server();
+        let _in_flight = self.crash_probe.register(sent_at, head.fingerprint);
         match self.send(head, body, server.as_ref()).await {
             Err(BackendError::ConnectionLost(cause)) => match self.detect_crash(sent_at).await {
                 Some(crash) => {
-                    self.shared.record_own_crash(head.fingerprint, crash);
                     self.record_run_end(server.as_ref());
                     Err(BackendError::Crashed(crash))
                 }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -11,8 +11,10 @@
 use super::generated as wire;
 use super::id::{decode_attempt_id, decode_id, encode_id};
 use super::notice::{decode_notice, decode_rate_delay, encode_notice, encode_rate_delay};
-use super::suspect::encode_suspect;
-use crate::call::{Attempt, CallHead, OnceCall, Reason, Refusal, ReplyHead, Sent, VerdictScope};
+use super::suspect::{decode_suspects, encode_suspect, encode_suspects};
+use crate::call::{
+    Attempt, CallHead, CrashReport, OnceCall, Reason, Refusal, ReplyHead, Sent, VerdictScope,
+};
 use crate::declare::Estate;
 use crate::error::Error;
 use crate::model::{
@@ -229,6 +231,7 @@
 
 pub(super) fn encode_refusal(attempt: AttemptId, refusal: &Refusal) -> wire::Refusal {
     let guard_status = refusal.guard_status.unwrap_or_default();
+    let crash = refusal.crash.as_ref();
     wire::Refusal {
         attempt: encode_id(attempt.get()),
         verdict: refusal.verdict().to_string(),
@@ -245,7 +248,8 @@
         leaving: guard_status.leaving,
         told: guard_status.notice.as_ref().map(encode_notice),
         room_ms: encode_rate_delay(guard_status.rate_delay),
-        crash: refusal.crash.map_or(0, CrashId::get),
+        crash: crash.map_or(0, |report| report.crash.get()),
+        suspects: crash.map_or(Vec::new(), |report| encode_suspects(&report.suspects)),
     }
 }
 
@@ -266,7 +270,12 @@
             refusal = refusal.with_key_scope();
         }
         refusal.returned_retries = Retries::new(message.account);
-        refusal.crash = (message.crash != 0).then(|| CrashId::new(message.crash));
+        refusal.crash = (message.crash != 0).then(|| {
+            Box::new(CrashReport {
+                crash: CrashId::new(message.crash),
+                suspects: decode_suspects(&message.suspects).into(),
+            })
+        });
         refusal.retry_after = match message.retry_after_ms {
             0 => None,
             ms => Some(Duration::from_millis(u64::from(ms))),
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -198,6 +198,9 @@
     /// Milliseconds that a call waits for the rate that it named.
     #[prost(uint32, tag = "16")]
     pub room_ms: u32,
+    /// What the guard knows of the request and of others in flight at that crash.
+    #[prost(message, repeated, tag = "17")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
 }
 /// Closes a streamed body: its length and digest as a whole.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/policy/crash/suspects.rs
+++ b/src/policy/crash/suspects.rs
@@ -11,6 +11,9 @@
 /// Most suspects that are remembered, of some 200 bytes each. One crash adds as
 /// many as its server has slots, some hundred.
 const MAX_SUSPECTS: usize = 2048;
+/// Most other candidates that are sent with a suspect; one is enough to show that
+/// the suspect may be harmless.
+const MAX_OTHER_CANDIDATES: usize = 4;
 
 /// The requests that were in flight at crashes, limited in number and age.
 #[derive(Debug, Default)]
@@ -43,10 +46,20 @@
     /// Returns whether no other suspect was in flight at all crashes at which this
     /// one was.
     fn is_only_candidate(&self, now: Instant, suspect: &Suspect) -> bool {
-        suspect.is_likely_cause()
-            && !self.suspects.values().any(|(other, _)| {
-                other.digest != suspect.digest && !other.is_expired(now) && other.covers(suspect)
-            })
+        suspect.is_likely_cause() && self.other_candidates(now, suspect).next().is_none()
+    }
+
+    /// Returns the other suspects that were in flight at all crashes at which this
+    /// one was.
+    fn other_candidates<'s>(
+        &'s self,
+        now: Instant,
+        suspect: &'s Suspect,
+    ) -> impl Iterator<Item = &'s Suspect> {
+        let others = self.suspects.values().map(|(other, _)| other);
+        others.filter(move |other| {
+            other.digest != suspect.digest && !other.is_expired(now) && other.covers(suspect)
+        })
     }
 
     /// Records that a request was in flight at a crash; returns whether that is
@@ -62,6 +75,39 @@
         is_new
     }
 
+    /// Records all requests that were in flight at a crash; returns whether anything
+    /// is new.
+    ///
+    /// While the request that caused a crash is missing from it, the crash counts
+    /// against the others.
+    pub fn record_crash_of_all(
+        &mut self,
+        now: Instant,
+        requests: &[Fingerprint],
+        crash: CrashId,
+    ) -> bool {
+        let mut is_new = false;
+        for request in requests {
+            is_new |= self.record_crash(now, *request, crash);
+        }
+        is_new
+    }
+
+    /// Returns what another daemon must know to decide on a request: its suspect,
+    /// and if that may be quarantined, the others that were in flight at the same
+    /// crashes.
+    pub fn evidence(&self, now: Instant, digest: u128) -> Vec<Suspect> {
+        let Some(suspect) = self.get(now, digest) else {
+            return Vec::new();
+        };
+        let mut evidence = vec![suspect.clone()];
+        if suspect.is_likely_cause() {
+            let others = self.other_candidates(now, suspect);
+            evidence.extend(others.take(MAX_OTHER_CANDIDATES).cloned());
+        }
+        evidence
+    }
+
     /// Records that a server answered a request; returns whether that is new of a
     /// suspect.
     pub fn record_answer(&mut self, now: Instant, request: Fingerprint) -> bool {
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -12,7 +12,7 @@
     CallJournal, CallLogLimiter, CurrentConfiguration, OwnershipTable, ParentCalls, Readiness,
     RouteSplits, ServerNotices, SuspectTable, TargetTables, WorkspaceRates,
 };
-use crate::call::Protocol;
+use crate::call::{CrashReport, Protocol};
 use crate::config::Config;
 use crate::metrics::Metrics;
 use crate::model::{CrashId, Fingerprint, Instance, MintTime, Version, WorkspaceName};
@@ -124,18 +124,20 @@
         self.readiness.is_ready() && self.current.version() > Version::NONE
     }
 
-    /// Records that a request was in flight at a crash of this VM's server, and
-    /// passes it on.
-    pub fn record_own_crash(&self, request: Option<Fingerprint>, crash: CrashId) {
-        if request.is_some_and(|request| self.suspects.record_own_crash(request, crash)) {
+    /// Records all requests that were in flight at a crash of this VM's server, and
+    /// passes them on.
+    pub fn record_own_crash(&self, requests: &[Fingerprint], crash: CrashId) {
+        if self.suspects.record_own_crash(requests, crash) {
             self.suspects_changed();
         }
     }
 
     /// Records that a request was in flight at a crash that a guard reported, and
     /// passes it on.
-    pub fn record_crash(&self, request: Option<Fingerprint>, crash: CrashId) {
-        if request.is_some_and(|request| self.suspects.record_crash(request, crash)) {
+    pub fn record_crash(&self, request: Option<Fingerprint>, report: &CrashReport) {
+        self.merge_suspects(&report.suspects);
+        let record = |request| self.suspects.record_crash(request, report.crash);
+        if request.is_some_and(record) {
             self.suspects_changed();
         }
     }
--- a/src/tables/suspects.rs
+++ b/src/tables/suspects.rs
@@ -77,16 +77,24 @@
     /// Records that a request was in flight at a crash; returns whether that is
     /// new.
     pub fn record_crash(&self, request: Fingerprint, crash: CrashId) -> bool {
-        self.change(request, |known, now| {
+        self.change(&[request], |known, now| {
             known.record_crash(now, request, crash)
         })
     }
 
-    /// Records that a request was in flight at a crash of this VM's server; returns
-    /// whether that is new.
-    pub fn record_own_crash(&self, request: Fingerprint, crash: CrashId) -> bool {
+    /// Records all requests that were in flight at a crash of this VM's server;
+    /// returns whether anything is new.
+    pub fn record_own_crash(&self, requests: &[Fingerprint], crash: CrashId) -> bool {
         self.queue.lock().record_own_crash(crash);
-        self.record_crash(request, crash)
+        self.change(requests, |known, now| {
+            known.record_crash_of_all(now, requests, crash)
+        })
+    }
+
+    /// Returns what an entry must know to decide on a request that was in flight at
+    /// a crash.
+    pub fn evidence(&self, request: Fingerprint) -> Vec<Suspect> {
+        self.known.lock().evidence(Instant::now(), request.digest)
     }
 
     /// Takes out a quarantined request whose row is to be written, so that daemons
@@ -126,7 +134,7 @@
         if self.known.lock().is_empty() {
             return false;
         }
-        self.change(request, |known, now| known.record_answer(now, request))
+        self.change(&[request], |known, now| known.record_answer(now, request))
     }
 
     /// Merges an update from another daemon; returns whether it held anything new.
@@ -165,37 +173,56 @@
         }
     }
 
-    /// Changes the suspect of a request, and logs when its quarantine begins or
-    /// ends.
+    /// Changes the suspects of some requests, and logs when the quarantine of one
+    /// begins or ends.
     fn change(
         &self,
-        request: Fingerprint,
+        requests: &[Fingerprint],
         change: impl FnOnce(&mut crash::Suspects, Instant) -> bool,
     ) -> bool {
         let now = Instant::now();
         let mut known = self.known.lock();
-        let before = known.restriction(now, request);
+        let restrictions = |known: &crash::Suspects| -> Vec<RunRestriction> {
+            let of = |request: &Fingerprint| known.restriction(now, *request);
+            requests.iter().map(of).collect()
+        };
+        let before = restrictions(&known);
         let new = change(&mut known, now);
-        let after = known.restriction(now, request);
-        let suspect = known.get(now, request.digest);
-        let crashes = suspect.map_or(0, Suspect::crash_count);
-        if new {
-            self.queue_if_own(suspect);
+        let after = restrictions(&known);
+        let mut crashes = Vec::with_capacity(requests.len());
+        for request in requests {
+            let suspect = known.get(now, request.digest);
+            crashes.push(suspect.map_or(0, Suspect::crash_count));
+            if new {
+                self.queue_if_own(suspect);
+            }
         }
         drop(known);
-        if let (RunRestriction::Quarantined(left), false) =
-            (after, matches!(before, RunRestriction::Quarantined(_)))
-        {
+        for (index, request) in requests.iter().enumerate() {
+            log_quarantine(*request, before[index], after[index], crashes[index]);
+        }
+        new
+    }
+}
+
+fn log_quarantine(
+    request: Fingerprint,
+    before: RunRestriction,
+    after: RunRestriction,
+    crashes: usize,
+) {
+    let was_quarantined = matches!(before, RunRestriction::Quarantined(_));
+    match after {
+        RunRestriction::Quarantined(left) if !was_quarantined => {
             spdlog::warn!("request quarantined because it crashes servers", kv: {
                 asks = request.to_string().as_str(),
                 crashes,
                 held_s = left.as_secs()
             });
         }
-        if matches!(before, RunRestriction::Quarantined(_)) && after == RunRestriction::Unrestricted
-        {
+        RunRestriction::Unrestricted if was_quarantined => {
             spdlog::info!("request no longer quarantined", kv: { asks = request.to_string().as_str() });
         }
-        new
+        _ => {}
     }
 }
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -409,3 +409,109 @@
         }
     }
 }
+
+/// A harmless request or caller in flight at a crash beside the deadly one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Beside {
+    Caller(u64),
+    Request(u128),
+}
+
+impl Beside {
+    fn fingerprint(self) -> Fingerprint {
+        match self {
+            Self::Caller(caller) => request_by(DEADLY, caller),
+            Self::Request(digest) => request(digest),
+        }
+    }
+}
+
+/// One crash at a drawn server, and the updates sent after it.
+#[derive(Clone, Debug)]
+struct CrashEvent {
+    server: usize,
+    beside: Vec<Beside>,
+    /// Pairs of daemons of which the first sends its updates to the second.
+    updates: Vec<(usize, usize)>,
+}
+
+const SERVERS: usize = 3;
+/// The entries of the deadly caller and of the others.
+const DEADLY_ENTRY: usize = 3;
+const OTHER_ENTRY: usize = 4;
+const DAEMONS: usize = 5;
+
+fn crash_event() -> impl Strategy<Value = CrashEvent> {
+    let beside = prop_oneof![
+        (CALLER_B..CALLER_B + 4).prop_map(Beside::Caller),
+        (10u128..14).prop_map(Beside::Request),
+    ];
+    let beside = prop::collection::vec(beside, 0..5);
+    let updates = prop::collection::vec((0..DAEMONS, 0..DAEMONS), 0..4);
+    (0..SERVERS, beside, updates).prop_map(|(server, beside, updates)| CrashEvent {
+        server,
+        beside,
+        updates,
+    })
+}
+
+fn merge_all(from: &Suspects, to: &mut Suspects, now: Instant) {
+    for update in from.changes_since(now, ChangeCount::default()).0 {
+        to.merge(now, &update);
+    }
+}
+
+proptest! {
+    /// Guards against daemons that know a crash in part: whatever the order of
+    /// crashes and updates, no request but the deadly one is quarantined anywhere,
+    /// not even for a moment. Each call brings what its entry knows to the guard,
+    /// and each refusal what the guard knows to the entry. No other request is in
+    /// flight at all crashes.
+    #[test]
+    fn evidence_in_any_order_spares_the_harmless(
+        events in prop::collection::vec(crash_event(), 3..9),
+        alone_at in 0usize..3,
+    ) {
+        let now = Instant::now();
+        let deadly = request_by(DEADLY, CALLER_A);
+        let mut daemons: Vec<Suspects> = (0..DAEMONS).map(|_| Suspects::default()).collect();
+        for (index, event) in events.iter().enumerate() {
+            let beside: &[Beside] = if index == alone_at { &[] } else { &event.beside };
+            let calls = beside.iter().map(|beside| (OTHER_ENTRY, beside.fingerprint()));
+            let calls: Vec<(usize, Fingerprint)> = calls.chain([(DEADLY_ENTRY, deadly)]).collect();
+            for (entry, call) in &calls {
+                if let Some(known) = daemons[*entry].get(now, call.digest).cloned() {
+                    daemons[event.server].merge(now, &known);
+                }
+            }
+            let in_flight: Vec<Fingerprint> = calls.iter().map(|(_, call)| *call).collect();
+            let crash = crash(1 + index as u64);
+            daemons[event.server].record_crash_of_all(now, &in_flight, crash);
+            for (entry, call) in &calls {
+                for known in daemons[event.server].evidence(now, call.digest) {
+                    daemons[*entry].merge(now, &known);
+                }
+                daemons[*entry].record_crash(now, *call, crash);
+            }
+            for (from, to) in &event.updates {
+                let sender = daemons[*from].changes_since(now, ChangeCount::default()).0;
+                for update in sender {
+                    daemons[*to].merge(now, &update);
+                }
+            }
+            for (daemon, suspects) in daemons.iter().enumerate() {
+                for (_, call) in calls.iter().filter(|(_, call)| *call != deadly) {
+                    let restriction = suspects.restriction(now, *call);
+                    prop_assert!(
+                        !matches!(restriction, RunRestriction::Quarantined(_)),
+                        "crash {index}: daemon {daemon} quarantines {call}"
+                    );
+                }
+            }
+        }
+        let (last, others) = daemons.split_last_mut().expect("daemons");
+        others.iter().for_each(|daemon| merge_all(daemon, last, now));
+        let restriction = last.restriction(now, deadly);
+        prop_assert!(matches!(restriction, RunRestriction::Quarantined(_)), "{restriction:?}");
+    }
+}
