Count no crash for calls sent to a server that has already crashed

What callers saw: a harmless call that waited for a slot while a deadly one ran is suspected alone of a crash of its own. With that crash the deadly caller is no longer at all crashes, and the request is refused to every caller for ten minutes.

Cause: after a crash was found, a waiting call was sent on an idle connection that the dying server had not closed yet. It was lost, nothing listened, and that was counted as the next crash.

Change: until a connection has been established again, lost calls belong to the crash that is known, and calls sent after it are no suspects.

--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -10,6 +10,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
+use tokio::time::Instant;
 use tokio_stream::StreamExt;
 
 use crate::call::CallHead;
@@ -119,6 +120,12 @@
             Err(RequestError::NoAnswer(_)) | Ok(()) => false,
         }
     }
+
+    /// Returns whether a connection has been established since `time`.
+    pub(super) fn has_connected_since(&self, time: Instant) -> bool {
+        let connected = self.connections.last_connected();
+        connected.is_some_and(|connected| connected >= time)
+    }
 }
 
 /// Creates a request target in origin form, without a host.
--- a/src/guard/crash.rs
+++ b/src/guard/crash.rs
@@ -93,6 +93,11 @@
                 probed_at,
                 crash: Some(crash),
             }) if sent_at < *probed_at => return Some(*crash),
+            // Sent to a server that had already crashed, and did not cause it.
+            Some(ProbeResult {
+                probed_at,
+                crash: Some(_),
+            }) if !self.backend.has_connected_since(*probed_at) => return None,
             Some(ProbeResult {
                 probed_at,
                 crash: None,
--- a/src/web/connection_pool.rs
+++ b/src/web/connection_pool.rs
@@ -90,6 +90,7 @@
     limits: PoolLimits,
     host: HeaderValue,
     idle: Mutex<VecDeque<IdleConnection<B>>>,
+    last_connected: Mutex<Option<Instant>>,
 }
 
 impl<B> ConnectionPool<B>
@@ -105,6 +106,7 @@
             limits,
             host: host.unwrap_or_else(|_| HeaderValue::from_static("")),
             idle: Mutex::default(),
+            last_connected: Mutex::default(),
         }
     }
 
@@ -155,6 +157,7 @@
 
     async fn connect(&self) -> Result<SendRequest<B>, RequestError> {
         let stream = self.dialer.connect().await.map_err(RequestError::Connect)?;
+        self.last_connected.lock().replace(Instant::now());
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER)
             .handshake(TokioIo::new(stream))
@@ -231,6 +234,11 @@
         }
     }
 
+    /// Returns when a connection was last established.
+    pub fn last_connected(&self) -> Option<Instant> {
+        *self.last_connected.lock()
+    }
+
     /// Returns the number of pooled connections; the body of a last answer may still
     /// be arriving.
     pub fn idle_count(&self) -> usize {
