Suspect calls lost just before their server is found crashed

What callers saw: a request that crashes servers escapes suspicion while one beside it is suspected, and is refused for ten minutes after three crashes.

Cause: a server that ends may close the connection of the deadly request before its port. The check after the lost call then finds a listener, and no crash is recorded; a call lost a moment later finds the crash alone.

Change: calls lost up to 100 ms before a crash is found are suspects of it.

Evidence: detect_crash_found_late_includes_the_call_lost_first found only the call beside the deadly one before, and finds both now.

--- a/src/guard/crash.rs
+++ b/src/guard/crash.rs
@@ -1,6 +1,6 @@
 //! Detection of backend server crashes after a lost connection.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use tokio::sync::Mutex;
@@ -13,6 +13,12 @@
 /// loopback a port without a listener refuses at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long before a crash is found a call may have lost its connection to it. A
+/// process that ends may close a connection before its port.
+const CLOSING_TIME: Duration = Duration::from_millis(100);
+/// Maximum number of lost calls that are remembered for that time.
+const MAX_LOST: usize = 64;
+
 /// Result of one check of the backend server.
 #[derive(Clone, Copy, Debug)]
 struct ProbeResult {
@@ -35,6 +41,8 @@
 struct InFlight {
     next_id: u64,
     requests: HashMap<u64, (Instant, Fingerprint)>,
+    /// Requests that lost their connections while the server still listened.
+    lost: VecDeque<(Instant, Fingerprint)>,
 }
 
 /// Keeps a request registered as in flight until it is dropped.
@@ -66,12 +74,26 @@
         Some(InFlightGuard { probe: self, id })
     }
 
+    /// Records that a request lost its connection while the server still listened.
+    pub(super) fn record_loss(&self, request: Option<Fingerprint>) {
+        let Some(request) = request else {
+            return;
+        };
+        let lost = &mut self.in_flight.lock().lost;
+        lost.push_back((Instant::now(), request));
+        if lost.len() > MAX_LOST {
+            lost.pop_front();
+        }
+    }
+
     /// Returns the requests that a crash found at `time` may have ended.
     fn ended_at(&self, time: Instant) -> Vec<Fingerprint> {
-        let in_flight = self.in_flight.lock();
+        let mut in_flight = self.in_flight.lock();
+        let lost = std::mem::take(&mut in_flight.lost).into_iter();
+        let lost = lost.filter(|(at, _)| time.saturating_duration_since(*at) <= CLOSING_TIME);
         let sent = in_flight.requests.values().copied();
         let sent = sent.filter(|(sent_at, _)| *sent_at < time);
-        let mut requests: Vec<Fingerprint> = sent.map(|(_, request)| request).collect();
+        let mut requests: Vec<Fingerprint> = sent.chain(lost).map(|(_, request)| request).collect();
         requests.sort_unstable();
         requests.dedup();
         requests
--- a/src/guard/server_request.rs
+++ b/src/guard/server_request.rs
@@ -46,7 +46,10 @@
                     self.record_run_end(server.as_ref());
                     Err(BackendError::Crashed(crash))
                 }
-                None => Err(BackendError::ConnectionLost(cause)),
+                None => {
+                    self.crash_probe.record_loss(head.fingerprint);
+                    Err(BackendError::ConnectionLost(cause))
+                }
             },
             Err(BackendError::NoListener(cause)) => {
                 self.record_run_end(server.as_ref());
