Gossip past neighbours that do not answer

What callers saw: after all daemons of an estate were killed and started at other addresses, entries refuse calls with 503 `no server accepts calls` for up to ten seconds, though all servers have announced themselves.

Cause: the stored rows still name the daemons that are gone. A new daemon whose neighbours on the rings are among them exchanges with these only, and with the next one after four seconds of silence, one after the other.

Change: beyond a neighbour whose last exchange was not answered, a daemon gossips also with the next ones of that ring, until three have not failed, at most eight. When a member is marked silent does not change.

--- a/src/policy/member/link.rs
+++ b/src/policy/member/link.rs
@@ -66,6 +66,11 @@
         self.position
     }
 
+    /// Returns whether the last exchange was not answered.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records an answer; `same` is whether both views are now equal.
     ///
     /// Updates in transit make views differ briefly. Only if they remain
--- a/src/policy/member/mod.rs
+++ b/src/policy/member/mod.rs
@@ -12,7 +12,7 @@
 
 pub use budget::Budget;
 pub use link::{Link, LinkEvent, SyncPosition};
-pub use neighbours::{Neighbours, is_delegate, neighbours, read_probability};
+pub use neighbours::{Neighbours, gossip_targets, is_delegate, neighbours, read_probability};
 pub use presence::{Announcement, AnnouncementEffect, Intent, Presence};
 pub use ranks::RankedMembers;
 pub use record::{Incarnation, Member, MemberState};
--- a/src/policy/member/neighbours.rs
+++ b/src/policy/member/neighbours.rs
@@ -1,5 +1,7 @@
 //! Choice of the neighbours that a daemon gossips with.
 
+use std::collections::BTreeSet;
+
 use super::View;
 use super::ranks::rank_hash;
 use crate::model::{CentreName, Instance};
@@ -11,6 +13,11 @@
 const NEAR_SEED: u64 = 1;
 const FAR_SEED: u64 = 2;
 
+/// Number of daemons gossiped with beyond one that does not answer, and the most
+/// of one ring, while those beyond do not answer either.
+const DETOUR_COUNT: usize = 3;
+const MAX_RING_TARGETS: usize = 8;
+
 /// The neighbours of one daemon.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Neighbours {
@@ -54,7 +61,56 @@
     }
 }
 
+/// Returns the daemons that the one whose view this is gossips with: its
+/// neighbours, and beyond each that does not answer the next ones of its ring.
+///
+/// After the loss of many daemons the view still names them for some seconds.
+/// Without the ones beyond, those that run do not find each other meanwhile.
+pub fn gossip_targets(view: &View, is_failing: impl Fn(Instance) -> bool) -> BTreeSet<Instance> {
+    let own = view.own();
+    let instance = own.instance;
+    let mut targets = BTreeSet::new();
+    let mut add = |centre: &CentreName, hash: u64| {
+        let ring = view.running().ring_from(centre, hash);
+        let ring = ring.filter(|other| *other != instance);
+        targets.extend(take_answering(ring, &is_failing));
+    };
+    add(&own.centre, rank_hash(instance));
+    add(&own.centre, instance.hash(NEAR_SEED));
+    for centre in far_centres(view) {
+        add(centre, instance.hash(FAR_SEED));
+    }
+    targets.extend(neighbours(view).all());
+    targets
+}
+
+/// Takes the first daemon of a ring; if it is failing, also the next ones until
+/// some are not.
+fn take_answering(
+    ring: impl Iterator<Item = Instance>,
+    is_failing: impl Fn(Instance) -> bool,
+) -> Vec<Instance> {
+    let mut taken = Vec::new();
+    let mut answering = 0;
+    for other in ring.take(MAX_RING_TARGETS) {
+        taken.push(other);
+        answering += usize::from(!is_failing(other));
+        let is_first = answering == taken.len();
+        if is_first || answering == DETOUR_COUNT {
+            break;
+        }
+    }
+    taken
+}
+
 fn far(view: &View) -> Vec<Instance> {
+    let hash = view.own().instance.hash(FAR_SEED);
+    let first = |centre| view.running().ring_from(centre, hash).next();
+    far_centres(view).into_iter().filter_map(first).collect()
+}
+
+/// Returns the data centres of the neighbours outside the own one.
+fn far_centres(view: &View) -> Vec<&CentreName> {
     let own = view.own();
     let hash = own.instance.hash(FAR_SEED);
     let centres = view.running().centres();
@@ -68,10 +124,7 @@
     if other != next {
         chosen.push(other);
     }
-    chosen
-        .into_iter()
-        .filter_map(|place| view.running().ring_from(others[place], hash).next())
-        .collect()
+    chosen.into_iter().map(|place| others[place]).collect()
 }
 
 /// Returns the probability with which a daemon without a configuration reads it
--- a/src/task/gossip.rs
+++ b/src/task/gossip.rs
@@ -10,8 +10,9 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::Instant;
 
+use crate::model::Instance;
 use crate::peer::{ExchangeError, ExchangeOutcome, Pool, exchange};
-use crate::policy::member::{Link, LinkEvent, neighbours};
+use crate::policy::member::{Link, LinkEvent, gossip_targets, neighbours};
 use crate::tables::Shared;
 
 /// How often updates are exchanged when nothing has changed.
@@ -74,7 +75,7 @@
 impl Exchanges {
     /// Starts exchanges with all neighbours, and with daemons that have newer data.
     fn start_all(&mut self, shared: &Arc<Shared>, pool: &Arc<Pool>) {
-        let regular = neighbour_addresses(shared);
+        let regular = self.regular_addresses(shared);
         self.links.retain(|address, _| regular.contains(address));
         let pending = std::mem::take(&mut *shared.pending_peers.lock());
         for address in regular.union(&pending) {
@@ -112,21 +113,31 @@
                     shared.notify_gossip();
                 }
             }
-            Err(_) => record_failure(shared, address, link.record_failure(now)),
+            Err(_) => {
+                if !link.is_failing() {
+                    // Others take its place until it answers.
+                    shared.notify_gossip();
+                }
+                record_failure(shared, address, link.record_failure(now));
+            }
         }
     }
-}
 
-/// Returns the addresses of the neighbours, or of those in the settings while no
-/// others are known.
-fn neighbour_addresses(shared: &Shared) -> BTreeSet<SocketAddr> {
-    let neighbours = neighbours(&shared.view.lock());
-    let mut regular: BTreeSet<SocketAddr> = neighbours.all().map(|i| i.address).collect();
-    if regular.is_empty() {
-        regular.extend(&shared.config.neighbours);
+    /// Returns the addresses of the daemons to gossip with, or of those in the
+    /// settings while no others are known.
+    fn regular_addresses(&self, shared: &Shared) -> BTreeSet<SocketAddr> {
+        let is_failing = |other: Instance| {
+            let link = self.links.get(&other.address);
+            link.is_some_and(Link::is_failing)
+        };
+        let targets = gossip_targets(&shared.view.lock(), is_failing);
+        let mut regular: BTreeSet<SocketAddr> = targets.iter().map(|i| i.address).collect();
+        if regular.is_empty() {
+            regular.extend(&shared.config.neighbours);
+        }
+        regular.remove(&shared.instance.address);
+        regular
     }
-    regular.remove(&shared.instance.address);
-    regular
 }
 
 fn record_failure(shared: &Shared, address: SocketAddr, event: LinkEvent) {
