Log the phases of a stop, and requests dropped by it

The log could not tell whether a signal to stop was repeated, when the drain began and ended, what was in flight then, or whether a failed call ended at a daemon that was stopping. Each phase now logs the time since the signal and the requests, calls and parent calls in flight; requests of a stopping daemon that end without an answer are logged; `call failed` tells whether the daemon is stopping.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -84,11 +84,18 @@
             arrived_at,
         } = arrival;
         let answers = AnswerBuilder::new(&*shared.protocol, &parts.headers);
+        let mut unanswered = UnansweredRequest {
+            shared,
+            id: answers.id(),
+            arrived_at,
+            is_answered: false,
+        };
         let mut accepted = match self.accept(&parts, arrived_at, from) {
             Ok(accepted) => accepted,
             Err(mut refusal) => {
                 self.record_rejected(answers.id(), &refusal);
                 self.context.add_retry_after(&mut refusal);
+                unanswered.is_answered = true;
                 return answers.refusal(None, &refusal, None);
             }
         };
@@ -97,6 +104,7 @@
             .journal
             .record(call, CallStep::Entered, StepDetail::None);
         let outcome = self.run_within_rate(&mut accepted, &parts, body).await;
+        unanswered.is_answered = true;
         self.record_metrics(&accepted, &outcome, arrived_at.elapsed());
         self.log_failure(answers.id(), &accepted, &outcome, arrived_at.elapsed());
         match outcome.result {
@@ -338,6 +346,7 @@
             retries = call_outcome.retries,
             took_ms = latency.as_millis() as u64,
             left_ms = time_left.as_millis() as u64,
+            stopping = shared.readiness.is_stopping(),
             version = shared.current.version().get()
         });
     }
@@ -389,3 +398,24 @@
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+/// Logs a request of a stopping daemon that is dropped without an answer: its caller
+/// disconnected, or the process ends.
+struct UnansweredRequest<'r> {
+    shared: &'r Shared,
+    id: &'r str,
+    arrived_at: Instant,
+    is_answered: bool,
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        let may_log = !self.is_answered && self.shared.readiness.is_stopping();
+        if may_log && self.shared.log_limiter.try_take() {
+            spdlog::warn!("request dropped while stopping", kv: {
+                request = self.id,
+                took_ms = self.arrived_at.elapsed().as_millis() as u64
+            });
+        }
+    }
+}
--- a/src/tables/readiness.rs
+++ b/src/tables/readiness.rs
@@ -20,8 +20,13 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the daemon is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the other daemons are known and no stop is planned.
     pub fn is_ready(&self) -> bool {
-        self.members_known.load(Ordering::Relaxed) && !self.stopping.load(Ordering::Relaxed)
+        self.members_known.load(Ordering::Relaxed) && !self.is_stopping()
     }
 }
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -62,8 +62,9 @@
         guard,
         pool,
     } = parts;
-    spdlog::info!("stopping");
-    let deadline = Instant::now() + drain_time(shared);
+    let begin = Instant::now();
+    let deadline = begin + drain_time(shared);
+    InFlight::count(parts).log("stopping", begin);
     shared.readiness.set_stopping();
     if shared.config.hosting.is_some() {
         tokio::time::sleep(READINESS_DELAY).await;
@@ -75,26 +76,65 @@
         tokio::time::sleep(REFUSAL_DELAY).await;
     }
     entry.close();
+    InFlight::count(parts).log("draining", begin);
     let drained = async {
         tokio::select! {
-            drained = drain(entry, guard, shared, deadline) => drained,
-            () = hurry => false,
+            drained = drain(parts, deadline) => drained,
+            () = hurry => {
+                spdlog::warn!("stop signal repeated; calls in flight are cut off");
+                false
+            }
         }
     };
     let drained = if shared.config.hosting.is_some() {
         let (drained, ()) = tokio::join!(drained, remove_in_time(shared, HOSTED_WRITE_TIMEOUT));
+        InFlight::count(parts).log("drain ended", begin);
         update_own_state(shared, MemberState::Left);
         notify_neighbours(shared, pool).await;
         drained
     } else {
         let drained = drained.await;
+        InFlight::count(parts).log("drain ended", begin);
         hand_over_and_leave(parts).await;
         drained
     };
-    spdlog::info!("stopped", kv: { drained = drained });
+    let took_ms = begin.elapsed().as_millis() as u64;
+    spdlog::info!("stopped", kv: { drained = drained, took_ms });
     drained
 }
 
+/// What a stopping daemon still has in flight.
+struct InFlight {
+    /// Requests of callers.
+    requests: usize,
+    /// Calls at the backend server or waiting for it.
+    calls: usize,
+    /// Calls that may make onward calls.
+    parents: usize,
+}
+
+impl InFlight {
+    fn count(parts: &StopParts) -> Self {
+        let (running, waiting, _) = parts.guard.gate().load();
+        Self {
+            requests: parts.entry.in_flight(),
+            calls: running + waiting + parts.guard.once().in_flight(),
+            parents: parts.shared.parent_calls.len(),
+        }
+    }
+
+    const fn is_empty(&self) -> bool {
+        self.requests == 0 && self.calls == 0 && self.parents == 0
+    }
+
+    /// Logs a phase of the stop, with the time since its `begin`.
+    fn log(&self, phase: &str, begin: Instant) {
+        let after_ms = begin.elapsed().as_millis() as u64;
+        let (requests, calls, parents) = (self.requests, self.calls, self.parents);
+        spdlog::info!("{}", phase, kv: { after_ms, requests, calls, parents });
+    }
+}
+
 /// Returns how long calls in flight may take to end.
 fn drain_time(shared: &Shared) -> Duration {
     let grace = shared.config.grace.get();
@@ -129,11 +169,9 @@
     }
 }
 
-async fn drain(entry: &Entry, guard: &Guard, shared: &Shared, deadline: Instant) -> bool {
+async fn drain(parts: &StopParts, deadline: Instant) -> bool {
     while Instant::now() < deadline {
-        let (in_flight, waiting, _) = guard.gate().load();
-        let guarded = in_flight + waiting + guard.once().in_flight();
-        if entry.in_flight() == 0 && guarded == 0 && shared.parent_calls.is_empty() {
+        if InFlight::count(parts).is_empty() {
             return true;
         }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
