Ignore repeated signals to stop

Callers lost all that was in flight when SIGTERM or SIGINT came twice: requests at the daemon ended without an answer, and daemons elsewhere answered 502 to requests that the server behind it had in hand, all at the same moment.

Cause: the daemon took the second signal as an order to cut calls off. The platform gives it no such meaning and kills a process at the end of the grace. A supervisor that signals a process and its group sends two.

Further signals are logged and change nothing, so there is no way left by which a signal but SIGKILL cuts a call.

--- a/src/bin/bramleymountd/controller.rs
+++ b/src/bin/bramleymountd/controller.rs
@@ -59,7 +59,10 @@
         let daemon = Daemon::start(config).await?;
         stop_signal(&mut term, &mut int).await;
         watcher.abort();
-        Ok(daemon.stop(stop_signal(&mut term, &mut int)).await)
+        let repeats = tokio::spawn(ignore_repeats(term, int));
+        let drained = daemon.stop().await;
+        repeats.abort();
+        Ok(drained)
     })
 }
 
@@ -107,6 +110,15 @@
     }
 }
 
+/// Ignores further signals to stop: a supervisor may signal both a process and its
+/// group, and whoever wants to cut calls off can kill the process.
+async fn ignore_repeats(mut term: Signal, mut int: Signal) {
+    loop {
+        stop_signal(&mut term, &mut int).await;
+        spdlog::info!("stop signal repeated; already stopping");
+    }
+}
+
 async fn stop_signal(term: &mut Signal, int: &mut Signal) {
     tokio::select! {
         _ = term.recv() => {}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,7 +1,6 @@
 //! Start and stop of a daemon.
 
 use std::collections::BTreeSet;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -158,11 +157,9 @@
     }
 
     /// Stops as planned; returns whether all calls ended.
-    ///
-    /// Calls that have not ended when `interrupt` resolves are cut off.
-    pub async fn stop(mut self, interrupt: impl Future<Output = ()>) -> bool {
+    pub async fn stop(mut self) -> bool {
         self.callers.disable_keep_alive();
-        let drained = stop(&self.parts, interrupt).await;
+        let drained = stop(&self.parts).await;
         self.platform_listeners.clear();
         self.tasks.abort_all();
         let _ = self.stop_peers.send(());
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -53,9 +53,9 @@
 
 /// Stops a daemon as planned; returns whether no call was cut.
 ///
-/// It ends when all calls have ended, after the grace in the settings, or when
-/// `hurry` completes. A hosted daemon ends before the grace is over.
-pub async fn stop(parts: &StopParts, hurry: impl Future<Output = ()>) -> bool {
+/// It ends when all calls have ended, or after the grace in the settings. A hosted
+/// daemon ends before the grace is over.
+pub async fn stop(parts: &StopParts) -> bool {
     let StopParts {
         shared,
         entry,
@@ -77,15 +77,7 @@
     }
     entry.close();
     InFlight::count(parts).log("draining", begin);
-    let drained = async {
-        tokio::select! {
-            drained = drain(parts, deadline) => drained,
-            () = hurry => {
-                spdlog::warn!("stop signal repeated; calls in flight are cut off");
-                false
-            }
-        }
-    };
+    let drained = drain(parts, deadline);
     let drained = if shared.config.hosting.is_some() {
         let (drained, ()) = tokio::join!(drained, remove_in_time(shared, HOSTED_WRITE_TIMEOUT));
         InFlight::count(parts).log("drain ended", begin);
--- a/tests/platform_daemon.rs
+++ b/tests/platform_daemon.rs
@@ -230,7 +230,7 @@
     vm.announce("ready", 1).await;
     let (callers, readiness) = (vm.callers, vm.readiness);
     let seen = std::sync::Arc::clone(&vm.record);
-    let stopping = tokio::spawn(vm.daemon.stop(std::future::pending()));
+    let stopping = tokio::spawn(vm.daemon.stop());
     tokio::time::sleep(Duration::from_millis(200)).await;
     let url = format!("http://{readiness}/readyz");
     let call = support::request(Method::GET, &url, http::HeaderMap::new(), "".into()).await;
@@ -276,7 +276,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     rows.set_fault(RowsFault::Silent);
     let started = std::time::Instant::now();
-    let drained = vm.daemon.stop(std::future::pending()).await;
+    let drained = vm.daemon.stop().await;
     let took = started.elapsed().as_secs_f64();
     assert!(took < most_seconds, "{took} s");
     assert_eq!(drained, call.is_none());
--- a/tests/version_news.rs
+++ b/tests/version_news.rs
@@ -69,7 +69,7 @@
     })
     .await;
     let stopped = other.daemon.shared().instance;
-    assert!(other.daemon.stop(std::future::pending()).await);
+    assert!(other.daemon.stop().await);
     let answer = status(&one).await;
     let line = answer.members.iter().find(|line| line.instance == stopped);
     assert_eq!(line.expect("a line").version, None);
