Drain until answers to callers are sent completely

Callers lost the rest of a streamed answer when its entry stopped, with one SIGTERM and without any other fault: 800,000 of 1,000,000 bytes arrived, then the connection ended.

Cause: a request counted as in flight until its handler had returned the head of the answer. The body is sent afterwards by the connection's task, which ends with the process. Where server and entry share a VM the guard's slot is held until the body ends, so the fault showed only for bodies that come from another VM.

A connection now counts as active from the head of a request until the server has flushed its answer, or, if it closes, until its caller has closed too, and the drain waits for that as well, within the same share of the grace. That covers streamed bodies, whole ones in the server's buffer, and pipelined requests between two answers.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -137,6 +137,7 @@
                 entry,
                 guard,
                 pool,
+                callers: callers.activity().clone(),
             },
             tasks,
             callers,
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -16,6 +16,7 @@
 use crate::policy::once::{Successor, hand_over as hand_over_row};
 use crate::store::{Condition, WriteOutcome, write_with_retry};
 use crate::tables::Shared;
+use crate::web::Activity;
 
 /// How long callers have to learn that this daemon is leaving before its entry
 /// refuses new calls.
@@ -49,6 +50,8 @@
     pub guard: Arc<Guard>,
     /// The connections to other daemons.
     pub pool: Arc<Pool>,
+    /// The connections of callers that wait for an answer or receive one.
+    pub callers: Activity,
 }
 
 /// Stops a daemon as planned; returns whether no call was cut.
@@ -61,6 +64,7 @@
         entry,
         guard,
         pool,
+        ..
     } = parts;
     let begin = Instant::now();
     let deadline = begin + drain_time(shared);
@@ -99,6 +103,8 @@
 struct InFlight {
     /// Requests of callers.
     requests: usize,
+    /// Connections of callers whose answers have not been sent completely.
+    connections: usize,
     /// Calls at the backend server or waiting for it.
     calls: usize,
     /// Calls that may make onward calls.
@@ -110,20 +116,27 @@
         let (running, waiting, _) = parts.guard.gate().load();
         Self {
             requests: parts.entry.in_flight(),
+            connections: parts.callers.count(),
             calls: running + waiting + parts.guard.once().in_flight(),
             parents: parts.shared.parent_calls.len(),
         }
     }
 
     const fn is_empty(&self) -> bool {
-        self.requests == 0 && self.calls == 0 && self.parents == 0
+        let requests = self.requests + self.connections;
+        requests == 0 && self.calls == 0 && self.parents == 0
     }
 
     /// Logs a phase of the stop, with the time since its `begin`.
     fn log(&self, phase: &str, begin: Instant) {
         let after_ms = begin.elapsed().as_millis() as u64;
-        let (requests, calls, parents) = (self.requests, self.calls, self.parents);
-        spdlog::info!("{}", phase, kv: { after_ms, requests, calls, parents });
+        let Self {
+            requests,
+            connections,
+            calls,
+            parents,
+        } = *self;
+        spdlog::info!("{}", phase, kv: { after_ms, requests, connections, calls, parents });
     }
 }
 
--- a/src/web/listen.rs
+++ b/src/web/listen.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 use tokio_stream::StreamExt;
 
+use super::activity::Activity;
 use super::caller_connection::CallerConnection;
 use super::pipeline::Pipeline;
 use super::{IncompleteBody, Payload, RequestHandler};
@@ -37,6 +38,7 @@
 pub struct HttpListener {
     address: SocketAddr,
     closing: watch::Sender<bool>,
+    activity: Activity,
     task: JoinHandle<()>,
 }
 
@@ -46,8 +48,14 @@
         self.address
     }
 
-    /// Makes each connection close after its next answer; pipelined requests that
-    /// were started are still answered.
+    /// Returns the count of connections with a request whose answer has not been sent
+    /// completely, or that are about to close.
+    pub fn activity(&self) -> &Activity {
+        &self.activity
+    }
+
+    /// Makes each connection close after an answer once no further request has been
+    /// read.
     pub fn disable_keep_alive(&self) {
         self.closing.send_replace(true);
     }
@@ -93,6 +101,8 @@
     let listener = TcpListener::bind(address).await.map_err(listen_error)?;
     let address = listener.local_addr().map_err(listen_error)?;
     let (closing, closing_receiver) = watch::channel(false);
+    let activity = Activity::default();
+    let active = activity.clone();
     let task = tokio::spawn(async move {
         // Dropping the set with this task closes all connections.
         let mut connections = JoinSet::new();
@@ -103,7 +113,11 @@
                     let connection = CallerConnection {
                         from,
                         handler: handler.clone(),
-                        pipeline: Arc::new(Mutex::new(Pipeline::new(limit, Instant::now()))),
+                        pipeline: Arc::new(Mutex::new(Pipeline::new(
+                            limit,
+                            Instant::now(),
+                            active.clone(),
+                        ))),
                         closing: closing_receiver.clone(),
                     };
                     connections.spawn(connection.run(stream));
@@ -118,6 +132,7 @@
     Ok(HttpListener {
         address,
         closing,
+        activity,
         task,
     })
 }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP servers and clients: operators are served by `xitca-web`, callers by
 //! `hyper`; requests are sent by `hyper` and `hyper-util`.
 
+mod activity;
 mod caller_connection;
 mod client;
 mod connection_pool;
@@ -17,6 +18,7 @@
 mod stage;
 mod threaded_server;
 
+pub use activity::{Activity, ActivityGuard};
 pub use client::{Answer, Client, ClientError};
 pub use connection_pool::{ConnectionPool, MAX_BUFFER, PoolLimits, RequestError};
 pub use dialer::Dialer;
--- a/src/web/pipeline.rs
+++ b/src/web/pipeline.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::MAX_HEAD;
+use super::activity::{Activity, ActivityGuard};
 use super::early_head::parse_early_head;
 use super::early_request::EarlyRequest;
 use super::head_scanner::HeadScanner;
@@ -34,8 +35,14 @@
     stage: Stage,
     /// Whether the current request is answered.
     is_answered: bool,
+    /// Whether a request whose head the server has parsed is not answered yet.
+    awaits_answer: bool,
     /// Whether the connection ends with the current request.
     is_last: bool,
+    /// The connections with requests in progress.
+    activity: Activity,
+    /// Counts this connection, from the head of a request until its answer is sent.
+    active: Option<ActivityGuard>,
     /// Whether later requests wait until the current one is answered.
     blocks_next: bool,
     /// Where the current request begins.
@@ -72,7 +79,7 @@
 impl Pipeline {
     /// Creates the pipeline of a new connection; nothing is read ahead if `limit` is
     /// 0 or 1.
-    pub(super) fn new(limit: usize, now: Instant) -> Self {
+    pub(super) fn new(limit: usize, now: Instant, activity: Activity) -> Self {
         Self {
             limit,
             stage: if limit > 1 {
@@ -81,7 +88,10 @@
                 Stage::Unbounded
             },
             is_answered: false,
+            awaits_answer: false,
             is_last: false,
+            activity,
+            active: None,
             blocks_next: false,
             start: 0,
             arrived_at: now,
@@ -161,6 +171,10 @@
         request: &Request<B>,
         is_last: bool,
     ) -> (Instant, Option<EarlyRequest>) {
+        if self.active.is_none() {
+            self.active = Some(self.activity.begin());
+        }
+        self.awaits_answer = true;
         if matches!(self.stage, Stage::Unbounded) {
             return (Instant::now(), None);
         }
@@ -188,9 +202,20 @@
     /// Records that the current request is answered.
     pub(super) fn record_answer(&mut self) {
         self.is_answered = true;
+        self.awaits_answer = false;
         self.advance();
     }
 
+    /// Records that the server has sent all that it was given to send.
+    ///
+    /// A connection that ends stays active, so that the rest that its caller sends is
+    /// read: closing before could reset the connection and lose the last answer.
+    pub(super) fn record_flush(&mut self) {
+        if !self.awaits_answer && !self.is_last && !self.has_buffered() {
+            self.active = None;
+        }
+    }
+
     /// Returns whether requests after the current one were started.
     pub(super) fn has_early(&self) -> bool {
         !self.early_requests.is_empty()
--- a/src/web/pipelined_stream.rs
+++ b/src/web/pipelined_stream.rs
@@ -127,7 +127,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        // The server flushes once nothing is left in its own buffer.
+        ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        this.connection.pipeline.lock().record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
