Give each VM of process tests a loopback address of its own

One of eight cases of planned_stop timed out: another test's daemon had taken the address of its second daemon between its choice and its start (empty log, exit at once). A known finding; these tests start 16 daemons at the same time.

--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -1,16 +1,28 @@
 //! A daemon in a process of its own, with settings as on the platform.
 
 use std::fs::File;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use bramleymount::emulator::free_address;
+use bramleymount::emulator::free_address_on;
 use http::{HeaderMap, Method, StatusCode};
 
 use super::{eventually, request};
 
+/// Number of VMs that this process has started.
+static VM_COUNT: AtomicU8 = AtomicU8::new(0);
+
+/// Returns a loopback address of its own for a VM, so that the free ports of VMs that
+/// start at the same time are not the same.
+fn own_ip() -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let vm = VM_COUNT.fetch_add(1, Ordering::Relaxed) % 100;
+    Ipv4Addr::new(127, 100 + vm, high, low.max(1)).into()
+}
+
 /// A daemon process, killed when dropped.
 pub struct HostedProcess {
     child: Child,
@@ -25,7 +37,8 @@
 impl HostedProcess {
     /// Starts a daemon, whose log goes to a file beside its settings.
     pub async fn start(service: &str, store: SocketAddr) -> Self {
-        let port = || free_address().expect("a port");
+        let ip = own_ip();
+        let port = || free_address_on(ip).expect("a port");
         let (callers, backend, announcements, readiness) = (port(), port(), port(), port());
         let text = format!(
             "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
@@ -36,7 +49,7 @@
             port(),
         );
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let settings = directory.join(format!("hosted-{}.yaml", callers.port()));
+        let settings = directory.join(format!("hosted-{callers}.yaml"));
         std::fs::write(&settings, text).expect("settings");
         let log = settings.with_extension("log");
         let output = File::create(&log).expect("a log file");
