Answer pipelined requests that were read before closing

Callers that pipeline lost requests at each stop: those read behind one in progress and not begun were dropped with the connection, up to 1.5 s after they were read.

Cause: with a stop planned, a connection closed after its next answer unless a request behind it had been begun. Now it closes once nothing that was read is left.

Left: behind a body in chunks the server reads on by itself, and what it read of further requests is not seen.

--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -99,9 +99,9 @@
             AnswerSource::Handler(answer) => answer.await,
         };
         let mut pipeline = self.pipeline.lock();
-        // Requests started early are still answered, since they may have been
-        // forwarded.
-        if is_large || *self.closing.borrow() && !pipeline.has_early() {
+        // Pipelined requests that were read are still answered, since their caller
+        // cannot tell whether they were forwarded.
+        if is_large || *self.closing.borrow() && !pipeline.has_buffered() {
             pipeline.end_connection();
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
--- a/src/web/pipeline.rs
+++ b/src/web/pipeline.rs
@@ -216,11 +216,6 @@
         }
     }
 
-    /// Returns whether requests after the current one were started.
-    pub(super) fn has_early(&self) -> bool {
-        !self.early_requests.is_empty()
-    }
-
     /// Returns the next request that may start early, if one has arrived and the
     /// limit permits it.
     pub(super) fn next_early(&mut self) -> Option<NextRequest> {
--- a/src/web/pipelined_stream.rs
+++ b/src/web/pipelined_stream.rs
@@ -34,15 +34,8 @@
 
     /// Starts the buffered requests that may run now.
     fn start_early(&self, pipeline: &mut Pipeline) {
-        let CallerConnection {
-            from,
-            handler,
-            closing,
-            ..
-        } = &self.connection;
-        while !*closing.borrow()
-            && let Some(next) = pipeline.next_early()
-        {
+        let CallerConnection { from, handler, .. } = &self.connection;
+        while let Some(next) = pipeline.next_early() {
             let request_line = (next.head.method.clone(), next.head.uri.clone());
             let answer = handler.start_early(next.head, next.arrived_at, *from);
             let early = answer
