--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -20,6 +20,8 @@
 const RUN_TIME: Duration = Duration::from_millis(3500);
 /// Time for a request on loopback to reach the backend server.
 const ARRIVAL_TIME: Duration = Duration::from_millis(200);
+/// How long a daemon stands still.
+const STALL_TIME: Duration = Duration::from_millis(1500);
 /// Time between two signals.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Body of an answer that is not streamed.
@@ -254,3 +256,20 @@
     assert_eq!(statuses, [200, 503, 503]);
     assert_eq!(vm.wait_exit().await, Some(0));
 }
+
+// Guards against calls that a server has in hand and that are given up because a daemon
+// on their way stands still for a moment, as on a busy machine.
+#[rstest]
+#[case::of_its_entry(true)]
+#[case::of_its_guard(false)]
+#[tokio::test]
+async fn stall_gives_up_no_call(#[case] stalls_entry: bool) {
+    let (vm, other, _kept) = start_vms().await;
+    let caller = send(other.callers, &post("/write/x", "r1")).await;
+    sleep(ARRIVAL_TIME).await;
+    let stalled = if stalls_entry { &other } else { &vm };
+    stalled.signal("STOP");
+    sleep(STALL_TIME).await;
+    stalled.signal("CONT");
+    assert_eq!(read_answer(caller).await, (200, SHORT_BODY.len()));
+}
