Give onward calls the time that their server counts

Cause: an onward call was given up at its parent's deadline as the daemon counts it. The server counts from when it reads the parent, which is later on a busy VM, and sends its calls with what is left by its own count. The parent's deadline now bounds them with 100 ms to spare; a server that sends a shorter time still gets that.

--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::request::Parts;
 use tokio::time::Instant;
@@ -19,6 +20,10 @@
 use crate::policy::retry::RepeatSafety;
 use crate::tables::{ParentCall, Shared};
 
+/// How long after its parent's deadline an onward call may end. The backend server counts
+/// the parent's time from when it reads it, and may still wait for the call.
+const PARENT_GRACE: Duration = Duration::from_millis(100);
+
 /// A valid request.
 pub(super) struct AcceptedRequest {
     /// The head that is sent along with the call.
@@ -224,7 +229,9 @@
         priority: Priority::new(rank, depth, root),
         depth,
         single_call: false,
-        deadline: parent.map_or(deadline, |parent| deadline.min(parent.deadline)),
+        deadline: parent.map_or(deadline, |parent| {
+            deadline.min(parent.deadline + PARENT_GRACE)
+        }),
         granted_retries: Retries::new(0),
         once: None,
         repeat: false,
