--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -4,25 +4,35 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bramleymount::emulator::free_address_on;
+use bramleymount::web::HttpListener;
 use http::{HeaderMap, Method, StatusCode};
 
+use super::rows::RowsStandIn;
 use super::{eventually, request};
 
 /// Number of VMs that this process has started.
 static VM_COUNT: AtomicU8 = AtomicU8::new(0);
 
-/// Returns a loopback address of its own for a VM, so that the free ports of VMs that
-/// start at the same time are not the same.
+/// Returns a loopback address of its own for a VM or a store, so that the free ports of
+/// tests that run at the same time are not the same.
 fn own_ip() -> IpAddr {
     let [.., high, low] = std::process::id().to_be_bytes();
     let vm = VM_COUNT.fetch_add(1, Ordering::Relaxed) % 100;
     Ipv4Addr::new(127, 100 + vm, high, low.max(1)).into()
 }
 
+/// Starts the store's stand-in.
+pub async fn store() -> (SocketAddr, Arc<RowsStandIn>, HttpListener) {
+    let address = free_address_on(own_ip()).expect("a port");
+    let (rows, listening) = RowsStandIn::start(address).await;
+    (address, rows, listening)
+}
+
 /// A daemon process, killed when dropped.
 pub struct HostedProcess {
     child: Child,
