Start no onward calls that cannot end before the drain does

Callers of servers' calls saw their connection cut while the called server was at work: parents that run on into the grace of a stopping daemon made calls until the drain ended, 5.0 s after SIGTERM, and those in flight ended with the process.

Cause: one bound for parents and for the calls that they make. Onward calls are now refused as not run from five sixths of the drain on, and the drain of a hosted daemon lasts 0.9 of the grace in place of five sixths: those in flight have 0.9 s left, and parents that end in the meantime are answered too. What is cut then is in the last sixth of the grace. Others are told that the daemon has left at five sixths as before, beside the drain, so the stop ends no later than it did with a silent neighbour.

Left: an onward call that takes longer than a sixth of the drain is still cut.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -45,6 +45,7 @@
     repeat_detector: Mutex<RepeatDetector>,
     in_flight: AtomicUsize,
     closed: AtomicBool,
+    onward_closed: AtomicBool,
 }
 
 impl Entry {
@@ -55,6 +56,7 @@
             repeat_detector: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
+            onward_closed: AtomicBool::new(false),
         })
     }
 
@@ -69,6 +71,11 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Refuses new onward calls, too.
+    pub fn close_onward(&self) {
+        self.onward_closed.store(true, Ordering::SeqCst);
+    }
+
     /// Returns whether new calls of callers are refused.
     pub(super) fn is_closed(&self) -> bool {
         self.closed.load(Ordering::SeqCst)
@@ -143,7 +150,11 @@
         };
         let mut accepted = accept(parts, arrived_at, from, &configuration.estate, shared)
             .map_err(|rejected| Attempt::plan().refuse(rejected.reason, rejected.detail))?;
-        if self.is_closed() && accepted.parent.is_none() {
+        let is_closed = match &accepted.parent {
+            Some(_) => self.onward_closed.load(Ordering::SeqCst),
+            None => self.is_closed(),
+        };
+        if is_closed {
             return Err(attempt.refuse(Reason::Shed(Shed::Leaving), "this daemon is shutting down"));
         }
         self.context.boost_retry(&mut accepted);
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -34,8 +34,14 @@
 const HOSTED_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Share of the grace in which calls of a hosted daemon may end. The platform
 /// kills the process at the end of the grace, and excuses calls that are cut in
-/// its last sixth, which is left for the final writes and updates.
-const CALLS_GRACE_SHARE: f64 = 5.0 / 6.0;
+/// its last sixth.
+const CALLS_GRACE_SHARE: f64 = 0.9;
+/// Share of the grace after which a hosted daemon that still drains tells others that
+/// it has left.
+const LEAVE_GRACE_SHARE: f64 = 5.0 / 6.0;
+/// Share of the drain after which no onward calls are started, so that those in flight
+/// can end before the process does.
+const ONWARD_DRAIN_SHARE: f64 = 5.0 / 6.0;
 /// How long neighbours may take to acknowledge a stop; others learn of it by
 /// gossip.
 const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(500);
@@ -67,7 +73,6 @@
         ..
     } = parts;
     let begin = Instant::now();
-    let deadline = begin + drain_time(shared);
     InFlight::count(parts).log("stopping", begin);
     shared.readiness.set_stopping();
     if shared.config.hosting.is_some() {
@@ -81,16 +86,13 @@
     }
     entry.close();
     InFlight::count(parts).log("draining", begin);
-    let drained = drain(parts, deadline);
     let drained = if shared.config.hosting.is_some() {
-        let (drained, ()) = tokio::join!(drained, remove_in_time(shared, HOSTED_WRITE_TIMEOUT));
-        InFlight::count(parts).log("drain ended", begin);
-        update_own_state(shared, MemberState::Left);
-        notify_neighbours(shared, pool).await;
+        let drained = drain_and_leave(parts, begin);
+        let removed = remove_in_time(shared, HOSTED_WRITE_TIMEOUT);
+        let (drained, ()) = tokio::join!(drained, removed);
         drained
     } else {
-        let drained = drained.await;
-        InFlight::count(parts).log("drain ended", begin);
+        let drained = drain(parts, begin).await;
         hand_over_and_leave(parts).await;
         drained
     };
@@ -149,6 +151,24 @@
     }
 }
 
+/// Drains a hosted daemon and tells others that it has left, while it still drains if
+/// that takes long.
+async fn drain_and_leave(parts: &StopParts, begin: Instant) -> bool {
+    let StopParts { shared, pool, .. } = parts;
+    let leave_at = begin + shared.config.grace.get().mul_f64(LEAVE_GRACE_SHARE);
+    let mut draining = std::pin::pin!(drain(parts, begin));
+    let drained = tokio::time::timeout_at(leave_at, draining.as_mut()).await;
+    update_own_state(shared, MemberState::Left);
+    let left = notify_neighbours(shared, pool);
+    match drained {
+        Ok(drained) => {
+            left.await;
+            drained
+        }
+        Err(_) => tokio::join!(draining, left).0,
+    }
+}
+
 /// Hands over once calls to another instance and leaves the estate, after all
 /// calls have ended.
 async fn hand_over_and_leave(parts: &StopParts) {
@@ -174,14 +194,22 @@
     }
 }
 
-async fn drain(parts: &StopParts, deadline: Instant) -> bool {
-    while Instant::now() < deadline {
-        if InFlight::count(parts).is_empty() {
-            return true;
+/// Waits until nothing is in flight; returns whether that is so before the time for it
+/// is over.
+async fn drain(parts: &StopParts, begin: Instant) -> bool {
+    let time = drain_time(&parts.shared);
+    let mut drained = false;
+    while !drained && begin.elapsed() < time {
+        if begin.elapsed() >= time.mul_f64(ONWARD_DRAIN_SHARE) {
+            parts.entry.close_onward();
+        }
+        drained = InFlight::count(parts).is_empty();
+        if !drained {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    false
+    InFlight::count(parts).log("drain ended", begin);
+    drained
 }
 
 async fn notify_neighbours(shared: &Shared, pool: &Pool) {
