Drain until answers to other daemons are sent completely

The guard's slot is free once the last part of an answer is queued for the other daemon; up to eight parts are then still to be sent, and the process ended under them. Requests of other daemons now count from their arrival until the answer is handed to the socket, the drain waits for them, and connections with streams get 200 ms to send their last frames.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
 use crate::call::{OwnProtocol, Protocol};
@@ -43,6 +43,9 @@
 /// store, so that daemons that start together do not all use it at once.
 const MAX_STORE_DELAY: Duration = Duration::from_millis(500);
 
+/// How long the connections of other daemons may take to close at a stop.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A running daemon.
 pub struct Daemon {
     parts: StopParts,
@@ -51,6 +54,7 @@
     operators: ThreadedServer,
     platform_listeners: Vec<HttpListener>,
     stop_peers: oneshot::Sender<()>,
+    peers_task: JoinHandle<()>,
 }
 
 impl Daemon {
@@ -91,7 +95,8 @@
         let entry = Entry::new(Arc::clone(&shared), Arc::clone(&guard), Arc::clone(&pool));
         let (stop_peers, stopped) = oneshot::channel();
         let service = PeerService::new(Arc::clone(&shared), Arc::clone(&guard));
-        serve_peers(shared.config.listen.peers, service, stopped).await?;
+        let peers = service.activity().clone();
+        let peers_task = serve_peers(shared.config.listen.peers, service, stopped).await?;
         let callers = serve_callers(Arc::clone(&entry)).await?;
         let operators = serve_operators(OperatorService {
             shared: Arc::clone(&shared),
@@ -138,12 +143,14 @@
                 guard,
                 pool,
                 callers: callers.activity().clone(),
+                peers,
             },
             tasks,
             callers,
             operators,
             platform_listeners,
             stop_peers,
+            peers_task,
         })
     }
 
@@ -164,6 +171,10 @@
         self.platform_listeners.clear();
         self.tasks.abort_all();
         let _ = self.stop_peers.send(());
+        if drained {
+            // Streams end only when the other daemon has received their last frames.
+            let _ = tokio::time::timeout(PEER_CLOSE_TIMEOUT, self.peers_task).await;
+        }
         let mut operators = self.operators;
         let stopped = tokio::task::spawn_blocking(move || operators.stop());
         let _ = stopped.await;
--- a/src/peer/plain_server.rs
+++ b/src/peer/plain_server.rs
@@ -79,6 +79,7 @@
         let Some(request) = http.read_request().await? else {
             return Ok(false);
         };
+        let _active = self.activity.begin();
         let body = http.read_body(request.length).await?;
         // Boxed, so that idle connections do not hold space for it.
         let answer = Box::pin(self.answer_plain(&request.path, body));
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -27,7 +27,7 @@
 use crate::guard::Guard;
 use crate::model::{AttemptId, Instance, MintTime, OnceKey, Retries};
 use crate::tables::{Shared, mint_now};
-use crate::web::{Chunks, IncompleteBody, Payload};
+use crate::web::{Activity, Chunks, IncompleteBody, Payload};
 
 /// Maximum number of frames queued for sending.
 const MAX_QUEUED_FRAMES: usize = 8;
@@ -40,6 +40,8 @@
     own_name: Box<str>,
     /// Whether connections accept no further plain requests.
     pub(super) stopping: AtomicBool,
+    /// The requests whose answers have not been sent completely.
+    pub(super) activity: Activity,
 }
 
 type AnswerStream = Pin<Box<dyn Stream<Item = Result<wire::AnswerFrame, Status>> + Send>>;
@@ -53,9 +55,15 @@
             guard,
             own_name,
             stopping: AtomicBool::new(false),
+            activity: Activity::default(),
         }
     }
 
+    /// Returns the count of requests whose answers have not been sent completely.
+    pub fn activity(&self) -> &Activity {
+        &self.activity
+    }
+
     /// Returns whether a message is addressed to this instance.
     fn is_addressed(&self, instance: &str) -> bool {
         let same = |named: Instance| named == self.shared.instance;
@@ -244,6 +252,7 @@
         };
         // The response head is sent at once, which acknowledges the arrival of
         // the call. If the entry cancels, the stream and the call are dropped.
+        let active = self.activity.begin();
         let served = futures_util::stream::once(async move {
             let result = guard.serve(call).await;
             // Dropped only after the call, since unread frames count as a reset.
@@ -252,6 +261,11 @@
         });
         let answered = futures_util::StreamExt::flatten(served);
         let messages = futures_util::stream::select(ReceiverStream::new(request_frames), answered);
+        let messages = futures_util::StreamExt::map(messages, move |message| {
+            // Dropped with the stream, once its last message is taken.
+            let _ = &active;
+            message
+        });
         Ok(Response::new(Box::pin(messages)))
     }
 
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -58,6 +58,8 @@
     pub pool: Arc<Pool>,
     /// The connections of callers that wait for an answer or receive one.
     pub callers: Activity,
+    /// The requests of other daemons that wait for an answer or receive one.
+    pub peers: Activity,
 }
 
 /// Stops a daemon as planned; returns whether no call was cut.
@@ -107,6 +109,8 @@
     requests: usize,
     /// Connections of callers whose answers have not been sent completely.
     connections: usize,
+    /// Requests of other daemons whose answers have not been sent completely.
+    peers: usize,
     /// Calls at the backend server or waiting for it.
     calls: usize,
     /// Calls that may make onward calls.
@@ -119,14 +123,15 @@
         Self {
             requests: parts.entry.in_flight(),
             connections: parts.callers.count(),
+            peers: parts.peers.count(),
             calls: running + waiting + parts.guard.once().in_flight(),
             parents: parts.shared.parent_calls.len(),
         }
     }
 
     const fn is_empty(&self) -> bool {
-        let requests = self.requests + self.connections;
-        requests == 0 && self.calls == 0 && self.parents == 0
+        let answers = self.requests + self.connections + self.peers;
+        answers == 0 && self.calls == 0 && self.parents == 0
     }
 
     /// Logs a phase of the stop, with the time since its `begin`.
@@ -135,10 +140,11 @@
         let Self {
             requests,
             connections,
+            peers,
             calls,
             parents,
         } = *self;
-        spdlog::info!("{}", phase, kv: { after_ms, requests, connections, calls, parents });
+        spdlog::info!("{}", phase, kv: { after_ms, requests, connections, peers, calls, parents });
     }
 }
 
