Soak: check LOST as the rule says, with calls of servers and series of signals

The check asked for a run and a cut connection of the caller's VM only; it saw neither answers of a daemon in place of a server at work nor requests that were read and dropped. Servers made no calls, signals came once, answers were short.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -4,22 +4,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bramleymount::web::{CallerAnswer, Client, HttpListener, caller_text, listen};
+use bramleymount::web::{
+    CallerAnswer, Chunks, Client, HttpListener, IncompleteBody, Payload, caller_body, caller_text,
+    listen,
+};
 use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::caller::DEADLY_BODY;
-use crate::estate::{Addresses, BACKEND_SLOTS, deadly_number, service_of};
+use crate::calls::ParentRun;
+use crate::estate::{
+    Addresses, BACKEND_SLOTS, BULK_PATH, CALL_PATH, LEAF_PATH, STREAM_PATH, answer_body,
+    deadly_number, route_of, service_of,
+};
 use crate::notices;
-use crate::pipeliner::is_pipelined;
+use crate::raw_callers::is_get;
 use crate::record::{Record, Run};
+use crate::sender::Sender;
 
 /// Interval between two announcements of the server.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -35,6 +44,14 @@
 const MAX_BIND_RETRIES: u32 = 50;
 /// How long slow requests run.
 const SLOW_TIME: Duration = Duration::from_millis(1500);
+/// How long slow calls of servers run.
+const SLOW_CALL_TIME: Duration = Duration::from_millis(500);
+/// Size of the chunks of streamed answers in bytes.
+const CHUNK_SIZE: usize = 16 * 1024;
+/// How long streaming an answer takes, in milliseconds.
+const STREAM_TIME_MS: std::ops::Range<u64> = 500..2000;
+/// Number of idle connections that a server keeps for its calls.
+const IDLE_CONNECTIONS: usize = 8;
 
 /// The state that a server announces or signals with its answers.
 #[derive(Clone, Debug)]
@@ -162,8 +179,11 @@
         let mut tries = 0;
         loop {
             let shared = Arc::clone(&self.shared);
+            let (vm, callers) = (shared.vm, self.addresses.callers);
+            let record = Arc::clone(&shared.record);
+            let sender = Arc::new(Sender::new(vm, callers, IDLE_CONNECTIONS, record));
             let listener = listen(self.addresses.backend, move |request, _| {
-                handle(Arc::clone(&shared), request)
+                handle(Arc::clone(&shared), Arc::clone(&sender), request)
             });
             match listener.await {
                 Ok(listener) => return Ok(listener),
@@ -277,15 +297,58 @@
     shared: Arc<Shared>,
     id: String,
     index: usize,
+    is_complete: bool,
+}
+
+impl RunGuard {
+    fn complete(mut self) {
+        self.is_complete = true;
+    }
+
+    /// Streams an answer; the run ends with it.
+    async fn stream(self, body: Bytes, to: mpsc::Sender<Result<Bytes, IncompleteBody>>) {
+        let time = Duration::from_millis(rand::rng().random_range(STREAM_TIME_MS));
+        let count = body.len().div_ceil(CHUNK_SIZE);
+        for chunk in body.chunks(CHUNK_SIZE) {
+            tokio::time::sleep(time / count as u32).await;
+            if to.send(Ok(body.slice_ref(chunk))).await.is_err() {
+                return;
+            }
+        }
+        // An empty chunk marks the end.
+        if to.send(Ok(Bytes::new())).await.is_ok() {
+            self.complete();
+        }
+    }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.shared.record.record_run_end(&self.id, self.index);
+        self.shared
+            .record
+            .record_run_end(&self.id, self.index, self.is_complete);
     }
 }
 
-async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> CallerAnswer {
+/// Returns how long a request runs, besides its calls.
+fn run_time(path: &str) -> Duration {
+    let slow_time = match route_of(path).path {
+        CALL_PATH | LEAF_PATH => SLOW_CALL_TIME,
+        _ => SLOW_TIME,
+    };
+    if rand::rng().random_ratio(SLOW_PERCENT, 100) {
+        slow_time
+    } else {
+        Duration::from_millis(rand::rng().random_range(2..40))
+    }
+}
+
+async fn handle(
+    shared: Arc<Shared>,
+    sender: Arc<Sender>,
+    request: Request<Incoming>,
+) -> CallerAnswer {
+    let arrived_at = Instant::now();
     let (head, body) = request.into_parts();
     let text = |name: &str| {
         let value = head.headers.get(name).and_then(|v| v.to_str().ok());
@@ -321,7 +384,7 @@
     let body = body.collect().await.map(|body| body.to_bytes());
     let (method, expected_body) = match deadly {
         Some(_) => (Method::POST, DEADLY_BODY.to_owned()),
-        None if is_pipelined(&id) => (Method::GET, String::new()),
+        None if is_get(&id) => (Method::GET, String::new()),
         None => (Method::POST, crate::caller::request_body(&id)),
     };
     let run = Run {
@@ -331,31 +394,56 @@
         origin: text("x-caller-service"),
         at: Instant::now(),
         end_time: None,
+        is_complete: false,
         rejected,
         unchanged: head.method == method
             && (path.ends_with(&id) || deadly.is_some())
             && body.is_ok_and(|body| *body == *expected_body.as_bytes()),
     };
     let index = shared.record.record_run(&id, run);
-    let _guard = RunGuard {
+    let guard = RunGuard {
         shared: Arc::clone(&shared),
-        id,
+        id: id.clone(),
         index,
+        is_complete: false,
     };
     if rejected {
         put("x-not-executed", "1");
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        guard.complete();
         return answer;
     }
     if let Some(deadly) = deadly {
         shared.crash_after_delay(deadly).await;
     }
     put("x-server-signature", "signed");
-    let time = if rand::rng().random_ratio(SLOW_PERCENT, 100) {
-        SLOW_TIME
-    } else {
-        Duration::from_millis(rand::rng().random_range(2..40))
+    tokio::time::sleep(run_time(path)).await;
+    let time_left = text("x-deadline-ms").parse().map(Duration::from_millis);
+    let parent_run = ParentRun {
+        sender: &sender,
+        id: &id,
+        path,
+        deadline: arrived_at + time_left.unwrap_or(Duration::MAX / 2),
+        is_repeat: shared.record.is_repeat(&id, index),
     };
-    tokio::time::sleep(time).await;
+    if !parent_run.make_calls().await {
+        *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    }
+    let body = answer_body(path, &id);
+    match route_of(path).path {
+        STREAM_PATH => {
+            let size = HeaderValue::from(body.len());
+            answer.headers_mut().insert(CONTENT_LENGTH, size);
+            let (to, chunks) = Chunks::channel();
+            tokio::spawn(guard.stream(body, to));
+            let length = None;
+            *answer.body_mut() = caller_body(Payload::Stream { length, chunks });
+        }
+        BULK_PATH => {
+            guard.complete();
+            *answer.body_mut() = caller_body(Payload::Whole(body));
+        }
+        _ => guard.complete(),
+    }
     answer
 }
--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -9,12 +9,12 @@
 use tokio::time::Instant;
 
 use crate::estate::{
-    MOVED_PATH, READ_PATH, RETRY_SHARE, RETRY_SLACK, WRITE_PATH, moved_path_service, service_of,
+    MOVED_PATH, RETRY_SHARE, RETRY_SLACK, WRITE_PATH, moved_path_service, route_of, service_of,
 };
 use crate::faults::World;
 use crate::notices;
 use crate::record::{Outcome, Record, RequestRecord, Run};
-use crate::vm::overlaps_any;
+use crate::vm::{GRACE_PERIOD, Span, Vm, overlaps_any};
 
 /// How long a VM must have been undisturbed before time bounds apply to it.
 pub(crate) const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
@@ -24,6 +24,15 @@
 pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2000);
 /// Time until the work of a request stops after its caller disconnected.
 const CANCEL_DELAY: Duration = Duration::from_millis(500);
+/// Time from the last byte of a request until its daemon must have read it.
+const UNREAD_TIME: Duration = Duration::from_millis(200);
+/// How much earlier a daemon sees the deadline of a call than the server that makes
+/// it, which counts from the arrival of the parent's request.
+const DEADLINE_SLACK: Duration = Duration::from_millis(50);
+/// How long a stop counts beyond its grace.
+const STOP_SLACK: Duration = Duration::from_secs(1);
+/// Requests sent later after SIGTERM than this must end within the grace.
+const LAST_SENT: Duration = Duration::from_secs(3);
 /// The window in which retries are counted.
 const WINDOW: Duration = Duration::from_secs(10);
 /// Number of servers that one deadly request may crash before it must be held.
@@ -97,6 +106,7 @@
         at: now,
         detail: "no caller sent it".into(),
     }));
+    violations.sort_by_key(|violation| violation.at);
     violations
 }
 
@@ -149,11 +159,8 @@
 
 /// ROUTE: a request ran at a service that its path is not routed to.
 fn route(request: &RequestRecord) -> Option<String> {
-    let allowed = |run: &&Run| match request.path {
-        READ_PATH => run.service == "front",
-        WRITE_PATH => run.service == "back",
-        _ => true,
-    };
+    let service = route_of(request.path).service;
+    let allowed = |run: &&Run| service.is_none_or(|service| run.service == service);
     let wrong = request.runs.iter().find(|run| !allowed(run))?;
     Some(format!("{} ran it", wrong.service))
 }
@@ -220,24 +227,74 @@
     undisturbed.then(|| format!("it reached vm {}", run.vm))
 }
 
-/// LOST: a planned stop of the caller's daemon cut a request that a server had
-/// started.
+/// Returns whether a request overlaps planned work on a VM: a stop, until a second
+/// after its grace, or a SIGHUP.
+fn is_planned(vm: &Vm, request: &RequestRecord, sent: Instant, end: Instant) -> bool {
+    let since = request
+        .at
+        .checked_sub(UNDISTURBED_TIME)
+        .unwrap_or(request.at);
+    let window = |(begin, stopped): &Span| {
+        let latest = *begin + GRACE_PERIOD + STOP_SLACK;
+        (*begin, stopped.map(|stopped| stopped.max(latest)))
+    };
+    let stops: Vec<Span> = vm.stops.lock().iter().map(window).collect();
+    let mut hang_ups = vm.hang_ups.lock().clone().into_iter();
+    overlaps_any(&stops, since, end) || hang_ups.any(|at| at < end && sent <= at + VERSION_DELAY)
+}
+
+/// Returns whether a server was still at work in the last sixth of the grace on a
+/// request that was sent soon after SIGTERM.
+fn is_late_in_grace(vm: &Vm, request: &RequestRecord, sent: Instant) -> bool {
+    let stops = vm.stops.lock();
+    stops.iter().any(|(begin, _)| {
+        let last_part = *begin + GRACE_PERIOD.mul_f64(5.0 / 6.0);
+        sent <= *begin + LAST_SENT
+            && started_runs(request).any(|run| run.end_time.is_none_or(|end| end >= last_part))
+    })
+}
+
+/// LOST: planned work at the daemon of the caller or of the server ended a request
+/// without a complete answer, or with an answer of the daemon itself while the server
+/// was at work.
 fn lost(world: &World, request: &RequestRecord) -> Option<String> {
-    let (end, Outcome::Cut) = request.outcome.as_ref()? else {
+    let (end, outcome) = request.outcome.as_ref()?;
+    let sent = request.sent_at?;
+    if *end + DEADLINE_SLACK >= request.deadline {
         return None;
+    }
+    let kind = match outcome {
+        Outcome::Cut if started_runs(request).count() > 0 => "it was cut at a server".to_owned(),
+        Outcome::Cut if *end > sent + UNREAD_TIME => "it was read and cut".to_owned(),
+        Outcome::Answered {
+            status,
+            signed: false,
+            ..
+        } if request.runs.iter().any(|run| run.is_unfinished(*end)) => {
+            format!("{status} took the place of a server at work")
+        }
+        _ => return None,
     };
-    let daemon = &world.vms[request.vm];
+    // A fault on a VM that the request passed through excuses the loss.
     let since = request
         .at
         .checked_sub(UNDISTURBED_TIME)
         .unwrap_or(request.at);
-    let planned = overlaps_any(&daemon.stops.lock(), since, *end);
-    // A fault on a VM that the request passed through excuses the loss.
-    let undisturbed = |vm: usize| !overlaps_any(&world.vms[vm].disturbances.lock(), since, *end);
-    let runs_undisturbed = started_runs(request).all(|run| undisturbed(run.vm));
-    let was_started = started_runs(request).count() > 0;
-    (planned && was_started && undisturbed(request.vm) && runs_undisturbed)
-        .then(|| "its connection ended at a planned stop".into())
+    let disturbed = |vm: usize| overlaps_any(&world.vms[vm].disturbances.lock(), since, *end);
+    let own = &world.vms[request.vm];
+    if disturbed(request.vm) || started_runs(request).any(|run| disturbed(run.vm)) {
+        return None;
+    }
+    let mut servers = started_runs(request).map(|run| &world.vms[run.vm]);
+    let place = if is_planned(own, request, sent, *end) {
+        "its caller's"
+    } else if servers.any(|vm| is_planned(vm, request, sent, *end)) {
+        "its server's"
+    } else {
+        return None;
+    };
+    (!is_late_in_grace(own, request, sent))
+        .then(|| format!("{}: {kind}, at a stop of {place} daemon", request.path))
 }
 
 /// GONE: more than three runs, and more than a quarter of them, went on after their
@@ -283,7 +340,7 @@
     let mut repeat_runs: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
     for request in all {
         for (n, run) in request.runs.iter().enumerate() {
-            let list = if n == 0 {
+            let list = if n == 0 && !request.is_repeat {
                 &mut first_runs
             } else {
                 &mut repeat_runs
--- a/examples/soak/estate.rs
+++ b/examples/soak/estate.rs
@@ -1,14 +1,14 @@
 //! The estate under test: addresses, settings and the operator's configuration.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use bramleymount::emulator::free_address_on;
+use bytes::Bytes;
 
 /// Number of data centres.
 pub(crate) const CENTRE_COUNT: usize = 3;
-/// Number of VMs in each data centre.
-pub(crate) const VMS_PER_CENTRE: usize = 3;
-/// The service of each VM of a data centre, by the VM's index.
+/// The services of the VMs of a data centre, by the VM's index.
 pub(crate) const SERVICES: [&str; 3] = ["front", "back", "front"];
 /// Number of calls that a backend server runs concurrently.
 pub(crate) const BACKEND_SLOTS: u32 = 20;
@@ -22,6 +22,77 @@
 pub(crate) const WRITE_PATH: &str = "/write/";
 /// Path prefix of idempotent requests whose service changes with the version.
 pub(crate) const MOVED_PATH: &str = "/moved/";
+/// Path prefix of calls that backend servers make.
+pub(crate) const CALL_PATH: &str = "/call/";
+/// Path prefix of calls that backend servers make while they run such a call.
+pub(crate) const LEAF_PATH: &str = "/leaf/";
+/// Path prefix of requests whose answers take a while to send.
+pub(crate) const STREAM_PATH: &str = "/stream/";
+/// Path prefix of requests with large answers.
+pub(crate) const BULK_PATH: &str = "/bulk/";
+
+/// Size of streamed answers in bytes, more than a daemon holds whole.
+const STREAM_SIZE: usize = 768 * 1024;
+/// Size of large answers in bytes.
+const BULK_SIZE: usize = 128 * 1024;
+
+/// A route of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Route {
+    pub(crate) path: &'static str,
+    kind: &'static str,
+    /// The service, or `None` if it changes with the version.
+    pub(crate) service: Option<&'static str>,
+    pub(crate) timeout: Duration,
+}
+
+impl Route {
+    const fn new(path: &'static str, service: Option<&'static str>) -> Self {
+        Self {
+            path,
+            kind: "idempotent",
+            service,
+            timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+const ROUTES: [Route; 7] = [
+    Route::new(READ_PATH, Some("front")),
+    Route {
+        kind: "non_idempotent",
+        ..Route::new(WRITE_PATH, Some("back"))
+    },
+    Route::new(MOVED_PATH, None),
+    Route::new(CALL_PATH, Some("back")),
+    Route::new(LEAF_PATH, Some("front")),
+    Route {
+        timeout: Duration::from_secs(5),
+        ..Route::new(STREAM_PATH, Some("back"))
+    },
+    Route {
+        timeout: Duration::from_secs(5),
+        ..Route::new(BULK_PATH, Some("front"))
+    },
+];
+
+/// Returns the route of a path.
+pub(crate) fn route_of(path: &str) -> &'static Route {
+    let mut routes = ROUTES.iter();
+    let route = routes.find(|route| path.starts_with(route.path));
+    route.expect("a path of a route")
+}
+
+/// Returns the body of a server's answer.
+pub(crate) fn answer_body(path: &str, id: &str) -> Bytes {
+    let text = format!("answer to {id}");
+    let size = match route_of(path).path {
+        STREAM_PATH => STREAM_SIZE,
+        BULK_PATH => BULK_SIZE,
+        _ => return text.into(),
+    };
+    text.repeat(size / text.len()).into()
+}
 
 /// Path prefix of deadly requests, which crash each server that runs them; the
 /// number of the request follows.
@@ -47,8 +118,8 @@
 
 impl Addresses {
     pub(crate) fn allocate(vm: usize) -> eyre::Result<Self> {
-        let centre = u8::try_from(vm / VMS_PER_CENTRE)?;
-        let index = u8::try_from(vm % VMS_PER_CENTRE)?;
+        let centre = u8::try_from(vm % CENTRE_COUNT)?;
+        let index = u8::try_from(vm / CENTRE_COUNT)?;
         let ip = IpAddr::V4(Ipv4Addr::new(127, 10, centre + 1, index + 1));
         Ok(Self {
             callers: free_address_on(ip)?,
@@ -63,7 +134,7 @@
 
     /// Formats the daemon's settings file.
     pub(crate) fn settings_yaml(&self, vm: usize, store: SocketAddr) -> String {
-        let centre = vm / VMS_PER_CENTRE;
+        let centre = vm % CENTRE_COUNT;
         let grace = super::vm::GRACE_PERIOD.as_secs();
         format!(
             "data_centre: dc-{centre}\nhall: dc-{centre}\nservice: {}\nlisten:\n  callers: {}\n  \
@@ -84,7 +155,7 @@
 }
 
 pub(crate) fn service_of(vm: usize) -> &'static str {
-    SERVICES[vm % VMS_PER_CENTRE]
+    SERVICES[vm / CENTRE_COUNT % SERVICES.len()]
 }
 
 /// Returns the service that a version routes `MOVED_PATH` to.
@@ -94,22 +165,19 @@
 
 /// Formats the operator's configuration of a version.
 pub(crate) fn configuration_document(version: u64) -> String {
-    let route = |name: &str, path: &str, kind: &str, service: &str| {
+    let routes = ROUTES.map(|route| {
+        let Route { path, kind, .. } = route;
+        let service = route.service.unwrap_or(moved_path_service(version));
+        let timeout = route.timeout.as_secs();
+        let name = path.trim_matches('/');
         format!(
             r#""{name}":{{"authority":"a.example","pathPrefix":"{path}","routeType":"{kind}",
-            "timeoutS":2,"goalS":1,"priority":0,"upstream":"{service}","attempts":2}}"#
+            "timeoutS":{timeout},"goalS":1,"priority":0,"upstream":"{service}","attempts":2}}"#
         )
-    };
+    });
     format!(
-        r#"{{"version":{version},"routes":{{{},{},{}}},"services":{{
+        r#"{{"version":{version},"routes":{{{}}},"services":{{
         "front":{{"healthPath":"/h","maxConns":200}},"back":{{"healthPath":"/h","maxConns":200}}}}}}"#,
-        route("read", READ_PATH, "idempotent", "front"),
-        route("write", WRITE_PATH, "non_idempotent", "back"),
-        route(
-            "moved",
-            MOVED_PATH,
-            "idempotent",
-            moved_path_service(version)
-        ),
+        routes.join(",")
     )
 }
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -1,8 +1,11 @@
 //! Overlapping faults, drawn at random from a seed.
 
+use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bramleymount::web::HttpListener;
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -41,6 +44,8 @@
     HangUp,
     Cut(Mode),
     Store(RowsFault),
+    /// The store refuses connections.
+    StoreDown,
     /// The backend server crashes and restarts, with the same id or a new one.
     Crash {
         same_id: bool,
@@ -56,12 +61,13 @@
     },
 }
 
-const FAULTS: [Fault; 22] = [
+const FAULTS: [Fault; 24] = [
     Fault::Kill,
     Fault::Kill,
     Fault::Terminate,
     Fault::Terminate,
     Fault::Terminate,
+    Fault::Terminate,
     Fault::Pause,
     Fault::HangUp,
     Fault::Cut(Mode::Delay(Duration::from_millis(100))),
@@ -71,6 +77,7 @@
     Fault::Store(RowsFault::Busy),
     Fault::Store(RowsFault::Silent),
     Fault::Store(RowsFault::LoseAnswers),
+    Fault::StoreDown,
     Fault::Crash { same_id: true },
     Fault::Crash { same_id: false },
     Fault::Replace,
@@ -81,6 +88,34 @@
     Fault::Configure { count: 3 },
 ];
 
+/// What may begin at the same time as a planned stop, besides a stop of another VM.
+const BESIDE_STOPS: [Fault; 2] = [Fault::StoreDown, Fault::Configure { count: 3 }];
+/// The signals that follow the SIGTERM of a planned stop.
+const REPEATED_SIGNALS: [Signal; 5] = [
+    Signal::Term,
+    Signal::Term,
+    Signal::Term,
+    Signal::Interrupt,
+    Signal::HangUp,
+];
+/// Maximum number of further signals of a planned stop.
+const MAX_REPEATED_SIGNALS: usize = 3;
+/// Time between two signals, in milliseconds.
+const SIGNAL_PAUSE_MS: Range<u64> = 0..3000;
+
+/// Further signals of a planned stop, each with the pause before it.
+type SignalSeries = Vec<(Duration, Signal)>;
+
+fn draw_series(rng: &mut StdRng) -> SignalSeries {
+    let count = rng.random_range(0..=MAX_REPEATED_SIGNALS);
+    let mut draw = || {
+        let pause = Duration::from_millis(rng.random_range(SIGNAL_PAUSE_MS));
+        let signal = REPEATED_SIGNALS.choose(rng).copied();
+        (pause, signal.unwrap_or(Signal::Term))
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 /// A configuration version and when the store accepted it.
 pub(crate) type AcceptedVersion = (u64, Instant);
 
@@ -90,6 +125,9 @@
     pub(crate) proxies: Vec<Proxy>,
     pub(crate) backends: Vec<tokio::sync::Mutex<Backend>>,
     pub(crate) store: Arc<RowsStandIn>,
+    pub(crate) store_address: SocketAddr,
+    /// The store's listener, while it accepts connections.
+    pub(crate) store_listener: Mutex<Option<HttpListener>>,
     pub(crate) versions: Mutex<Vec<AcceptedVersion>>,
     /// When the store had a fault.
     pub(crate) store_faults: Mutex<Vec<Span>>,
@@ -118,15 +156,18 @@
     }
 
     /// Injects one fault and waits until it has ended.
-    async fn inject(&self, vm: usize, fault: Fault, time: Duration) {
+    ///
+    /// `series` are the further signals of a planned stop.
+    async fn inject(&self, vm: usize, fault: Fault, time: Duration, series: SignalSeries) {
         self.log_fault(vm, fault);
         match fault {
             Fault::Kill => self.kill(vm, time).await,
-            Fault::Terminate => self.terminate(vm).await,
+            Fault::Terminate => self.terminate(vm, series).await,
             Fault::Pause => self.pause(vm, time).await,
             Fault::HangUp => self.vms[vm].signal(Signal::HangUp),
             Fault::Cut(mode) => self.disturb_proxy(vm, mode, time).await,
             Fault::Store(fault) => self.disturb_store(fault, time).await,
+            Fault::StoreDown => self.stop_store(time).await,
             Fault::Crash { same_id } => self.crash(vm, same_id, time).await,
             Fault::Replace => self.replace(vm).await,
             Fault::Slip => self.leave_by_answers(vm).await,
@@ -150,12 +191,24 @@
         self.vms[vm].end_disturbance(index);
     }
 
-    async fn terminate(&self, vm: usize) {
+    async fn terminate(&self, vm: usize, series: SignalSeries) {
         let daemon = &self.vms[vm];
         let start = Instant::now();
         daemon.stops.lock().push((start, None));
         daemon.signal(Signal::Term);
-        let ended = daemon.wait_for_exit(GRACE_PERIOD + STOP_SLACK).await;
+        let signals = async {
+            for (pause, signal) in series {
+                tokio::time::sleep(pause).await;
+                daemon.signal(signal);
+                let text = format!("vm {vm}: {signal:?} while it stops");
+                self.fault_log.lock().push((Instant::now(), text));
+            }
+            std::future::pending::<()>().await;
+        };
+        let ended = tokio::select! {
+            ended = daemon.wait_for_exit(GRACE_PERIOD + STOP_SLACK) => ended,
+            () = signals => false,
+        };
         let duration = start.elapsed();
         let alone = !crate::vm::overlaps_any(&daemon.disturbances.lock(), start, Instant::now());
         if !ended || duration > GRACE_PERIOD && alone {
@@ -209,6 +262,17 @@
         }
     }
 
+    async fn stop_store(&self, time: Duration) {
+        self.store_faults.lock().push((Instant::now(), None));
+        *self.store_listener.lock() = None;
+        tokio::time::sleep(time).await;
+        let listener = self.store.listen(self.store_address).await;
+        *self.store_listener.lock() = Some(listener);
+        if let Some(span) = self.store_faults.lock().last_mut() {
+            span.1 = Some(Instant::now());
+        }
+    }
+
     async fn crash(&self, vm: usize, same_id: bool, time: Duration) {
         let index = self.vms[vm].begin_disturbance();
         let mut backend = self.backends[vm].lock().await;
@@ -281,40 +345,61 @@
 
 /// Injects faults until `end`, at most one at a time for each VM.
 ///
-/// Rate limits and faults of the store are not counted among those of a VM.
-pub(crate) async fn inject_faults(world: &Arc<World>, seed: u64, end: Instant) {
+/// Rate limits and faults of the store are not counted among those of a VM. Planned
+/// stops consist of a single signal each if `single_signals` is set.
+pub(crate) async fn inject_faults(
+    world: &Arc<World>,
+    seed: u64,
+    end: Instant,
+    single_signals: bool,
+) {
     let mut rng = StdRng::seed_from_u64(seed);
     let busy = Arc::new(Mutex::new(vec![false; world.vms.len()]));
     let store_busy = Arc::new(tokio::sync::Mutex::new(()));
     let mut running_faults = JoinSet::new();
     while Instant::now() < end {
         let fault = *FAULTS.choose(&mut rng).unwrap_or(&Fault::HangUp);
-        let vm = rng.random_range(0..world.vms.len());
-        let time = Duration::from_millis(rng.random_range(200..2500));
-        let pause = Duration::from_millis(rng.random_range(100..1200));
-        let shared = matches!(fault, Fault::Store(_) | Fault::Configure { .. });
-        if fault == Fault::Need {
-            let world = Arc::clone(world);
-            running_faults.spawn(async move { world.inject(vm, fault, time).await });
-            tokio::time::sleep(pause).await;
-            continue;
+        let mut faults = vec![fault];
+        if fault == Fault::Terminate {
+            match rng.random_range(0..3) {
+                0 => faults.push(Fault::Terminate),
+                1 => faults.extend(BESIDE_STOPS.choose(&mut rng)),
+                _ => {}
+            }
         }
-        let (world, busy, store_busy) = (
-            Arc::clone(world),
-            Arc::clone(&busy),
-            Arc::clone(&store_busy),
-        );
-        if shared {
-            running_faults.spawn(async move {
-                let _alone = store_busy.lock().await;
-                world.inject(vm, fault, time).await;
-            });
-        } else if !std::mem::replace(&mut busy.lock()[vm], true) {
-            running_faults.spawn(async move {
-                world.inject(vm, fault, time).await;
-                busy.lock()[vm] = false;
-            });
+        for fault in faults {
+            let vm = rng.random_range(0..world.vms.len());
+            let time = Duration::from_millis(rng.random_range(200..2500));
+            let mut series = draw_series(&mut rng);
+            if single_signals {
+                series.clear();
+            }
+            let (world, busy, store_busy) = (
+                Arc::clone(world),
+                Arc::clone(&busy),
+                Arc::clone(&store_busy),
+            );
+            match fault {
+                Fault::Need => {
+                    running_faults
+                        .spawn(async move { world.inject(vm, fault, time, series).await });
+                }
+                Fault::Store(_) | Fault::StoreDown | Fault::Configure { .. } => {
+                    running_faults.spawn(async move {
+                        let _alone = store_busy.lock().await;
+                        world.inject(vm, fault, time, series).await;
+                    });
+                }
+                _ if !std::mem::replace(&mut busy.lock()[vm], true) => {
+                    running_faults.spawn(async move {
+                        world.inject(vm, fault, time, series).await;
+                        busy.lock()[vm] = false;
+                    });
+                }
+                _ => {}
+            }
         }
+        let pause = Duration::from_millis(rng.random_range(100..1200));
         tokio::time::sleep(pause).await;
     }
     while running_faults.join_next().await.is_some() {}
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -7,16 +7,18 @@
 
 mod backend;
 mod caller;
+mod calls;
 mod check;
 mod estate;
 mod faults;
 mod notices;
-mod pipeliner;
 mod proxy;
+mod raw_callers;
 mod record;
 #[allow(dead_code, missing_docs, unreachable_pub)]
 #[path = "../../tests/support/rows.rs"]
 mod rows;
+mod sender;
 mod vm;
 
 use std::collections::BTreeMap;
@@ -36,24 +38,26 @@
 use backend::Backend;
 use caller::Caller;
 use check::{Violation, check_promises, count_outcomes, count_served};
-use estate::{Addresses, CENTRE_COUNT, VMS_PER_CENTRE};
+use estate::{Addresses, CENTRE_COUNT};
 use faults::{World, inject_faults};
-use pipeliner::pipeline;
 use proxy::Proxy;
+use raw_callers::{Traffic, run_raw_caller};
 use record::Record;
 use rows::RowsStandIn;
 use vm::Vm;
 
 /// Number of sequential callers of each VM's daemon.
 const CALLERS_PER_VM: usize = 4;
+/// Number of VMs up to which each caller sends as much as it can.
+const FULL_LOAD_VMS: f64 = 9.0;
 /// Time for the daemons to discover each other, and to recover after the last fault.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// The window after recovery in which at least `MIN_SERVED_SHARE` must be served.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
 /// Minimum share of requests served in `RECOVERY_WINDOW`.
 const MIN_SERVED_SHARE: f64 = 0.9;
-/// Number of broken promises that are printed in detail.
-const MAX_PRINTED: usize = 10;
+/// Number of broken promises of each kind that are printed in detail.
+const MAX_PRINTED: usize = 2;
 
 /// Runs real daemons under random faults and checks what is promised.
 #[derive(FromArgs)]
@@ -64,6 +68,12 @@
     /// how long faults are injected, in minutes (default 1)
     #[argh(option, default = "1.0")]
     minutes: f64,
+    /// the number of VMs in each data centre (default 3)
+    #[argh(option, default = "3")]
+    vms_per_centre: usize,
+    /// send planned stops a single signal each
+    #[argh(switch)]
+    single_signals: bool,
     /// the daemon's program (default: the one built beside this)
     #[argh(option)]
     daemon: Option<PathBuf>,
@@ -87,15 +97,16 @@
 
 async fn start_world(args: &Args, dir: &Path, record: &Arc<Record>) -> eyre::Result<World> {
     let binary = args.daemon.clone().map_or_else(default_daemon_path, Ok)?;
-    let address = free_address_on(Ipv4Addr::LOCALHOST.into())?;
-    let (store, listening) = RowsStandIn::start(address).await;
-    // Dropping the handle would stop the store.
-    std::mem::forget(listening);
+    // No connection to another address takes the port while the store is down.
+    let address = free_address_on(Ipv4Addr::new(127, 10, 0, 1).into())?;
+    let (store, listener) = RowsStandIn::start(address).await;
     let mut world = World {
         vms: Vec::new(),
         proxies: Vec::new(),
         backends: Vec::new(),
         store,
+        store_address: address,
+        store_listener: Mutex::new(Some(listener)),
         versions: Mutex::default(),
         store_faults: Mutex::default(),
         departures: Mutex::default(),
@@ -103,7 +114,7 @@
         failures: Mutex::default(),
     };
     world.publish_version();
-    for vm in 0..CENTRE_COUNT * VMS_PER_CENTRE {
+    for vm in 0..CENTRE_COUNT * args.vms_per_centre {
         let addresses = Addresses::allocate(vm)?;
         world
             .proxies
@@ -129,14 +140,19 @@
     let (stop, stopped) = watch::channel(false);
     let mut callers = JoinSet::new();
     tokio::time::sleep(SETTLE_TIME).await;
+    let slowness = (world.vms.len() as f64 / FULL_LOAD_VMS).max(1.0);
     for (vm, daemon) in world.vms.iter().enumerate() {
         for index in 0..CALLERS_PER_VM {
             let record = Arc::clone(&record);
             let caller = Caller::new(vm, index, args.seed, &daemon.addresses, record);
+            let caller = caller.slow_down(slowness);
             callers.spawn(caller.run(stopped.clone()));
         }
-        let target = (vm, daemon.addresses.callers);
-        callers.spawn(pipeline(target, Arc::clone(&record), stopped.clone()));
+        for traffic in [Traffic::Pipelined, Traffic::Downloads] {
+            let target = (vm, daemon.addresses.callers);
+            let record = Arc::clone(&record);
+            callers.spawn(run_raw_caller(traffic, target, record, stopped.clone()));
+        }
     }
     let end = Instant::now() + Duration::from_secs_f64(args.minutes * 60.0);
     let mut restarters = JoinSet::new();
@@ -147,7 +163,7 @@
         callers.spawn(deadly_caller.repeat_deadly_request(stopped.clone(), end));
         restarters.spawn(async move { world.restart_crashed(vm).await });
     }
-    inject_faults(&world, args.seed, end).await;
+    inject_faults(&world, args.seed, end, args.single_signals).await;
     tokio::time::sleep(SETTLE_TIME).await;
     let recovery_start = Instant::now();
     tokio::time::sleep(RECOVERY_WINDOW).await;
@@ -200,14 +216,24 @@
     for what in world.failures.lock().iter() {
         println!("BROKEN {what}");
     }
-    let mut rules: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut kinds: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     for violation in violations {
-        *rules.entry(violation.rule).or_default() += 1;
+        *kinds
+            .entry((violation.rule, &violation.detail))
+            .or_default() += 1;
     }
-    for (rule, count) in rules {
-        println!("{count} of {rule}");
+    for ((rule, detail), count) in &kinds {
+        println!("{count} of {rule}: {detail}");
     }
-    for violation in violations.iter().take(MAX_PRINTED) {
+    let mut printed: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for violation in violations {
+        let printed = printed
+            .entry((violation.rule, &violation.detail))
+            .or_default();
+        *printed += 1;
+        if *printed > MAX_PRINTED {
+            continue;
+        }
         println!(
             "BROKEN {} {} at {:.2}: {}",
             violation.rule,
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -1,10 +1,12 @@
 //! Record of what callers and backend servers observed of each request.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use crate::estate::route_of;
 use crate::notices::{Notices, RunKey};
 
 /// One run of a request at a backend server.
@@ -20,6 +22,8 @@
     pub(crate) at: Instant,
     /// When the work ended, by completion or because the connection closed.
     pub(crate) end_time: Option<Instant>,
+    /// Whether the work ended by completion.
+    pub(crate) is_complete: bool,
     /// Whether the backend server rejected the request without running it.
     pub(crate) rejected: bool,
     /// Whether method, path and body arrived as they were sent.
@@ -44,7 +48,28 @@
     Left,
 }
 
-/// One request of a caller.
+impl Run {
+    /// Returns whether the server was still at work at `at`, or had to break off.
+    pub(crate) fn is_unfinished(&self, at: Instant) -> bool {
+        !self.rejected && (!self.is_complete || self.end_time.is_none_or(|end| end > at))
+    }
+}
+
+/// A request as its caller sends it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentRequest {
+    /// The VM of the caller.
+    pub(crate) vm: usize,
+    pub(crate) path: &'static str,
+    /// The number of the deadly request; `None` for ordinary ones.
+    pub(crate) deadly: Option<u64>,
+    /// How long the caller waits.
+    pub(crate) wait: Duration,
+    /// Whether a run that was itself a repeat made the request.
+    pub(crate) is_repeat: bool,
+}
+
+/// One request of a caller or a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestRecord {
     /// The VM of the caller.
@@ -52,7 +77,12 @@
     pub(crate) path: &'static str,
     /// The number of the deadly request; `None` for ordinary ones.
     pub(crate) deadly: Option<u64>,
+    pub(crate) is_repeat: bool,
     pub(crate) at: Instant,
+    /// When its last byte was sent.
+    pub(crate) sent_at: Option<Instant>,
+    /// The earlier of the caller's deadline and the timeout of the route.
+    pub(crate) deadline: Instant,
     pub(crate) outcome: Option<(Instant, Outcome)>,
     pub(crate) runs: Vec<Run>,
 }
@@ -71,18 +101,37 @@
 }
 
 impl Record {
-    pub(crate) fn record_sent(&self, id: &str, vm: usize, path: &'static str, deadly: Option<u64>) {
+    pub(crate) fn record_sent(&self, id: &str, sent: SentRequest) {
+        let at = Instant::now();
         let request = RequestRecord {
-            vm,
-            path,
-            deadly,
-            at: Instant::now(),
+            vm: sent.vm,
+            path: sent.path,
+            deadly: sent.deadly,
+            is_repeat: sent.is_repeat,
+            at,
+            sent_at: None,
+            deadline: at + sent.wait.min(route_of(sent.path).timeout),
             outcome: None,
             runs: Vec::new(),
         };
         self.requests.lock().insert(id.to_owned(), request);
     }
 
+    /// Records that the last byte of a request is sent now.
+    pub(crate) fn record_sent_whole(&self, id: &str) {
+        if let Some(request) = self.requests.lock().get_mut(id) {
+            request.sent_at = Some(Instant::now());
+        }
+    }
+
+    /// Records that a caller disconnected, unless its request has ended.
+    pub(crate) fn record_left(&self, id: &str) {
+        if let Some(request) = self.requests.lock().get_mut(id) {
+            let left = (Instant::now(), Outcome::Left);
+            request.outcome.get_or_insert(left);
+        }
+    }
+
     pub(crate) fn record_outcome(&self, id: &str, outcome: Outcome) {
         if let Some(request) = self.requests.lock().get_mut(id) {
             request.outcome = Some((Instant::now(), outcome));
@@ -107,13 +156,20 @@
         }
     }
 
-    pub(crate) fn record_run_end(&self, id: &str, index: usize) {
+    /// Returns whether a run of a request is a repeat, or was made by one.
+    pub(crate) fn is_repeat(&self, id: &str, index: usize) -> bool {
+        let requests = self.requests.lock();
+        index > 0 || requests.get(id).is_some_and(|request| request.is_repeat)
+    }
+
+    pub(crate) fn record_run_end(&self, id: &str, index: usize, is_complete: bool) {
         let mut all = self.requests.lock();
         let run = all
             .get_mut(id)
             .and_then(|request| request.runs.get_mut(index));
         if let Some(run) = run {
             run.end_time = Some(Instant::now());
+            run.is_complete = is_complete;
         }
     }
 }
--- a/examples/soak/vm.rs
+++ b/examples/soak/vm.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Signal {
     Term,
+    Interrupt,
     Kill,
     Stop,
     Continue,
@@ -31,6 +32,7 @@
     const fn name(self) -> &'static str {
         match self {
             Self::Term => "-TERM",
+            Self::Interrupt => "-INT",
             Self::Kill => "-KILL",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
@@ -53,6 +55,8 @@
     pub(crate) daemon_faults: Mutex<Vec<Span>>,
     /// Planned stops, from SIGTERM to the exit of the daemon.
     pub(crate) stops: Mutex<Vec<Span>>,
+    /// When the daemon received SIGHUP.
+    pub(crate) hang_ups: Mutex<Vec<Instant>>,
 }
 
 impl Vm {
@@ -74,6 +78,7 @@
             disturbances: Mutex::default(),
             daemon_faults: Mutex::default(),
             stops: Mutex::default(),
+            hang_ups: Mutex::default(),
         })
     }
 
@@ -92,6 +97,9 @@
 
     /// Sends a signal to the daemon process.
     pub(crate) fn signal(&self, signal: Signal) {
+        if signal == Signal::HangUp {
+            self.hang_ups.lock().push(Instant::now());
+        }
         let id = self.child.lock().as_ref().map(Child::id);
         if let Some(id) = id {
             let sent = Command::new("kill")
--- a/tests/support/rows.rs
+++ b/tests/support/rows.rs
@@ -108,12 +108,18 @@
 impl RowsStandIn {
     pub async fn start(address: SocketAddr) -> (Arc<Self>, HttpListener) {
         let store = Arc::new(Self::default());
-        let served = Arc::clone(&store);
+        let listening = store.listen(address).await;
+        (store, listening)
+    }
+
+    /// Serves the store at `address` until the listener is dropped.
+    pub async fn listen(self: &Arc<Self>, address: SocketAddr) -> HttpListener {
+        let served = Arc::clone(self);
         let listening = listen(address, move |request, _| {
             let store = Arc::clone(&served);
             async move { store.handle(request).await }
         });
-        (store, listening.await.expect("the stand-in"))
+        listening.await.expect("the stand-in")
     }
 
     pub fn set_fault(&self, fault: RowsFault) {
