--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::Args;
 use crate::backend::Backend;
 use crate::estate::configuration_document;
 use crate::proxy::{Mode, Proxy};
@@ -24,6 +25,9 @@
 /// Time until a server that leaves may end: the platform's bound and 500 ms more.
 const LEAVE_TIME: Duration = Duration::from_millis(2500);
 
+/// Time until all requests that a server has begun have ended.
+const MAX_RUN_TIME: Duration = Duration::from_millis(2500);
+
 /// Minimum time that a server keeps a rate limit: until the limit is enforced,
 /// and one window of the check.
 const MIN_LIMIT_TIME: Duration = Duration::from_secs(8);
@@ -52,6 +56,9 @@
     },
     /// The backend server announces that it leaves and is replaced.
     Replace,
+    /// The backend server announces that it leaves and ends, then the daemon is
+    /// stopped, and both are started again.
+    Retire,
     /// The backend server is replaced, and only its answers say that it leaves.
     Slip,
     /// The backend server names a rate limit in its answers.
@@ -61,7 +68,7 @@
     },
 }
 
-const FAULTS: [Fault; 24] = [
+const FAULTS: [Fault; 25] = [
     Fault::Kill,
     Fault::Kill,
     Fault::Terminate,
@@ -81,6 +88,7 @@
     Fault::Crash { same_id: true },
     Fault::Crash { same_id: false },
     Fault::Replace,
+    Fault::Retire,
     Fault::Slip,
     Fault::Need,
     Fault::Need,
@@ -88,6 +96,27 @@
     Fault::Configure { count: 3 },
 ];
 
+impl Fault {
+    /// Returns whether a fault excuses no loss: it is planned, or of the store.
+    const fn is_planned(self) -> bool {
+        match self {
+            Self::Terminate
+            | Self::Retire
+            | Self::HangUp
+            | Self::Store(_)
+            | Self::StoreDown
+            | Self::Configure { .. } => true,
+            Self::Kill
+            | Self::Pause
+            | Self::Cut(_)
+            | Self::Crash { .. }
+            | Self::Replace
+            | Self::Slip
+            | Self::Need => false,
+        }
+    }
+}
+
 /// What may begin at the same time as a planned stop, besides a stop of another VM.
 const BESIDE_STOPS: [Fault; 2] = [Fault::StoreDown, Fault::Configure { count: 3 }];
 /// The signals that follow the SIGTERM of a planned stop.
@@ -170,6 +199,7 @@
             Fault::StoreDown => self.stop_store(time).await,
             Fault::Crash { same_id } => self.crash(vm, same_id, time).await,
             Fault::Replace => self.replace(vm).await,
+            Fault::Retire => self.retire(vm, series).await,
             Fault::Slip => self.leave_by_answers(vm).await,
             Fault::Need => self.limit_rate(vm, time).await,
             Fault::Configure { count } => {
@@ -334,6 +364,24 @@
         self.vms[vm].end_disturbance(index);
     }
 
+    async fn retire(&self, vm: usize, series: SignalSeries) {
+        let mut backend = self.backends[vm].lock().await;
+        backend.announce_leaving(LEAVE_TIME).await;
+        tokio::time::sleep(LEAVE_TIME + MAX_RUN_TIME).await;
+        let left = backend.leave_ack();
+        // Requests in progress end with the server only if nobody was told.
+        let index = left.is_none().then(|| self.vms[vm].begin_disturbance());
+        backend.crash();
+        if let Some(left) = left {
+            self.departures.lock().push((vm, left, Instant::now()));
+        }
+        self.terminate(vm, series).await;
+        self.restart(vm, &mut backend, false).await;
+        if let Some(index) = index {
+            self.vms[vm].end_disturbance(index);
+        }
+    }
+
     async fn restart(&self, vm: usize, backend: &mut Backend, same_id: bool) {
         if let Err(e) = backend.start(same_id).await {
             self.failures
@@ -347,18 +395,15 @@
 ///
 /// Rate limits and faults of the store are not counted among those of a VM. Planned
 /// stops consist of a single signal each if `single_signals` is set.
-pub(crate) async fn inject_faults(
-    world: &Arc<World>,
-    seed: u64,
-    end: Instant,
-    single_signals: bool,
-) {
-    let mut rng = StdRng::seed_from_u64(seed);
+pub(crate) async fn inject_faults(world: &Arc<World>, args: &Args, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(args.seed);
+    let allowed = |fault: &Fault| !args.planned || fault.is_planned();
+    let drawn: Vec<Fault> = FAULTS.into_iter().filter(allowed).collect();
     let busy = Arc::new(Mutex::new(vec![false; world.vms.len()]));
     let store_busy = Arc::new(tokio::sync::Mutex::new(()));
     let mut running_faults = JoinSet::new();
     while Instant::now() < end {
-        let fault = *FAULTS.choose(&mut rng).unwrap_or(&Fault::HangUp);
+        let fault = *drawn.choose(&mut rng).unwrap_or(&Fault::HangUp);
         let mut faults = vec![fault];
         if fault == Fault::Terminate {
             match rng.random_range(0..3) {
@@ -371,7 +416,7 @@
             let vm = rng.random_range(0..world.vms.len());
             let time = Duration::from_millis(rng.random_range(200..2500));
             let mut series = draw_series(&mut rng);
-            if single_signals {
+            if args.single_signals {
                 series.clear();
             }
             let (world, busy, store_busy) = (
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -74,6 +74,9 @@
     /// send planned stops a single signal each
     #[argh(switch)]
     single_signals: bool,
+    /// inject only planned work and faults of the store
+    #[argh(switch)]
+    planned: bool,
     /// the daemon's program (default: the one built beside this)
     #[argh(option)]
     daemon: Option<PathBuf>,
@@ -157,13 +160,16 @@
     let end = Instant::now() + Duration::from_secs_f64(args.minutes * 60.0);
     let mut restarters = JoinSet::new();
     for vm in 0..world.vms.len() {
+        if args.planned {
+            break;
+        }
         let (world, record) = (Arc::clone(&world), Arc::clone(&record));
         let addresses = world.vms[vm].addresses;
         let deadly_caller = Caller::new(vm, CALLERS_PER_VM, args.seed, &addresses, record);
         callers.spawn(deadly_caller.repeat_deadly_request(stopped.clone(), end));
         restarters.spawn(async move { world.restart_crashed(vm).await });
     }
-    inject_faults(&world, args.seed, end, args.single_signals).await;
+    inject_faults(&world, args, end).await;
     tokio::time::sleep(SETTLE_TIME).await;
     let recovery_start = Instant::now();
     tokio::time::sleep(RECOVERY_WINDOW).await;
