--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -309,7 +309,8 @@
         let Some((at, Outcome::Left)) = &request.outcome else {
             continue;
         };
-        let long = started_runs(request).filter(|run| run.end_time.is_none_or(|ended| ended > *at));
+        let long = started_runs(request)
+            .filter(|run| !run.is_detached && run.end_time.is_none_or(|ended| ended > *at));
         let undisturbed = |run: &&Run| {
             is_undisturbed(world, request.vm, request.at, *at + CANCEL_DELAY)
                 && is_undisturbed(world, run.vm, request.at, *at + CANCEL_DELAY)
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -24,6 +24,8 @@
     pub(crate) end_time: Option<Instant>,
     /// Whether the work ended by completion.
     pub(crate) is_complete: bool,
+    /// Whether the work goes on after its connection has closed.
+    pub(crate) is_detached: bool,
     /// Whether the backend server rejected the request without running it.
     pub(crate) rejected: bool,
     /// Whether method, path and body arrived as they were sent.
