Soak: count SIGHUP only at the caller's VM, and a failed call once

A server answers 500 if a call that it needs fails, and the call itself is a request of the record. RECOVER counted one failure at each level of the tree; it leaves out the signed 500 and counts the call.

--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -227,9 +227,9 @@
     undisturbed.then(|| format!("it reached vm {}", run.vm))
 }
 
-/// Returns whether a request overlaps planned work on a VM: a stop, until a second
-/// after its grace, or a SIGHUP.
-fn is_planned(vm: &Vm, request: &RequestRecord, sent: Instant, end: Instant) -> bool {
+/// Returns whether a request overlaps a planned stop of a VM, which counts until a
+/// second after its grace.
+fn is_beside_stop(vm: &Vm, request: &RequestRecord, end: Instant) -> bool {
     let since = request
         .at
         .checked_sub(UNDISTURBED_TIME)
@@ -239,8 +239,16 @@
         (*begin, stopped.map(|stopped| stopped.max(latest)))
     };
     let stops: Vec<Span> = vm.stops.lock().iter().map(window).collect();
-    let mut hang_ups = vm.hang_ups.lock().clone().into_iter();
-    overlaps_any(&stops, since, end) || hang_ups.any(|at| at < end && sent <= at + VERSION_DELAY)
+    overlaps_any(&stops, since, end)
+}
+
+/// Returns whether a request was sent before a SIGHUP or soon after it, and ended
+/// later than it.
+fn is_beside_hang_up(vm: &Vm, sent: Instant, end: Instant) -> bool {
+    let hang_ups = vm.hang_ups.lock();
+    hang_ups
+        .iter()
+        .any(|at| *at < end && sent <= *at + VERSION_DELAY)
 }
 
 /// Returns whether a server was still at work in the last sixth of the grace on a
@@ -286,15 +294,16 @@
         return None;
     }
     let mut servers = started_runs(request).map(|run| &world.vms[run.vm]);
-    let place = if is_planned(own, request, sent, *end) {
-        "its caller's"
-    } else if servers.any(|vm| is_planned(vm, request, sent, *end)) {
-        "its server's"
+    let work = if is_beside_stop(own, request, *end) {
+        "a stop of its caller's daemon"
+    } else if servers.any(|vm| is_beside_stop(vm, request, *end)) {
+        "a stop of its server's daemon"
+    } else if is_beside_hang_up(own, sent, *end) {
+        "a SIGHUP of its caller's daemon"
     } else {
         return None;
     };
-    (!is_late_in_grace(own, request, sent))
-        .then(|| format!("{}: {kind}, at a stop of {place} daemon", request.path))
+    (!is_late_in_grace(own, request, sent)).then(|| format!("{}: {kind}, at {work}", request.path))
 }
 
 /// GONE: more than three runs, and more than a quarter of them, went on after their
@@ -444,12 +453,24 @@
 
 /// Returns how many requests sent from `from` until `to` were served, of how many.
 ///
-/// Deadly requests and those that their callers abandoned are left out.
+/// Deadly requests and those that their callers abandoned are left out, as are those
+/// that a server failed because a call failed: the call itself is counted.
 pub(crate) fn count_served(record: &Record, from: Instant, to: Instant) -> (usize, usize) {
     let requests = record.requests.lock();
     let ended = requests.values().filter(|s| s.at >= from && s.at < to);
-    let judged =
-        ended.filter(|s| s.deadly.is_none() && !matches!(s.outcome, Some((_, Outcome::Left))));
+    let is_left_out = |request: &RequestRecord| {
+        let outcome = request.outcome.as_ref().map(|(_, outcome)| outcome);
+        let failed_by_call = matches!(
+            outcome,
+            Some(Outcome::Answered {
+                status: 500,
+                signed: true,
+                ..
+            })
+        );
+        request.deadly.is_some() || outcome == Some(&Outcome::Left) || failed_by_call
+    };
+    let judged = ended.filter(|request| !is_left_out(request));
     let mut counts = (0, 0);
     for request in judged {
         counts.1 += 1;
