Do not let callers that stay hold up a stop

Operators saw a stop last until its drain ended, and exit code 3, though no call was in flight: connections counted while they were read to their end after the last answer, and callers that are refused on new connections and leave these open kept the count above zero.

Connections that are closing are now counted apart: the drain ends without them, and they get what they always got, half a second, at the end. A drain whose time is over before its first look reports what it finds.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -142,7 +142,7 @@
                 entry,
                 guard,
                 pool,
-                callers: callers.activity().clone(),
+                connections: callers.connections().clone(),
                 peers,
             },
             tasks,
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -16,7 +16,7 @@
 use crate::policy::once::{Successor, hand_over as hand_over_row};
 use crate::store::{Condition, WriteOutcome, write_with_retry};
 use crate::tables::Shared;
-use crate::web::Activity;
+use crate::web::{Activity, ConnectionCounts, LINGER_TIMEOUT};
 
 /// How long callers have to learn that this daemon is leaving before its entry
 /// refuses new calls.
@@ -56,8 +56,8 @@
     pub guard: Arc<Guard>,
     /// The connections to other daemons.
     pub pool: Arc<Pool>,
-    /// The connections of callers that wait for an answer or receive one.
-    pub callers: Activity,
+    /// The connections of callers.
+    pub connections: ConnectionCounts,
     /// The requests of other daemons that wait for an answer or receive one.
     pub peers: Activity,
 }
@@ -122,7 +122,7 @@
         let (running, waiting, _) = parts.guard.gate().load();
         Self {
             requests: parts.entry.in_flight(),
-            connections: parts.callers.count(),
+            connections: parts.connections.busy.count(),
             peers: parts.peers.count(),
             calls: running + waiting + parts.guard.once().in_flight(),
             parents: parts.shared.parent_calls.len(),
@@ -204,20 +204,35 @@
 /// is over.
 async fn drain(parts: &StopParts, begin: Instant) -> bool {
     let time = drain_time(&parts.shared);
-    let mut drained = false;
-    while !drained && begin.elapsed() < time {
-        if begin.elapsed() >= time.mul_f64(ONWARD_DRAIN_SHARE) {
-            parts.entry.close_onward();
+    let drained = loop {
+        if InFlight::count(parts).is_empty() {
+            break true;
         }
-        drained = InFlight::count(parts).is_empty();
-        if !drained {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        let elapsed = begin.elapsed();
+        if elapsed >= time {
+            break false;
         }
-    }
+        if elapsed >= time.mul_f64(ONWARD_DRAIN_SHARE) {
+            parts.entry.close_onward();
+        }
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    };
     InFlight::count(parts).log("drain ended", begin);
+    if drained {
+        close_connections(parts).await;
+    }
     drained
 }
 
+/// Waits for callers to close connections whose last answer is sent: a connection that
+/// is closed with unread bytes is reset, and its caller may lose that answer.
+async fn close_connections(parts: &StopParts) {
+    let latest = Instant::now() + LINGER_TIMEOUT;
+    while parts.connections.closing.count() > 0 && Instant::now() < latest {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
 async fn notify_neighbours(shared: &Shared, pool: &Pool) {
     let neighbours = neighbours(&shared.view.lock());
     let exchanges = neighbours
--- a/src/web/activity.rs
+++ b/src/web/activity.rs
@@ -29,3 +29,12 @@
         self.0.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+/// Counts the connections of an HTTP server.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionCounts {
+    /// Connections with a request whose answer has not been sent completely.
+    pub busy: Activity,
+    /// Connections that are read to their end after their last answer.
+    pub closing: Activity,
+}
--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -20,7 +20,9 @@
 use super::pipeline::Pipeline;
 use super::pipelined_body::PipelinedBody;
 use super::pipelined_stream::PipelinedStream;
-use super::{AnswerFuture, CallerAnswer, MAX_HEAD, MAX_HEADERS, RequestHandler, caller_text};
+use super::{
+    AnswerFuture, CallerAnswer, LINGER_TIMEOUT, MAX_HEAD, MAX_HEADERS, RequestHandler, caller_text,
+};
 
 /// Bytes of a header line besides name and value.
 const HEADER_LINE_OVERHEAD: usize = 4;
@@ -28,8 +30,6 @@
 /// incomplete. Longer than callers keep idle connections, so that a request rarely
 /// arrives while the connection closes.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time for which a caller's remaining bytes are read after its last answer.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Source of the answer to a request.
 enum AnswerSource {
--- a/src/web/listen.rs
+++ b/src/web/listen.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 use tokio_stream::StreamExt;
 
-use super::activity::Activity;
+use super::activity::ConnectionCounts;
 use super::caller_connection::CallerConnection;
 use super::pipeline::Pipeline;
 use super::{IncompleteBody, Payload, RequestHandler};
@@ -38,7 +38,7 @@
 pub struct HttpListener {
     address: SocketAddr,
     closing: watch::Sender<bool>,
-    activity: Activity,
+    counts: ConnectionCounts,
     task: JoinHandle<()>,
 }
 
@@ -48,10 +48,9 @@
         self.address
     }
 
-    /// Returns the count of connections with a request whose answer has not been sent
-    /// completely, or that are about to close.
-    pub fn activity(&self) -> &Activity {
-        &self.activity
+    /// Returns the counts of connections.
+    pub fn connections(&self) -> &ConnectionCounts {
+        &self.counts
     }
 
     /// Makes each connection close after an answer once no further request has been
@@ -101,8 +100,8 @@
     let listener = TcpListener::bind(address).await.map_err(listen_error)?;
     let address = listener.local_addr().map_err(listen_error)?;
     let (closing, closing_receiver) = watch::channel(false);
-    let activity = Activity::default();
-    let active = activity.clone();
+    let counts = ConnectionCounts::default();
+    let shared_counts = counts.clone();
     let task = tokio::spawn(async move {
         // Dropping the set with this task closes all connections.
         let mut connections = JoinSet::new();
@@ -116,7 +115,7 @@
                         pipeline: Arc::new(Mutex::new(Pipeline::new(
                             limit,
                             Instant::now(),
-                            active.clone(),
+                            shared_counts.clone(),
                         ))),
                         closing: closing_receiver.clone(),
                     };
@@ -132,7 +131,7 @@
     Ok(HttpListener {
         address,
         closing,
-        activity,
+        counts,
         task,
     })
 }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -18,7 +18,9 @@
 mod stage;
 mod threaded_server;
 
-pub use activity::{Activity, ActivityGuard};
+use std::time::Duration;
+
+pub use activity::{Activity, ActivityGuard, ConnectionCounts};
 pub use client::{Answer, Client, ClientError};
 pub use connection_pool::{ConnectionPool, MAX_BUFFER, PoolLimits, RequestError};
 pub use dialer::Dialer;
@@ -35,3 +37,5 @@
 const MAX_HEADERS: usize = 64;
 /// Maximum size of the head of a request, in bytes.
 const MAX_HEAD: usize = 32 * 1024;
+/// Time for which a caller's remaining bytes are read after its last answer.
+pub const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/web/pipeline.rs
+++ b/src/web/pipeline.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::MAX_HEAD;
-use super::activity::{Activity, ActivityGuard};
+use super::activity::{ActivityGuard, ConnectionCounts};
 use super::early_head::parse_early_head;
 use super::early_request::EarlyRequest;
 use super::head_scanner::HeadScanner;
@@ -35,14 +35,14 @@
     stage: Stage,
     /// Whether the current request is answered.
     is_answered: bool,
-    /// Whether a request whose head the server has parsed is not answered yet.
-    awaits_answer: bool,
+    /// Whether an answer is owed: from when the HTTP server has parsed the head of a
+    /// request until it has taken the end of the answer.
+    owes_answer: bool,
     /// Whether the connection ends with the current request.
     is_last: bool,
-    /// The connections with requests in progress.
-    activity: Activity,
-    /// Counts this connection, from the head of a request until its answer is sent.
-    active: Option<ActivityGuard>,
+    counts: ConnectionCounts,
+    /// Counts this connection while it is busy or closing.
+    counted: Option<ActivityGuard>,
     /// Whether later requests wait until the current one is answered.
     blocks_next: bool,
     /// Where the current request begins.
@@ -79,7 +79,7 @@
 impl Pipeline {
     /// Creates the pipeline of a new connection; nothing is read ahead if `limit` is
     /// 0 or 1.
-    pub(super) fn new(limit: usize, now: Instant, activity: Activity) -> Self {
+    pub(super) fn new(limit: usize, now: Instant, counts: ConnectionCounts) -> Self {
         Self {
             limit,
             stage: if limit > 1 {
@@ -88,10 +88,10 @@
                 Stage::Unbounded
             },
             is_answered: false,
-            awaits_answer: false,
+            owes_answer: false,
             is_last: false,
-            activity,
-            active: None,
+            counts,
+            counted: None,
             blocks_next: false,
             start: 0,
             arrived_at: now,
@@ -171,10 +171,10 @@
         request: &Request<B>,
         is_last: bool,
     ) -> (Instant, Option<EarlyRequest>) {
-        if self.active.is_none() {
-            self.active = Some(self.activity.begin());
+        if self.counted.is_none() {
+            self.counted = Some(self.counts.busy.begin());
         }
-        self.awaits_answer = true;
+        self.owes_answer = true;
         if matches!(self.stage, Stage::Unbounded) {
             return (Instant::now(), None);
         }
@@ -202,17 +202,19 @@
     /// Records that the current request is answered.
     pub(super) fn record_answer(&mut self) {
         self.is_answered = true;
-        self.awaits_answer = false;
+        self.owes_answer = false;
         self.advance();
     }
 
-    /// Records that the server has sent all that it was given to send.
-    ///
-    /// A connection that ends stays active, so that the rest that its caller sends is
-    /// read: closing before could reset the connection and lose the last answer.
+    /// Records that the HTTP server has nothing left to send.
     pub(super) fn record_flush(&mut self) {
-        if !self.awaits_answer && !self.is_last && !self.has_buffered() {
-            self.active = None;
+        if self.owes_answer || self.counted.is_none() {
+            return;
+        }
+        if self.is_last {
+            self.counted = Some(self.counts.closing.begin());
+        } else if !self.has_buffered() {
+            self.counted = None;
         }
     }
 
