Give up no upload for a moment of silence

Callers of idempotent uploads over 512 KB got 502 when the daemon beside the server stood still for more than 250 ms as the call arrived, while it went on afterwards.

Cause: the time-out for the acknowledgement of a call served two purposes. With a request for confirmation nothing runs before the entry's word, so the call may be refused as not run and tried elsewhere at once; without one it may run, and cannot be sent again. Only the former is given up now, the latter has its deadline.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -66,7 +66,13 @@
     let deadline = message.head.deadline;
     let needs_confirm = message.needs_confirm;
     let (frames, rest) = call_frames(instance, attempt.id(), message);
-    let arrival = (Instant::now() + ARRIVAL_TIMEOUT).min(deadline + ANSWER_SLACK);
+    let latest = deadline + ANSWER_SLACK;
+    // Without a request for confirmation, the call may run though nothing is heard.
+    let arrival = if needs_confirm {
+        latest.min(Instant::now() + ARRIVAL_TIMEOUT)
+    } else {
+        latest
+    };
     let answer = tokio::time::timeout_at(arrival, client.call(frames)).await;
     let answer = match answer {
         Ok(Ok(answer)) => answer.into_inner(),
