Leave servers more time for their own answer at the deadline

The guard now waits 30 ms for the server, entries 60 ms for guards, and 90 ms in all.

Besides, a name and a comment that the review stumbled over.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -37,7 +37,7 @@
 
 /// How long after the deadline the entry waits for the guard, which may still
 /// report that the call has not run.
-const VERDICT_GRACE: Duration = Duration::from_millis(50);
+const VERDICT_GRACE: Duration = Duration::from_millis(90);
 
 /// Accepts requests of callers, forwards them and returns the answers.
 pub struct Entry {
@@ -91,18 +91,18 @@
             arrived_at,
         } = arrival;
         let answers = AnswerBuilder::new(&*shared.protocol, &parts.headers);
-        let mut unanswered = UnansweredRequest {
+        let mut undecided = UndecidedRequest {
             shared,
             id: answers.id(),
             arrived_at,
-            is_answered: false,
+            is_decided: false,
         };
         let mut accepted = match self.accept(&parts, arrived_at, from) {
             Ok(accepted) => accepted,
             Err(mut refusal) => {
                 self.record_rejected(answers.id(), &refusal);
                 self.context.add_retry_after(&mut refusal);
-                unanswered.is_answered = true;
+                undecided.is_decided = true;
                 return answers.refusal(None, &refusal, None);
             }
         };
@@ -111,7 +111,7 @@
             .journal
             .record(call, CallStep::Entered, StepDetail::None);
         let outcome = self.run_within_rate(&mut accepted, &parts, body).await;
-        unanswered.is_answered = true;
+        undecided.is_decided = true;
         self.record_metrics(&accepted, &outcome, arrived_at.elapsed());
         self.log_failure(answers.id(), &accepted, &outcome, arrived_at.elapsed());
         match outcome.result {
@@ -410,18 +410,18 @@
     }
 }
 
-/// Logs a request of a stopping daemon that is dropped without an answer: its caller
-/// disconnected, or the process ends.
-struct UnansweredRequest<'r> {
+/// Logs a request of a stopping daemon that is dropped before its answer is decided: its
+/// caller disconnected, or the process ends.
+struct UndecidedRequest<'r> {
     shared: &'r Shared,
     id: &'r str,
     arrived_at: Instant,
-    is_answered: bool,
+    is_decided: bool,
 }
 
-impl Drop for UnansweredRequest<'_> {
+impl Drop for UndecidedRequest<'_> {
     fn drop(&mut self) {
-        let may_log = !self.is_answered && self.shared.readiness.is_stopping();
+        let may_log = !self.is_decided && self.shared.readiness.is_stopping();
         if may_log && self.shared.log_limiter.try_take() {
             spdlog::warn!("request dropped while stopping", kv: {
                 request = self.id,
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -22,7 +22,7 @@
 
 /// How long after a call's deadline its backend server may still answer: it counts the
 /// same time from when it reads the call. Entries wait for guards a little longer.
-const SERVER_GRACE: Duration = Duration::from_millis(10);
+const SERVER_GRACE: Duration = Duration::from_millis(30);
 
 /// Slots assumed until the configuration declares the service.
 const UNDECLARED_SLOTS: Slots = Slots::new(1);
--- a/src/peer/call.rs
+++ b/src/peer/call.rs
@@ -9,7 +9,7 @@
 
 /// Time to wait for an answer after the deadline, so that the guard's own
 /// refusal can arrive.
-pub(super) const ANSWER_SLACK: Duration = Duration::from_millis(20);
+pub(super) const ANSWER_SLACK: Duration = Duration::from_millis(60);
 /// Timeout for connecting.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a message.
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -15,8 +15,8 @@
 
 /// Interval of keep-alive pings on a connection with calls in flight.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of a keep-alive ping. A daemon on a busy VM may stand still for a second or
-/// two, and calls that cannot be repeated gain nothing by being given up sooner.
+/// Timeout of a keep-alive ping. All calls on a connection end with it, and a daemon on
+/// a busy VM may only stand still for a moment.
 const PING_TIMEOUT: Duration = Duration::from_secs(3);
 /// Flow control windows of a stream and of a connection, in bytes.
 const STREAM_WINDOW: u32 = 1024 * 1024;
