Let no spawned process of the tests inherit a port that is being looked up

So the port was held by this process: a look-up binds it and closes it, and a process that another test spawns in the meantime holds it until it runs its program.

--- a/tests/planned_stop_readers.rs
+++ b/tests/planned_stop_readers.rs
@@ -9,8 +9,8 @@
 
 use rstest::rstest;
 use support::eventually;
-use support::hosted::{document, store};
-use support::hosted_process::HostedProcess;
+use support::hosted::document;
+use support::hosted_process::{HostedProcess, store};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
--- a/tests/stalled_upload.rs
+++ b/tests/stalled_upload.rs
@@ -9,8 +9,8 @@
 use bramleymount::web::{caller_text, listen};
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
-use support::hosted::{document, store};
-use support::hosted_process::HostedProcess;
+use support::hosted::document;
+use support::hosted_process::{HostedProcess, store};
 use support::{eventually, headers, request};
 use tokio::time::sleep;
 
--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -11,10 +11,15 @@
 use bramleymount::emulator::free_address_on;
 use bramleymount::web::HttpListener;
 use http::{HeaderMap, Method, StatusCode};
+use parking_lot::Mutex;
 
 use super::rows::RowsStandIn;
 use super::{eventually, request};
 
+/// Held while a process is spawned or a free port is looked up. A spawned process
+/// inherits all sockets until it runs its program, among them one that another test has
+/// just bound and closed, whose port is then still in use.
+static SPAWN_LOCK: Mutex<()> = Mutex::new(());
 /// Number of VMs that this process has started.
 static VM_COUNT: AtomicU8 = AtomicU8::new(0);
 
@@ -26,9 +31,14 @@
     Ipv4Addr::new(127, 100 + vm, high, low.max(1)).into()
 }
 
+fn free_port(ip: IpAddr) -> SocketAddr {
+    let _alone = SPAWN_LOCK.lock();
+    free_address_on(ip).expect("a port")
+}
+
 /// Starts the store's stand-in.
 pub async fn store() -> (SocketAddr, Arc<RowsStandIn>, HttpListener) {
-    let address = free_address_on(own_ip()).expect("a port");
+    let address = free_port(own_ip());
     let (rows, listening) = RowsStandIn::start(address).await;
     (address, rows, listening)
 }
@@ -48,7 +58,7 @@
     /// Starts a daemon, whose log goes to a file beside its settings.
     pub async fn start(service: &str, store: SocketAddr) -> Self {
         let ip = own_ip();
-        let port = || free_address_on(ip).expect("a port");
+        let port = || free_port(ip);
         let (callers, backend, announcements, readiness) = (port(), port(), port(), port());
         let text = format!(
             "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
@@ -63,12 +73,11 @@
         std::fs::write(&settings, text).expect("settings");
         let log = settings.with_extension("log");
         let output = File::create(&log).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_bramleymountd"))
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .spawn()
-            .expect("the daemon");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bramleymountd"));
+        command.arg(&settings).stdin(Stdio::null()).stdout(output);
+        let spawning = SPAWN_LOCK.lock();
+        let child = command.spawn().expect("the daemon");
+        drop(spawning);
         Self {
             child,
             service: service.into(),
@@ -114,7 +123,9 @@
     /// Sends a signal by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
+        let spawning = SPAWN_LOCK.lock();
         let sent = Command::new("kill").args(["-s", name, &id]).status();
+        drop(spawning);
         assert!(sent.expect("kill").success());
     }
 
