--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -18,7 +18,7 @@
 use support::hosted_process::{HostedProcess, store};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// How long the backend server runs a request: past the time at which a stopping daemon
 /// starts to drain, and within its grace.
@@ -31,6 +31,8 @@
 const CALL_COUNT: usize = 8;
 /// Time that callers give a call.
 const CALL_TIME: Duration = Duration::from_millis(699);
+/// Time that callers give a parent call, less than two calls take.
+const PARENT_TIME: Duration = Duration::from_millis(400);
 /// How late a server answers whose time for a call is over.
 const SERVER_DELAY: Duration = Duration::from_millis(4);
 /// How long a daemon stands still.
@@ -385,3 +387,38 @@
     assert_eq!(read_answer(call).await, (200, SHORT_BODY.len()));
     assert_eq!(read_answer(parent).await.0, 504);
 }
+
+// Guards against calls of a server that are broken off at work when the time of their parent
+// is over, while the server that made them, which read the parent late, still waits.
+#[rstest]
+#[case::running(false)]
+#[case::stopping(true)]
+#[tokio::test]
+async fn deadline_of_parent_breaks_off_no_call(#[case] stops: bool) {
+    let (vm, _other, _kept) = start_vms().await;
+    let parent = get_within("/read/x", "r1", PARENT_TIME);
+    let _parent = send(vm.callers, &parent).await;
+    sleep(ARRIVAL_TIME).await;
+    let call = get_within("/read/600", "r1.c1", CALL_TIME);
+    let call = send(vm.callers, &call).await;
+    if stops {
+        vm.signal("TERM");
+    }
+    assert_eq!(read_answer(call).await, (200, SHORT_BODY.len()));
+}
+
+// Guards against servers that work on a call for longer than its parent has, since they are
+// told the time that the call was given.
+#[tokio::test]
+async fn deadline_of_parent_is_told_to_the_server() {
+    let (vm, _other, _kept) = start_vms().await;
+    let parent = get_within("/read/x", "r1", PARENT_TIME);
+    let _parent = send(vm.callers, &parent).await;
+    sleep(ARRIVAL_TIME).await;
+    let begin = Instant::now();
+    let call = get_within("/read/limit", "r1.c1", CALL_TIME);
+    let call = send(vm.callers, &call).await;
+    assert_eq!(read_answer(call).await, (504, SHORT_BODY.len()));
+    let took = begin.elapsed();
+    assert!(took < CALL_TIME - ARRIVAL_TIME, "the call took {took:?}");
+}
