Break off no call at work when its parent's time is over

Callers saw: a server that calls on through its VM's daemon got 504 of the daemon while another server was at work on the call and the time that it had named was not over.

Cause: an onward call had one deadline, the least of its own, its route's and its parent's plus 100 ms, as the daemon counts the parent's. The server counts its parent's time from when it reads it. One that reads it more than 100 ms late (it stood still, or its VM did) waits on, and the daemon broke the call off at the server below.

Evidence: deadline_of_parent_breaks_off_no_call failed before in both cases (504 in place of 200), without a stop and beside a SIGTERM.

Fix: a call has two times. It expires with its parent: it is not started later, waits no longer for a slot and is not retried then, and the server below is told that time, so it ends by itself. The daemon gives the call up at the deadline that its caller named. A caller that names none still waits as long as its parent's. Other daemons are told the time in a field of its own; daemons without it take the deadline for both.

--- a/src/call/head.rs
+++ b/src/call/head.rs
@@ -43,6 +43,10 @@
     pub single_call: bool,
     /// The time at which the caller stops waiting.
     pub deadline: Instant,
+    /// The time from which the answer is of no use: the deadline, or that of the parent
+    /// call if it is earlier. The call isn't started later, and its backend server is told
+    /// this time, but a server at work may use the time until the deadline.
+    pub expires: Instant,
     /// Retries granted to this attempt and all its onward calls.
     pub granted_retries: Retries,
     /// Set if the call must run at most once.
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -20,7 +20,7 @@
 use crate::policy::retry::RepeatSafety;
 use crate::tables::{ParentCall, Shared};
 
-/// How long after its parent's deadline an onward call may end. The backend server counts
+/// How long after its parent's deadline an onward call expires. The backend server counts
 /// the parent's time from when it reads it, and may still wait for the call.
 const PARENT_GRACE: Duration = Duration::from_millis(100);
 
@@ -205,7 +205,12 @@
         (Some(timeout), None) => timeout,
         (None, _) => max_timeout.get(),
     };
-    let deadline = arrived_at + timeout;
+    let own_deadline = arrived_at + timeout;
+    let expires = parent.map_or(own_deadline, |parent| {
+        own_deadline.min(parent.deadline + PARENT_GRACE)
+    });
+    // A caller that names no timeout waits no longer than its parent's caller.
+    let deadline = info.timeout.map_or(expires, |_| own_deadline);
     let root = match parent {
         Some(parent) => parent.root,
         None => info.root.unwrap_or_else(RootId::random),
@@ -229,9 +234,8 @@
         priority: Priority::new(rank, depth, root),
         depth,
         single_call: false,
-        deadline: parent.map_or(deadline, |parent| {
-            deadline.min(parent.deadline + PARENT_GRACE)
-        }),
+        deadline,
+        expires,
         granted_retries: Retries::new(0),
         once: None,
         repeat: false,
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -72,7 +72,7 @@
         let failure = FailedAttempt {
             verdict,
             overload: failed.reason().is_overload(),
-            time_left: head.deadline.saturating_duration_since(Instant::now()),
+            time_left: head.expires.saturating_duration_since(Instant::now()),
         };
         let safety = self.accepted.safety;
         let now = Instant::now();
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -19,7 +19,7 @@
         attempt: Attempt<Planned>,
     ) -> Result<(Attempt<Planned>, Instance), Refusal> {
         let head = &self.accepted.head;
-        if Instant::now() >= head.deadline {
+        if Instant::now() >= head.expires {
             return Err(attempt.refuse(Reason::Shed(Shed::Deadline), ""));
         }
         if let Some(RunRestriction::Quarantined(left)) = self.run_restriction() {
--- a/src/guard/gate.rs
+++ b/src/guard/gate.rs
@@ -70,8 +70,8 @@
                 token,
                 priority: head.priority,
                 workspace: head.workspace,
-                deadline: head.deadline,
-                expires: head.deadline,
+                deadline: head.expires,
+                expires: head.expires,
                 may_wait: head.may_wait,
             };
             let (sender, receiver) = oneshot::channel();
--- a/src/guard/run_permit.rs
+++ b/src/guard/run_permit.rs
@@ -76,7 +76,7 @@
         &self,
         head: &CallHead,
     ) -> Result<RunPermit, RunRefusal> {
-        let give_up_at = head.deadline.min(Instant::now() + MAX_SUSPECT_WAIT);
+        let give_up_at = head.expires.min(Instant::now() + MAX_SUSPECT_WAIT);
         let mut granted = RunRestriction::Unrestricted;
         let mut permit = None;
         loop {
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -233,7 +233,7 @@
             }
         };
         if let Some(confirm) = confirm {
-            let confirmed = tokio::time::timeout_at(head.deadline, confirm.request()).await;
+            let confirmed = tokio::time::timeout_at(head.expires, confirm.request()).await;
             if confirmed != Ok(true) {
                 let refusal = attempt.refuse(Reason::Shed(Shed::Cancelled), "");
                 return Err(self.return_retries(refusal, head.granted_retries));
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -68,6 +68,7 @@
 ) -> wire::CallHead {
     let head = message.head;
     let left = head.deadline.saturating_duration_since(now);
+    let useful = head.expires.saturating_duration_since(now);
     let once = head.once.as_ref();
     wire::CallHead {
         instance: instance.to_string(),
@@ -82,6 +83,11 @@
         class: head.class.as_str().to_owned(),
         depth: u32::from(head.depth.get()),
         deadline_ms: millis(left),
+        expires_ms: if head.expires < head.deadline {
+            millis(useful).max(1)
+        } else {
+            0
+        },
         account: message.granted_retries.get(),
         once_key: once.map_or(String::new(), |once| once.key.to_string()),
         method: head.method.as_str().to_owned(),
@@ -138,6 +144,10 @@
     };
     let method = Method::from_bytes(head.method.as_bytes())
         .map_err(|_| Error::value("method", head.method.clone()))?;
+    let expires_ms = match head.expires_ms {
+        0 => head.deadline_ms,
+        ms => ms.min(head.deadline_ms),
+    };
     Ok(CallHead {
         attempt: decode_attempt_id(&head.attempt)?,
         call: CallId::new(decode_id(&head.call)?),
@@ -154,6 +164,7 @@
         depth,
         single_call: head.single,
         deadline: now + Duration::from_millis(u64::from(head.deadline_ms)),
+        expires: now + Duration::from_millis(u64::from(expires_ms)),
         granted_retries: Retries::new(head.account),
         once,
         repeat: head.repeat,
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -74,6 +74,9 @@
     /// Whether it waits for the rate that the backend server named.
     #[prost(bool, tag = "26")]
     pub waits: bool,
+    /// Milliseconds left until the call expires, at least 1; 0 if only the deadline counts.
+    #[prost(uint32, tag = "27")]
+    pub expires_ms: u32,
 }
 /// What one run of a backend server has said of itself.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -134,7 +134,7 @@
         now: Instant,
         server: Option<&ServerId>,
     ) {
-        let left = head.deadline.saturating_duration_since(now).as_millis();
+        let left = head.expires.saturating_duration_since(now).as_millis();
         let left = u64::try_from(left).unwrap_or(u64::MAX).max(1);
         headers.insert(TIME_LEFT_HEADER, HeaderValue::from(left));
         if let Some(Ok(id)) = server.map(|server| HeaderValue::from_str(server.as_str())) {
--- a/src/tables/parent_calls.rs
+++ b/src/tables/parent_calls.rs
@@ -27,7 +27,7 @@
     pub priority: Priority,
     /// The number of calls above it in the call tree.
     pub depth: Depth,
-    /// When the caller stops waiting.
+    /// When its time is over, as its backend server was told.
     pub deadline: Instant,
     /// The key of the call, if it must run at most once.
     pub once: Option<OnceKey>,
@@ -46,7 +46,7 @@
             workspace: head.workspace,
             priority: head.priority,
             depth: head.depth,
-            deadline: head.deadline,
+            deadline: head.expires,
             once: head.once.as_ref().map(|once| once.key.clone()),
             account: Mutex::new(RetryAccount::new(head.granted_retries)),
             onward_outcomes: Mutex::default(),
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -41,6 +41,7 @@
         depth: Depth::default(),
         single_call: false,
         deadline: Instant::now() + left,
+        expires: Instant::now() + left,
         granted_retries: Retries::new(0),
         once: None,
         repeat: false,
