Test of a stop that fails to end: standard output that nobody reads

At exit the log library joins the thread that writes the lines, and that thread waits for the reader. A supervisor has to kill such a daemon.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -64,6 +64,25 @@
         service: &str,
         platform: SocketAddr,
         neighbours: &[SocketAddr],
+    ) -> Self {
+        Self::start_with_output(
+            name,
+            centre,
+            service,
+            platform,
+            neighbours,
+            Stdio::inherit(),
+        )
+    }
+
+    /// Starts a daemon whose standard output goes to `output`.
+    pub fn start_with_output(
+        name: &str,
+        centre: &str,
+        service: &str,
+        platform: SocketAddr,
+        neighbours: &[SocketAddr],
+        output: Stdio,
     ) -> Self {
         let port = || free_address().expect("a port");
         let (callers, peers, operators, backend) = (port(), port(), port(), port());
@@ -79,6 +98,7 @@
         std::fs::write(&path, text).expect("settings");
         let child = Command::new(env!("CARGO_BIN_EXE_bramleymountd"))
             .arg(&path)
+            .stdout(output)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the daemon");
