End a daemon whose standard output nobody reads

Its exit joined the thread that writes the lines. The daemon now waits 0.5 s at most for its last lines, by a flush that passes through the queue behind them, and drops the rest of them if the reader doesn't read. stop_ends_though_output_is_not_read failed before and passes.

--- a/src/bin/bramleymountd/controller.rs
+++ b/src/bin/bramleymountd/controller.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use bramleymount::config::{Config, init_log};
+use bramleymount::config::{Config, close_log, init_log};
 use bramleymount::daemon::Daemon;
 use bramleymount::error::Error;
 use tokio::runtime::{Builder, Runtime};
@@ -17,6 +17,9 @@
 /// Exit code if calls were cut off by the stop.
 const CALLS_CUT_CODE: u8 = 3;
 
+/// How long the last log lines may take to be written.
+const LOG_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval at which the settings are read without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -33,7 +36,9 @@
         println!("{}: ok", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    match serve(args, config) {
+    let served = serve(args, config);
+    close_log(LOG_TIMEOUT);
+    match served {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(CALLS_CUT_CODE),
         Err(e) => {
--- a/src/config/log.rs
+++ b/src/config/log.rs
@@ -4,11 +4,13 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
+use parking_lot::{Condvar, Mutex};
 use serde::Deserialize;
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
-use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
-use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, SinkPropAccess, StdStream, StdStreamSink};
+use spdlog::{ErrorHandler, Level, LevelFilter, Logger, Record, ThreadPool};
 
 use crate::error::Error;
 
@@ -70,6 +72,14 @@
 /// Lines dropped since the start because the log was read too slowly.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
+/// Interval at which a flush is requested again, since a full queue drops the request.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Number of flushes that the thread that writes the lines has carried out.
+static FLUSH_COUNT: Mutex<u64> = Mutex::new(0);
+/// Notified at each flush.
+static FLUSHED: Condvar = Condvar::new();
+
 /// Returns the number of log lines that were dropped since the start.
 pub fn dropped_lines() -> u64 {
     DROPPED_LINES.load(Ordering::Relaxed)
@@ -102,6 +112,62 @@
     Ok(())
 }
 
+/// Waits until the lines logged so far are written, for `longest` at most; returns
+/// whether they are. Otherwise the rest of them is dropped, so that the end of the
+/// process doesn't wait for the reader of its standard output.
+pub fn close_log(longest: Duration) -> bool {
+    let logger = spdlog::default_logger();
+    let end = Instant::now() + longest;
+    let mut count = FLUSH_COUNT.lock();
+    let before = *count;
+    while Instant::now() < end {
+        logger.flush();
+        FLUSHED.wait_for(&mut count, FLUSH_INTERVAL);
+        if *count > before {
+            return true;
+        }
+    }
+    if let Ok(silent) = Logger::builder().build() {
+        // Dropping the logger would wait for its thread.
+        std::mem::forget(spdlog::swap_default_logger(Arc::new(silent)));
+    }
+    false
+}
+
+/// Standard output, with a notification of each flush.
+struct OutputSink(StdStreamSink);
+
+impl SinkPropAccess for OutputSink {
+    fn level_filter(&self) -> LevelFilter {
+        self.0.level_filter()
+    }
+
+    fn set_level_filter(&self, level_filter: LevelFilter) {
+        self.0.set_level_filter(level_filter);
+    }
+
+    fn set_formatter(&self, formatter: Box<dyn Formatter>) {
+        self.0.set_formatter(formatter);
+    }
+
+    fn set_error_handler(&self, handler: ErrorHandler) {
+        self.0.set_error_handler(handler);
+    }
+}
+
+impl Sink for OutputSink {
+    fn log(&self, record: &Record<'_>) -> spdlog::Result<()> {
+        self.0.log(record)
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        let result = self.0.flush();
+        *FLUSH_COUNT.lock() += 1;
+        FLUSHED.notify_all();
+        result
+    }
+}
+
 fn queue_capacity() -> NonZeroUsize {
     NonZeroUsize::new(MAX_QUEUED_LINES).unwrap_or(NonZeroUsize::MIN)
 }
@@ -113,7 +179,7 @@
         .build()?;
     let pool = ThreadPool::builder().capacity(queue_capacity()).build()?;
     let sink = AsyncPoolSink::builder()
-        .sink(Arc::new(sink))
+        .sink(Arc::new(OutputSink(sink)))
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
         .error_handler(|_| {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,5 +5,5 @@
 mod log;
 mod settings;
 
-pub use log::{LogFormat, LogLevel, dropped_lines, init_log};
+pub use log::{LogFormat, LogLevel, close_log, dropped_lines, init_log};
 pub use settings::{Config, Hosting, ListenAddresses};
