Log panics

A panic went to standard error as text only, where the logs of a run of the estate don't have it. It now is a line of the log first, with cause, place and thread; the text on standard error stays.

--- a/src/config/log.rs
+++ b/src/config/log.rs
@@ -1,9 +1,11 @@
 //! Setup of structured logging.
 
+use std::any::Any;
 use std::num::NonZeroUsize;
+use std::panic::PanicHookInfo;
 use std::str::FromStr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
 
 use parking_lot::{Condvar, Mutex};
@@ -79,6 +81,8 @@
 static FLUSH_COUNT: Mutex<u64> = Mutex::new(0);
 /// Notified at each flush.
 static FLUSHED: Condvar = Condvar::new();
+/// Set once panics are logged.
+static PANIC_HOOK: Once = Once::new();
 
 /// Returns the number of log lines that were dropped since the start.
 pub fn dropped_lines() -> u64 {
@@ -86,7 +90,7 @@
 }
 
 /// Sends logs to standard output in the given format, without ever blocking on its
-/// reader.
+/// reader. Panics are logged, too.
 ///
 /// # Errors
 ///
@@ -109,6 +113,13 @@
         .build()
         .map_err(failed)?;
     spdlog::set_default_logger(Arc::new(logger));
+    PANIC_HOOK.call_once(|| {
+        let default_hook = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            log_panic(info);
+            default_hook(info);
+        }));
+    });
     Ok(())
 }
 
@@ -134,6 +145,22 @@
     false
 }
 
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let place = info.location().map(ToString::to_string);
+    let thread = std::thread::current();
+    spdlog::critical!("panic", kv: {
+        cause = panic_cause(info.payload()),
+        place = place.as_deref().unwrap_or_default(),
+        thread = thread.name().unwrap_or_default()
+    });
+}
+
+fn panic_cause(payload: &(dyn Any + Send)) -> &str {
+    let text = payload.downcast_ref::<&str>().copied();
+    let owned = || payload.downcast_ref::<String>().map(String::as_str);
+    text.or_else(owned).unwrap_or("unknown")
+}
+
 /// Standard output, with a notification of each flush.
 struct OutputSink(StdStreamSink);
 
--- a/tests/log_output.rs
+++ b/tests/log_output.rs
@@ -1,4 +1,4 @@
-//! Log lines of the real program at the end of a stop.
+//! Log lines of the real program at the end of a stop, and of a panic.
 
 #![allow(missing_docs)]
 
@@ -11,6 +11,7 @@
 use bramleymount::config::{LogFormat, LogLevel, init_log};
 use bytes::Bytes;
 use http::Method;
+use rstest::rstest;
 use support::{DaemonProcess, ctl, example, headers, platform, request, text};
 
 /// Service of the daemon.
@@ -83,22 +84,29 @@
 // Run in a child process only: what it logs and how it ends is what others test.
 #[test]
 fn child_case() {
-    if std::env::var(CASE_VARIABLE).is_err() {
+    let Ok(case) = std::env::var(CASE_VARIABLE) else {
         return;
-    }
+    };
     init_log(LogLevel::Info, LogFormat::Json).expect("a logger");
     for line in 0..CHILD_LINES {
         spdlog::info!("line", kv: { line });
     }
+    if case == "panic" {
+        let worker = std::thread::Builder::new().name("worker".into());
+        let worker = worker.spawn(|| panic!("a \"quoted\" cause"));
+        let _ = worker.expect("a thread").join();
+    }
     spdlog::info!("last line");
 }
 
-#[test]
-fn child_writes_all_lines() {
+#[rstest]
+#[case::exit("exit", 0)]
+#[case::panic("panic", 1)]
+fn child_writes_all_lines(#[case] case: &str, #[case] panics: usize) {
     let program = std::env::current_exe().expect("this program");
     let child = Command::new(program)
         .args(["--exact", "child_case", "--nocapture"])
-        .env(CASE_VARIABLE, "exit")
+        .env(CASE_VARIABLE, case)
         .stderr(Stdio::null())
         .output()
         .expect("a child process");
@@ -112,4 +120,12 @@
     let count = |payload: &str| records.iter().filter(|r| r["payload"] == payload).count();
     assert_eq!(count("line"), CHILD_LINES);
     assert_eq!(count("last line"), 1);
+    assert_eq!(count("panic"), panics);
+    if let Some(panic) = records.iter().find(|r| r["payload"] == "panic") {
+        assert_eq!(panic["level"], "critical");
+        assert_eq!(panic["kv"]["cause"], "a \"quoted\" cause");
+        assert_eq!(panic["kv"]["thread"], "worker");
+        let place = panic["kv"]["place"].as_str().unwrap_or_default();
+        assert!(place.contains("log_output.rs:"), "{place}");
+    }
 }
