Give log lines of calls that servers have a budget of their own

Refusals under overload can take all 50 lines a second; whatever else fails is then counted among the lines left out. Calls without an answer that a server may have received, dropped requests, and all that fails in a stop now have budgets beside that of refusals, each bounded; lines left out are counted by kind and also reported before 'stopped'.

--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -13,6 +13,7 @@
 use crate::model::{ClassRank, Level, Priority, RouteName, ServiceName, Verdict};
 use crate::policy::admission::Shed;
 use crate::policy::front::{AdmittedShare, RefusedCaller, RetryDetector, backoff, boosted_root};
+use crate::tables::LineKind;
 
 /// Maximum number of routes, and of classes of services, that state is kept for.
 /// A full map is cleared, which drops the names of earlier configurations.
@@ -108,7 +109,7 @@
         };
         refusal.retry_after = Some(time);
         self.shared.metrics.count("callers_told_when");
-        if self.shared.log_limiter.try_take() {
+        if self.shared.log_limiter.try_take(LineKind::Refused) {
             spdlog::info!("refused call with a retry time", kv: {
                 call = accepted.head.call.to_string().as_str(),
                 service = service.as_str(),
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -29,7 +29,7 @@
 use crate::policy::once::OnceRefusal;
 use crate::policy::retry::RepeatDetector;
 use crate::policy::route::TargetState;
-use crate::tables::{CallStep, Shared, StepDetail};
+use crate::tables::{CallStep, LineKind, Shared, StepDetail};
 use crate::web::{CallerAnswer, Payload};
 
 /// Metric label of callers and classes that are not declared.
@@ -172,7 +172,7 @@
             Duration::ZERO,
             0,
         );
-        if shared.log_limiter.try_take() {
+        if shared.may_log(LineKind::Refused) {
             spdlog::info!("request rejected", kv: {
                 request = id,
                 outcome = reason,
@@ -314,11 +314,12 @@
         latency: Duration,
     ) {
         let shared = &self.context.shared;
-        let is_failure = match &call_outcome.result {
-            Ok(reply) => reply.head.status.is_server_error(),
-            Err(_) => true,
+        let (is_failure, kind) = match &call_outcome.result {
+            Ok(reply) => (reply.head.status.is_server_error(), LineKind::Refused),
+            Err(refusal) if refusal.verdict() == Verdict::MayHaveRun => (true, LineKind::Sent),
+            Err(_) => (true, LineKind::Refused),
         };
-        if !is_failure || !shared.log_limiter.try_take() {
+        if !is_failure || !shared.may_log(kind) {
             return;
         }
         let head = &accepted.head;
@@ -422,7 +423,7 @@
 impl Drop for UndecidedRequest<'_> {
     fn drop(&mut self) {
         let may_log = !self.is_decided && self.shared.readiness.is_stopping();
-        if may_log && self.shared.log_limiter.try_take() {
+        if may_log && self.shared.may_log(LineKind::Dropped) {
             spdlog::warn!("request dropped while stopping", kv: {
                 request = self.id,
                 took_ms = self.arrived_at.elapsed().as_millis() as u64
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -12,6 +12,7 @@
 use super::arrival::Arrival;
 use super::route_match::may_repeat;
 use crate::error::Error;
+use crate::tables::LineKind;
 use crate::web::{AnswerFuture, HttpListener, RequestHandler, listen_pipelined};
 
 /// Serves callers over HTTP.
@@ -43,7 +44,7 @@
     fn record_started(&self, parts: &Parts) {
         let shared = &self.0.context.shared;
         shared.metrics.count("begun_ahead");
-        if shared.log_limiter.try_take() {
+        if shared.log_limiter.try_take(LineKind::Refused) {
             let request = shared.protocol.request_id(&parts.headers);
             spdlog::info!("pipelined request started early", kv: { request });
         }
--- a/src/guard/notice.rs
+++ b/src/guard/notice.rs
@@ -5,6 +5,7 @@
 use super::Guard;
 use crate::model::{GuardStatus, Notice, Rate, RelayedNotice, RequestedRate, RunId};
 use crate::policy::admission::Shed;
+use crate::tables::LineKind;
 
 impl Guard {
     /// Returns the current run of the backend server, if it announced itself.
@@ -88,7 +89,7 @@
     }
 
     fn log_notice(&self, what: &str, before: Option<Rate>) {
-        if !self.shared.log_limiter.try_take() {
+        if !self.shared.log_limiter.try_take(LineKind::Refused) {
             return;
         }
         let text = |rate: Option<Rate>| rate.map_or("any".to_owned(), |rate| rate.to_string());
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -30,7 +30,7 @@
 
 pub use current::{ActiveConfiguration, CurrentConfiguration};
 pub use journal::{CallJournal, CallStep, JournalEntry, StepDetail};
-pub use log_limiter::CallLogLimiter;
+pub use log_limiter::{CallLogLimiter, LineKind, SuppressedLines};
 pub use notices::ServerNotices;
 pub use ownership::{OwnershipTable, StoredOwnership};
 pub use parent_calls::{ParentCall, ParentCallGuard, ParentCalls};
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -9,8 +9,8 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    CallJournal, CallLogLimiter, CurrentConfiguration, OwnershipTable, ParentCalls, Readiness,
-    RouteSplits, ServerNotices, SuspectTable, TargetTables, WorkspaceRates,
+    CallJournal, CallLogLimiter, CurrentConfiguration, LineKind, OwnershipTable, ParentCalls,
+    Readiness, RouteSplits, ServerNotices, SuspectTable, TargetTables, WorkspaceRates,
 };
 use crate::call::{CrashReport, Protocol};
 use crate::config::Config;
@@ -98,6 +98,18 @@
         self.notify_gossip();
     }
 
+    /// Takes a token for a log line about a single call; a daemon that is stopping has a
+    /// budget of its own for all kinds.
+    pub fn may_log(&self, kind: LineKind) -> bool {
+        let is_stopping = self.readiness.is_stopping();
+        let kind = if is_stopping {
+            LineKind::Stopping
+        } else {
+            kind
+        };
+        self.log_limiter.try_take(kind)
+    }
+
     /// Returns the hash ring that assigns workspaces to their coordinators.
     pub fn ring(&self) -> Arc<HashRing> {
         let view = self.view.lock();
--- a/src/task/load.rs
+++ b/src/task/load.rs
@@ -40,10 +40,7 @@
             log_workspaces(&guard);
         }
         busy = loaded;
-        let suppressed = shared.log_limiter.take_suppressed();
-        if suppressed > 0 {
-            spdlog::info!("log lines on calls suppressed", kv: { count = suppressed });
-        }
+        log_suppressed(&shared);
         let lines = dropped_lines();
         if lines > dropped {
             spdlog::warn!("log lines dropped", kv: { count = lines - dropped });
@@ -52,6 +49,19 @@
     }
 }
 
+/// Logs how many lines about single calls were suppressed since the last such line.
+pub(super) fn log_suppressed(shared: &Shared) {
+    let suppressed = shared.log_limiter.take_suppressed();
+    if suppressed.total() > 0 {
+        spdlog::info!("log lines on calls suppressed", kv: {
+            count = suppressed.total(),
+            sent = suppressed.sent,
+            dropped = suppressed.dropped,
+            stopping = suppressed.stopping
+        });
+    }
+}
+
 /// Logs the workspaces that used most slot time since the last such line.
 fn log_workspaces(guard: &Guard) {
     let rows = guard.take_recent_usages();
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::lease::update_own_state;
+use super::load::log_suppressed;
 use super::member_row::remove_row;
 use super::ownership::row_key;
 use crate::entry::Entry;
@@ -98,6 +99,7 @@
         hand_over_and_leave(parts).await;
         drained
     };
+    log_suppressed(shared);
     let took_ms = begin.elapsed().as_millis() as u64;
     spdlog::info!("stopped", kv: { drained = drained, took_ms });
     drained
