Say what became of calls that were dropped, and of the attempts of those that failed

In the record of rule LOST neither the reason of a failed call's earlier attempts, nor how long the last one had been out, nor the time of its parent can be read. A call that the entry itself gave up (90 ms past its deadline) had no targets at all, a streamed one neither. The attempts are now kept beside the future that makes them, in place of the list of addresses, and 'call failed' names them. Calls still go the same way: a streamed call counts as not tried where the entry decides whether a service is unreachable.

A request that is dropped before its answer is decided is always counted, and logged in a stop and in the first 5 s of a process, with where it was; the guard counts and logs the calls that are dropped while its server has them.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -201,6 +201,7 @@
         };
         let mut text = metrics_page(&shared.metrics.rows(Group::Class), gauges);
         text += &workspace_page(&guard.usages());
+        text += &shared.metrics.loss_page();
         async move { caller_text(StatusCode::OK, "text/plain; version=0.0.4", text) }
     })
     .await
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -9,6 +9,7 @@
 
 use super::accept::AcceptedRequest;
 use super::attempt_reporter::AttemptReporter;
+use super::call_trace::CallTrace;
 use super::context::Context;
 use super::retry_source::RetrySource;
 use crate::call::{Attempt, Call, CallHead, Planned, Reason, Refusal, Reply};
@@ -25,8 +26,6 @@
 pub(super) struct CallOutcome {
     pub(super) result: Result<Reply, Refusal>,
     pub(super) retries: u32,
-    /// Addresses of the guards that the call was sent to, in order.
-    pub(super) targets: Box<[SocketAddr]>,
 }
 
 /// A call that the entry is forwarding.
@@ -34,14 +33,15 @@
     pub(super) context: &'e Context,
     pub(super) retry_source: RetrySource,
     pub(super) accepted: &'e AcceptedRequest,
+    trace: &'e CallTrace,
+    /// Whether the body is streamed.
+    is_stream: bool,
     /// The targets of the called service.
     targets: Arc<Mutex<Table>>,
     pub(super) retries: u32,
     /// The weakest verdict of the attempts so far.
     pub(super) earlier_verdict: Verdict,
     pub(super) tried_targets: Vec<Instance>,
-    /// Addresses of the guards that the call was sent to, in order.
-    pub(super) guard_addresses: Vec<SocketAddr>,
     /// Backend servers that refused the call without running it.
     pub(super) rejecting_servers: Vec<Instance>,
     /// How often the call was sent to a backend server.
@@ -54,7 +54,11 @@
 }
 
 impl<'e> ForwardedCall<'e> {
-    pub(super) fn new(context: &'e Context, accepted: &'e AcceptedRequest) -> Self {
+    pub(super) fn new(
+        context: &'e Context,
+        accepted: &'e AcceptedRequest,
+        trace: &'e CallTrace,
+    ) -> Self {
         let retry_source = match &accepted.parent {
             Some(parent) => RetrySource::Parent(Arc::clone(parent)),
             None => RetrySource::Own(Mutex::new(RetryAccount::new(accepted.max_retries))),
@@ -63,11 +67,12 @@
             context,
             retry_source,
             accepted,
+            trace,
+            is_stream: false,
             targets: context.shared.targets.table(&accepted.head.service),
             retries: 0,
             earlier_verdict: Verdict::NotRun,
             tried_targets: Vec::new(),
-            guard_addresses: Vec::new(),
             rejecting_servers: Vec::new(),
             sent_count: 0,
             guard_refusals: 0,
@@ -82,6 +87,7 @@
             stream @ Payload::Stream { .. } => {
                 // A stream can't be sent to another target once it has begun.
                 self.may_wait = true;
+                self.is_stream = true;
                 match self.choose_target(Attempt::plan()) {
                     Ok((attempt, target)) => {
                         Box::pin(self.send_attempt(attempt, target, stream)).await
@@ -114,7 +120,6 @@
         CallOutcome {
             result,
             retries: self.retries,
-            targets: self.guard_addresses.into(),
         }
     }
 
@@ -122,9 +127,20 @@
     /// reachable.
     fn is_service_unreachable(&self, now: Instant, result: &Result<Reply, Refusal>) -> bool {
         let unreachable = matches!(result, Err(refusal) if refusal.reason() == Reason::Unreachable);
-        self.accepted.front_options.fail_fast
-            && unreachable
-            && self.table(|table| is_unreachable(now, table, &self.guard_addresses))
+        self.accepted.front_options.fail_fast && unreachable && {
+            let tried = self.tried_guards();
+            self.table(|table| is_unreachable(now, table, &tried))
+        }
+    }
+
+    /// Returns the addresses of the guards that can't be tried again; a streamed call
+    /// has tried none.
+    fn tried_guards(&self) -> Vec<SocketAddr> {
+        if self.is_stream {
+            Vec::new()
+        } else {
+            self.trace.targets()
+        }
     }
 
     async fn run_attempts(&mut self, body: Bytes) -> Result<Reply, Refusal> {
@@ -138,7 +154,6 @@
                 (Err(_), Some(failed)) => return Err(failed),
                 (Err(refusal), None) => return Err(refusal),
             };
-            self.guard_addresses.push(target.address);
             let failed = match self
                 .send_attempt(attempt, target, Payload::Whole(body.clone()))
                 .await
@@ -186,6 +201,7 @@
         let grant = self.retry_source.with_account(RetryAccount::grant);
         let journal = &self.context.shared.journal;
         journal.record(self.head().call, CallStep::Sent, StepDetail::Target(target));
+        self.trace.record_sent(target.address);
         let reporter = AttemptReporter::new(self, target);
         let notice = self.context.shared.notices.get(target.address);
         let result = if target == self.context.shared.instance {
@@ -204,11 +220,12 @@
             };
             peer::send(&self.context.pool, target, attempt, outgoing).await
         };
-        if let Err(refusal) = &result
-            && let Some(report) = &refusal.crash
-        {
-            let request = self.head().fingerprint;
-            self.context.shared.record_crash(request, report);
+        if let Err(refusal) = &result {
+            self.trace.record_failure(refusal.reason());
+            if let Some(report) = &refusal.crash {
+                let request = self.head().fingerprint;
+                self.context.shared.record_crash(request, report);
+            }
         }
         reporter.report(&result);
         self.settle_grant(grant, &result);
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -15,6 +15,7 @@
 use super::answer::AnswerBuilder;
 use super::arrival::Arrival;
 use super::body::{BodyError, read_body};
+use super::call_trace::CallTrace;
 use super::context::Context;
 use super::forward::{CallOutcome, ForwardedCall};
 use super::route_match::request_host;
@@ -29,7 +30,7 @@
 use crate::policy::once::OnceRefusal;
 use crate::policy::retry::RepeatDetector;
 use crate::policy::route::TargetState;
-use crate::tables::{CallStep, LineKind, Shared, StepDetail};
+use crate::tables::{CallStep, LineKind, Shared, StepDetail, signed_ms};
 use crate::web::{CallerAnswer, Payload};
 
 /// Metric label of callers and classes that are not declared.
@@ -91,10 +92,12 @@
             arrived_at,
         } = arrival;
         let answers = AnswerBuilder::new(&*shared.protocol, &parts.headers);
+        let trace = CallTrace::default();
         let mut undecided = UndecidedRequest {
             shared,
             id: answers.id(),
             arrived_at,
+            trace: &trace,
             is_decided: false,
         };
         let mut accepted = match self.accept(&parts, arrived_at, from) {
@@ -110,10 +113,18 @@
         shared
             .journal
             .record(call, CallStep::Entered, StepDetail::None);
-        let outcome = self.run_within_rate(&mut accepted, &parts, body).await;
+        let outcome = self
+            .run_within_rate(&mut accepted, &parts, body, &trace)
+            .await;
         undecided.is_decided = true;
         self.record_metrics(&accepted, &outcome, arrived_at.elapsed());
-        self.log_failure(answers.id(), &accepted, &outcome, arrived_at.elapsed());
+        self.log_failure(FailedCall {
+            id: answers.id(),
+            accepted: &accepted,
+            outcome: &outcome,
+            trace: &trace,
+            latency: arrived_at.elapsed(),
+        });
         match outcome.result {
             Ok(reply) => {
                 shared.journal.record(
@@ -188,6 +199,7 @@
         accepted: &mut AcceptedRequest,
         parts: &Parts,
         body: Option<Incoming>,
+        trace: &CallTrace,
     ) -> CallOutcome {
         let charge = match self.context.charge_credit(accepted).await {
             Ok(charge) => charge,
@@ -195,11 +207,10 @@
                 return CallOutcome {
                     result: Err(refusal),
                     retries: 0,
-                    targets: Box::default(),
                 };
             }
         };
-        let outcome = self.run(accepted, parts, body).await;
+        let outcome = self.run(accepted, parts, body, trace).await;
         let may_have_run = match &outcome.result {
             Ok(_) => true,
             Err(refusal) => refusal.verdict() != Verdict::NotRun,
@@ -215,11 +226,11 @@
         accepted: &mut AcceptedRequest,
         parts: &Parts,
         body: Option<Incoming>,
+        trace: &CallTrace,
     ) -> CallOutcome {
         let refused = |reason| CallOutcome {
             result: Err(Attempt::plan().refuse(reason, "")),
             retries: 0,
-            targets: Box::default(),
         };
         let must_buffer = accepted.head.once.is_some();
         let deadline = accepted.head.deadline;
@@ -235,7 +246,7 @@
         // Built inline: a future bound to a variable first would be stored twice.
         match timeout_at(
             latest,
-            ForwardedCall::new(&self.context, accepted).run(body),
+            ForwardedCall::new(&self.context, accepted, trace).run(body),
         )
         .await
         {
@@ -243,7 +254,6 @@
             Err(_) => CallOutcome {
                 result: Err(Attempt::plan().mark_sent().abandon(Reason::Timeout, "")),
                 retries: 0,
-                targets: Box::default(),
             },
         }
     }
@@ -306,15 +316,9 @@
     }
 
     /// Logs a call that was refused or answered with a server error.
-    fn log_failure(
-        &self,
-        id: &str,
-        accepted: &AcceptedRequest,
-        call_outcome: &CallOutcome,
-        latency: Duration,
-    ) {
+    fn log_failure(&self, failed: FailedCall<'_>) {
         let shared = &self.context.shared;
-        let (is_failure, kind) = match &call_outcome.result {
+        let (is_failure, kind) = match &failed.outcome.result {
             Ok(reply) => (reply.head.status.is_server_error(), LineKind::Refused),
             Err(refusal) if refusal.verdict() == Verdict::MayHaveRun => (true, LineKind::Sent),
             Err(_) => (true, LineKind::Refused),
@@ -322,8 +326,8 @@
         if !is_failure || !shared.may_log(kind) {
             return;
         }
-        let head = &accepted.head;
-        let (outcome, verdict, detail) = match &call_outcome.result {
+        let head = &failed.accepted.head;
+        let (outcome, verdict, detail) = match &failed.outcome.result {
             Ok(reply) => ("server-failed", "ran", reply.head.status.as_str().into()),
             Err(refusal) => (
                 refusal.reason().as_str(),
@@ -331,33 +335,35 @@
                 refusal.detail.clone(),
             ),
         };
-        let time_left = head.deadline.saturating_duration_since(Instant::now());
-        let targets: Vec<String> = call_outcome
-            .targets
-            .iter()
-            .map(ToString::to_string)
-            .collect();
-        let targets = targets.join(" ");
+        let now = Instant::now();
+        let attempts = failed.trace.summary();
+        let parent = failed.accepted.parent.as_ref();
+        let parent_id = parent.map(|parent| parent.id.to_string());
         let fingerprint = head.fingerprint.map(|digest| digest.to_string());
-        let workspace = accepted
+        let workspace = failed
+            .accepted
             .workspace
             .as_ref()
             .map(|workspace| workspace.name.as_str());
         spdlog::info!("call failed", kv: {
-            request = id,
+            request = failed.id,
             call = head.call.to_string().as_str(),
             service = head.service.as_str(),
             class = head.class.as_str(),
             workspace = workspace.unwrap_or_default(),
             depth = head.depth.get(),
+            parent = parent_id.as_deref().unwrap_or_default(),
+            parent_left_ms = parent.map_or(0, |parent| signed_ms(parent.deadline, now)),
             outcome,
             verdict,
             detail = &*detail,
             asks = fingerprint.as_deref().unwrap_or_default(),
-            targets = targets.as_str(),
-            retries = call_outcome.retries,
-            took_ms = latency.as_millis() as u64,
-            left_ms = time_left.as_millis() as u64,
+            targets = attempts.targets.as_str(),
+            earlier = attempts.earlier.as_str(),
+            sent_ms = attempts.sent_ms,
+            retries = failed.outcome.retries,
+            took_ms = failed.latency.as_millis() as u64,
+            left_ms = head.deadline.saturating_duration_since(now).as_millis() as u64,
             stopping = shared.readiness.is_stopping(),
             version = shared.current.version().get()
         });
@@ -411,22 +417,46 @@
     }
 }
 
-/// Logs a request of a stopping daemon that is dropped before its answer is decided: its
-/// caller disconnected, or the process ends.
+/// A call for which the entry logs a failure.
+struct FailedCall<'r> {
+    /// The caller's id of the request.
+    id: &'r str,
+    accepted: &'r AcceptedRequest,
+    outcome: &'r CallOutcome,
+    trace: &'r CallTrace,
+    latency: Duration,
+}
+
+/// Counts a request that is dropped before its answer is decided: its caller
+/// disconnected, or the process ends. Logs it while the daemon stops or has just
+/// started.
 struct UndecidedRequest<'r> {
     shared: &'r Shared,
     id: &'r str,
     arrived_at: Instant,
+    trace: &'r CallTrace,
     is_decided: bool,
 }
 
 impl Drop for UndecidedRequest<'_> {
     fn drop(&mut self) {
-        let may_log = !self.is_decided && self.shared.readiness.is_stopping();
-        if may_log && self.shared.may_log(LineKind::Dropped) {
-            spdlog::warn!("request dropped while stopping", kv: {
+        if self.is_decided {
+            return;
+        }
+        let shared = self.shared;
+        let is_sent = self.trace.is_open();
+        shared.metrics.count_dropped(is_sent);
+        let may_log = shared.readiness.is_changing();
+        if may_log && shared.may_log(LineKind::Dropped) {
+            let attempts = self.trace.summary();
+            spdlog::warn!("request dropped", kv: {
                 request = self.id,
-                took_ms = self.arrived_at.elapsed().as_millis() as u64
+                sent = is_sent,
+                targets = attempts.targets.as_str(),
+                earlier = attempts.earlier.as_str(),
+                sent_ms = attempts.sent_ms,
+                took_ms = self.arrived_at.elapsed().as_millis() as u64,
+                stopping = shared.readiness.is_stopping()
             });
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod arrival;
 mod attempt_reporter;
 mod body;
+mod call_trace;
 mod caller_time;
 mod context;
 mod forward;
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -11,6 +11,7 @@
 mod reply;
 mod run_once;
 mod run_permit;
+mod sent_call;
 mod serve;
 mod server_request;
 mod usage;
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -10,6 +10,7 @@
 use super::backend::Backend;
 use super::crash::CrashProbe;
 use super::run_permit::SuspectLimits;
+use super::sent_call::SentCall;
 use super::usage::weights;
 use super::{Gate, Lease, LeaseState, OnceCalls, SlotPermit};
 use crate::call::{Attempt, Call, CallHead, OnceCall, Planned, Reason, Refusal, Reply};
@@ -248,7 +249,9 @@
             .register(head.call, ParentCall::new(&head));
         let attempt = attempt.mark_sent();
         let latest = head.deadline + SERVER_GRACE;
+        let sent = SentCall::new(&self.shared, &head);
         let result = tokio::time::timeout_at(latest, self.request(&head, body)).await;
+        sent.end();
         let answer = match result {
             Err(_) => return Err(self.close_call(attempt.abandon(Reason::Timeout, ""), &held)),
             Ok(Err(error)) => {
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -5,6 +5,7 @@
 
 use cadence::{BufferedUdpMetricSink, Counted, QueuingMetricSink, StatsdClient, Timed};
 
+use super::losses::LossCounts;
 use super::{Group, MetricsRow, MetricsTable};
 use crate::error::Error;
 
@@ -40,6 +41,7 @@
     client: Option<StatsdClient>,
     classes: MetricsTable,
     callers: MetricsTable,
+    losses: LossCounts,
 }
 
 impl Metrics {
@@ -65,6 +67,7 @@
             client,
             classes: MetricsTable::default(),
             callers: MetricsTable::default(),
+            losses: LossCounts::default(),
         })
     }
 
@@ -114,6 +117,30 @@
         }
     }
 
+    /// Counts a request that was dropped before its answer was decided.
+    pub fn count_dropped(&self, is_sent: bool) {
+        self.losses.count_dropped(is_sent);
+        let reason = if is_sent { "sent" } else { "not-sent" };
+        self.count_reason("dropped", reason);
+    }
+
+    /// Counts an answer that was decided but not sent completely.
+    pub fn count_unsent_answer(&self) {
+        self.losses.count_unsent_answer();
+        self.count("answers_unsent");
+    }
+
+    /// Counts a call that was dropped while the backend server had it.
+    pub fn count_backend_dropped(&self) {
+        self.losses.count_backend_dropped();
+        self.count("backend_dropped");
+    }
+
+    /// Formats the counts of dropped requests and answers not sent completely.
+    pub fn loss_page(&self) -> String {
+        self.losses.page()
+    }
+
     /// Returns the metrics by class or by caller.
     pub fn rows(&self, group: Group) -> Vec<MetricsRow> {
         match group {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -36,7 +36,7 @@
 pub use parent_calls::{ParentCall, ParentCallGuard, ParentCalls};
 pub use rates::{RateCount, WorkspaceCredit, WorkspaceRates, add_jitter};
 pub use readiness::Readiness;
-pub use shared::{Shared, mint_now, unix_ms};
+pub use shared::{Shared, mint_now, signed_ms, unix_ms};
 pub use splits::RouteSplits;
 pub use suspects::SuspectTable;
 pub use targets::TargetTables;
--- a/src/tables/parent_calls.rs
+++ b/src/tables/parent_calls.rs
@@ -15,6 +15,8 @@
 /// A call in flight at the backend server, as its onward calls need it.
 #[derive(Debug)]
 pub struct ParentCall {
+    /// The id of the call.
+    pub id: CallId,
     /// The root call of the call tree.
     pub root: RootId,
     /// The class of the request.
@@ -40,6 +42,7 @@
     /// Makes a parent call from the head of a call.
     pub fn new(head: &crate::call::CallHead) -> Self {
         Self {
+            id: head.call,
             root: head.root,
             class: head.class.clone(),
             caller: head.caller.clone(),
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -7,6 +7,7 @@
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::{
     CallJournal, CallLogLimiter, CurrentConfiguration, LineKind, OwnershipTable, ParentCalls,
@@ -188,6 +189,13 @@
     }
 }
 
+/// Returns the time from `now` to a deadline in milliseconds, negative if it has passed.
+pub fn signed_ms(deadline: Instant, now: Instant) -> i64 {
+    let left = deadline.saturating_duration_since(now).as_millis();
+    let late = now.saturating_duration_since(deadline).as_millis();
+    left as i64 - late as i64
+}
+
 /// Returns the time of the system clock in milliseconds of Unix time.
 pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -7,8 +7,8 @@
 
 use bramleymount::config::Config;
 use bramleymount::metrics::{
-    CallStatus, Gauges, Group, METRIC_NAMES, Metrics, WORKSPACE_NAMES, WorkspaceRow, metrics_page,
-    workspace_page,
+    CallStatus, Gauges, Group, LOSS_NAMES, METRIC_NAMES, Metrics, WORKSPACE_NAMES, WorkspaceRow,
+    metrics_page, workspace_page,
 };
 use bramleymount::model::Rate;
 
@@ -134,3 +134,24 @@
             .all(|(name, _)| operators.contains(name))
     );
 }
+
+#[test]
+fn loss_page_counts_dropped_requests_and_unsent_answers() {
+    let metrics = Metrics::new(None).expect("metrics");
+    metrics.count_dropped(true);
+    metrics.count_dropped(true);
+    metrics.count_dropped(false);
+    metrics.count_unsent_answer();
+    metrics.count_backend_dropped();
+    let text = metrics.loss_page();
+    for line in [
+        "bramleymount_requests_dropped_total{sent=\"true\"} 2",
+        "bramleymount_requests_dropped_total{sent=\"false\"} 1",
+        "bramleymount_answers_unsent_total 1",
+        "bramleymount_backend_dropped_total 1",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+    }
+    let operators = read("docs/operate/metrics.md");
+    assert!(LOSS_NAMES.iter().all(|(name, _)| operators.contains(name)));
+}
