Count and log answers that were not sent to their end

An answer that was decided is no failed call, and nothing said so when the connection to its caller ended before all of it was sent: the form of the record's 'status sent, no complete answer'. It is counted now, and logged in a stop and in the first 5 s of a process with the request, the status, the time since it was decided, and whether its body ended early; also for connections that are open when the process ends.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::Request;
 use http::request::Parts;
+use http::{HeaderMap, Request};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -13,7 +13,7 @@
 use super::route_match::may_repeat;
 use crate::error::Error;
 use crate::tables::LineKind;
-use crate::web::{AnswerFuture, HttpListener, RequestHandler, listen_pipelined};
+use crate::web::{AnswerFuture, HttpListener, RequestHandler, UnsentAnswer, listen_pipelined};
 
 /// Serves callers over HTTP.
 ///
@@ -95,4 +95,24 @@
             from,
         ))
     }
+
+    fn request_id(&self, answer: &HeaderMap) -> Box<str> {
+        self.0.context.shared.protocol.request_id(answer).into()
+    }
+
+    fn record_unsent(&self, answer: &UnsentAnswer, from: SocketAddr) {
+        let shared = &self.0.context.shared;
+        shared.metrics.count_unsent_answer();
+        let may_log = shared.readiness.is_changing();
+        if may_log && shared.may_log(LineKind::Dropped) {
+            spdlog::warn!("answer not sent completely", kv: {
+                request = &*answer.request,
+                from = from.to_string().as_str(),
+                status = answer.status.as_u16(),
+                incomplete = answer.is_incomplete,
+                decided_ms = answer.decided_at.elapsed().as_millis() as u64,
+                stopping = shared.readiness.is_stopping()
+            });
+        }
+    }
 }
--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -6,6 +6,7 @@
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode, Version};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,13 +16,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinError;
+use tokio::time::Instant;
 
 use super::early_request::EarlyRequest;
 use super::pipeline::Pipeline;
 use super::pipelined_body::PipelinedBody;
 use super::pipelined_stream::PipelinedStream;
 use super::{
-    AnswerFuture, CallerAnswer, LINGER_TIMEOUT, MAX_HEAD, MAX_HEADERS, RequestHandler, caller_text,
+    AnswerFuture, CallerAnswer, LINGER_TIMEOUT, MAX_HEAD, MAX_HEADERS, RequestHandler,
+    UnsentAnswer, caller_text,
 };
 
 /// Bytes of a header line besides name and value.
@@ -54,6 +57,8 @@
         if let Err(e) = stream.set_nodelay(true) {
             spdlog::debug!("cannot set nodelay", kv: { cause = e.to_string().as_str() });
         }
+        // Dropped after the connection, also if the task is aborted.
+        let unsent = UnsentReport(&self);
         let pipelined = PipelinedStream::new(stream, self.clone());
         let service = service_fn(|request| {
             let source = self.answer_source(request);
@@ -70,6 +75,7 @@
             spdlog::debug!("connection of a caller failed", kv: { cause = e.to_string().as_str() });
         }
         self.pipeline.lock().end_connection();
+        drop(unsent);
         let stream = connection.into_parts().io.into_inner().into_inner();
         if tokio::time::timeout(LINGER_TIMEOUT, linger(stream))
             .await
@@ -98,10 +104,24 @@
             AnswerSource::Early(early) => early.await?,
             AnswerSource::Handler(answer) => answer.await,
         };
+        let is_closing = *self.closing.borrow();
+        // Whole answers are sent at once, except for the last ones before a process ends.
+        let may_be_cut = is_closing || answer.body().size_hint().exact().is_none();
+        let unsent = UnsentAnswer {
+            request: if may_be_cut {
+                self.handler.request_id(answer.headers())
+            } else {
+                Box::default()
+            },
+            status: answer.status(),
+            decided_at: Instant::now(),
+            is_incomplete: false,
+        };
         let mut pipeline = self.pipeline.lock();
+        pipeline.record_decided(unsent);
         // Pipelined requests that were read are still answered, since their caller
         // cannot tell whether they were forwarded.
-        if is_large || *self.closing.borrow() && !pipeline.has_buffered() {
+        if is_large || is_closing && !pipeline.has_buffered() {
             pipeline.end_connection();
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
@@ -111,6 +131,19 @@
     }
 }
 
+/// Reports the answer that a connection has not sent completely when it ends.
+struct UnsentReport<'c, S: RequestHandler>(&'c CallerConnection<S>);
+
+impl<S: RequestHandler> Drop for UnsentReport<'_, S> {
+    fn drop(&mut self) {
+        let connection = self.0;
+        let unsent = connection.pipeline.lock().take_unsent();
+        if let Some(answer) = unsent {
+            connection.handler.record_unsent(&answer, connection.from);
+        }
+    }
+}
+
 /// Returns whether this is the last request on its connection.
 fn is_last<B>(request: &Request<B>) -> bool {
     let values = request.headers().get_all(CONNECTION);
--- a/src/web/pipeline.rs
+++ b/src/web/pipeline.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::MAX_HEAD;
+use super::UnsentAnswer;
 use super::activity::{ActivityGuard, ConnectionCounts};
 use super::early_head::parse_early_head;
 use super::early_request::EarlyRequest;
@@ -38,6 +39,8 @@
     /// Whether an answer is owed: from when the HTTP server has parsed the head of a
     /// request until it has taken the end of the answer.
     owes_answer: bool,
+    /// The last answer that was decided, until all of it has been sent.
+    unsent: Option<UnsentAnswer>,
     /// Whether the connection ends with the current request.
     is_last: bool,
     counts: ConnectionCounts,
@@ -89,6 +92,7 @@
             },
             is_answered: false,
             owes_answer: false,
+            unsent: None,
             is_last: false,
             counts,
             counted: None,
@@ -199,6 +203,23 @@
         self.early_requests.clear();
     }
 
+    /// Records the answer to the current request before any of it is sent.
+    pub(super) fn record_decided(&mut self, answer: UnsentAnswer) {
+        self.unsent = Some(answer);
+    }
+
+    /// Records that the body of the answer ended before it was complete.
+    pub(super) fn record_incomplete(&mut self) {
+        if let Some(answer) = &mut self.unsent {
+            answer.is_incomplete = true;
+        }
+    }
+
+    /// Takes the answer that has not been sent completely when the connection ends.
+    pub(super) fn take_unsent(&mut self) -> Option<UnsentAnswer> {
+        self.unsent.take()
+    }
+
     /// Records that the current request is answered.
     pub(super) fn record_answer(&mut self) {
         self.is_answered = true;
@@ -211,6 +232,13 @@
         if self.owes_answer || self.counted.is_none() {
             return;
         }
+        if self
+            .unsent
+            .as_ref()
+            .is_some_and(|answer| !answer.is_incomplete)
+        {
+            self.unsent = None;
+        }
         if self.is_last {
             self.counted = Some(self.counts.closing.begin());
         } else if !self.has_buffered() {
--- a/src/web/pipelined_body.rs
+++ b/src/web/pipelined_body.rs
@@ -33,7 +33,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(frame, Poll::Ready(Some(Err(_)))) {
+            self.pipeline.lock().record_incomplete();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/web/request_handler.rs
+++ b/src/web/request_handler.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 
-use http::Request;
 use http::request::Parts;
+use http::{HeaderMap, Request, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -14,6 +14,20 @@
 /// The answer to a request in progress; dropping it cancels the request.
 pub type AnswerFuture = Pin<Box<dyn Future<Output = CallerAnswer> + Send>>;
 
+/// An answer that was decided but not sent completely to its caller.
+#[derive(Clone, Debug)]
+pub struct UnsentAnswer {
+    /// The caller's id of the request; empty if the caller sent none, or if the answer
+    /// was decided as a whole before a stop.
+    pub request: Box<str>,
+    /// The status.
+    pub status: StatusCode,
+    /// When the answer was decided.
+    pub decided_at: Instant,
+    /// Whether its body ended before it was complete.
+    pub is_incomplete: bool,
+}
+
 /// Handles the requests of callers.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
     /// Handles a request whose head was complete at `arrived_at`.
@@ -34,6 +48,14 @@
         arrived_at: Instant,
         from: SocketAddr,
     ) -> Option<AnswerFuture>;
+
+    /// Returns the caller's id of the request that an answer is for, or an empty text.
+    fn request_id(&self, _: &HeaderMap) -> Box<str> {
+        Box::default()
+    }
+
+    /// Records that a connection ended before an answer was sent completely.
+    fn record_unsent(&self, _: &UnsentAnswer, _: SocketAddr) {}
 }
 
 /// A function handles requests one after another.
--- a/tests/call_lines.rs
+++ b/tests/call_lines.rs
@@ -170,6 +170,36 @@
     assert!(left > 0 && left < CALL_TIME_MS as i64, "{line}");
 }
 
+// Guards against answers whose end is lost without a trace: the caller doesn't read on.
+#[rstest]
+#[case::after_start(false)]
+#[case::while_stopping(true)]
+#[tokio::test]
+async fn unsent_answer_is_logged(#[case] stops: bool) {
+    let ([vm], _kept) = start_vms().await;
+    let caller = send(vm.callers, &get("a.example", "/read/stream", "r1")).await;
+    sleep(ARRIVAL_TIME).await;
+    if stops {
+        vm.signal("TERM");
+        sleep(ARRIVAL_TIME).await;
+    }
+    drop(caller);
+    let line = fields(&vm, "answer not sent completely", "r1").await;
+    assert_eq!(line["status"], 200, "{line}");
+    assert_eq!(line["incomplete"], false, "{line}");
+    assert_eq!(line["stopping"], stops, "{line}");
+}
+
+#[tokio::test]
+async fn answer_cut_by_its_server_is_logged() {
+    let ([vm], _kept) = start_vms().await;
+    let mut caller = send(vm.callers, &get("a.example", "/read/cut", "r1")).await;
+    let mut answer = Vec::new();
+    let _ = caller.read_to_end(&mut answer).await;
+    let line = fields(&vm, "answer not sent completely", "r1").await;
+    assert_eq!(line["incomplete"], true, "{line}");
+}
+
 // Guards against lines that are lost since the process ends.
 #[tokio::test]
 async fn cut_at_the_end_of_a_stop_is_logged() {
@@ -178,6 +208,8 @@
     sleep(LATE_TIME).await;
     let late = get("a.example", "/read/hang", "r1").replace("4000", "5000");
     let _undecided = send(vm.callers, &late).await;
+    let late = late.replace("hang", "stream").replace("r1", "r2");
+    let _unread = send(vm.callers, &late).await;
     assert_eq!(vm.wait_exit().await, Some(3));
     let log = vm.log();
     assert!(log.contains("\"payload\":\"stopped\""), "{log}");
@@ -187,6 +219,8 @@
         (&true.into(), &true.into()),
         "{line}"
     );
+    let line = fields(&vm, "answer not sent completely", "r2").await;
+    assert_eq!(line["stopping"], true, "{line}");
 }
 
 // Guards against lines on answers that arrived.
