--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -30,13 +30,13 @@
 
 pub use current::{ActiveConfiguration, CurrentConfiguration};
 pub use journal::{CallJournal, CallStep, JournalEntry, StepDetail};
-pub use log_limiter::CallLogLimiter;
+pub use log_limiter::{CallLogLimiter, LineKind, SuppressedLines};
 pub use notices::ServerNotices;
 pub use ownership::{OwnershipTable, StoredOwnership};
 pub use parent_calls::{ParentCall, ParentCallGuard, ParentCalls};
 pub use rates::{RateCount, WorkspaceCredit, WorkspaceRates, add_jitter};
 pub use readiness::Readiness;
-pub use shared::{Shared, mint_now, unix_ms};
+pub use shared::{Shared, mint_now, signed_ms, unix_ms};
 pub use splits::RouteSplits;
 pub use suspects::SuspectTable;
 pub use targets::TargetTables;
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -7,10 +7,11 @@
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::{
-    CallJournal, CallLogLimiter, CurrentConfiguration, OwnershipTable, ParentCalls, Readiness,
-    RouteSplits, ServerNotices, SuspectTable, TargetTables, WorkspaceRates,
+    CallJournal, CallLogLimiter, CurrentConfiguration, LineKind, OwnershipTable, ParentCalls,
+    Readiness, RouteSplits, ServerNotices, SuspectTable, TargetTables, WorkspaceRates,
 };
 use crate::call::{CrashReport, Protocol};
 use crate::config::Config;
@@ -98,6 +99,18 @@
         self.notify_gossip();
     }
 
+    /// Takes a token for a log line about a single call; a daemon that is stopping has a
+    /// budget of its own for all kinds.
+    pub fn may_log(&self, kind: LineKind) -> bool {
+        let is_stopping = self.readiness.is_stopping();
+        let kind = if is_stopping {
+            LineKind::Stopping
+        } else {
+            kind
+        };
+        self.log_limiter.try_take(kind)
+    }
+
     /// Returns the hash ring that assigns workspaces to their coordinators.
     pub fn ring(&self) -> Arc<HashRing> {
         let view = self.view.lock();
@@ -176,6 +189,13 @@
     }
 }
 
+/// Returns the time from `now` to a deadline in milliseconds, negative if it has passed.
+pub fn signed_ms(deadline: Instant, now: Instant) -> i64 {
+    let left = deadline.saturating_duration_since(now).as_millis();
+    let late = now.saturating_duration_since(deadline).as_millis();
+    left as i64 - late as i64
+}
+
 /// Returns the time of the system clock in milliseconds of Unix time.
 pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
