Tests of calls that end with the resets of others, which fail

A call that its server runs is answered 502 at the entry once some 20 other calls on the same connection of streams are given up before their daemon has taken them: their callers left, or the daemon stood still.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -35,6 +35,15 @@
 const SERVER_DELAY: Duration = Duration::from_millis(4);
 /// How long a daemon stands still.
 const STALL_TIME: Duration = Duration::from_millis(1500);
+/// Number of calls that are given up at the same time.
+const LOST_CALLS: usize = 60;
+/// How often so many callers leave.
+const LEAVING_ROUNDS: u32 = 40;
+/// Callers leave after 0 to [`LEAVING_STEPS`] - 1 times this.
+const LEAVING_STEP: Duration = Duration::from_micros(200);
+const LEAVING_STEPS: u32 = 10;
+/// Time between two rounds.
+const LEAVING_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two signals.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Body of an answer that is not streamed.
@@ -349,6 +358,40 @@
     assert_eq!(read_answer(caller).await, (200, SHORT_BODY.len()));
 }
 
+// Guards against calls that a server has in hand and that are given up with those that did
+// not reach its daemon while it stood still: a connection with too many resets is closed.
+#[tokio::test]
+async fn stall_ends_no_call_with_lost_ones() {
+    let (vm, other, _kept) = start_vms().await;
+    let running = send(other.callers, &post("/write/x", "r1")).await;
+    sleep(ARRIVAL_TIME).await;
+    vm.signal("STOP");
+    let calls = (0..LOST_CALLS).map(|n| post("/write/now", &format!("s{n}")));
+    let calls = calls.map(|call| async move { send(other.callers, &call).await });
+    let _calls = join_all(calls).await;
+    sleep(STALL_TIME).await;
+    vm.signal("CONT");
+    assert_eq!(read_answer(running).await, (200, SHORT_BODY.len()));
+}
+
+// Guards against calls that a server has in hand and that are given up since the callers of
+// many others leave: a connection between daemons is closed after too many resets.
+#[tokio::test]
+async fn callers_that_leave_end_no_other_call() {
+    let (_vm, other, _kept) = start_vms().await;
+    let running = send(other.callers, &post("/write/x", "r1")).await;
+    sleep(ARRIVAL_TIME).await;
+    for round in 0..LEAVING_ROUNDS {
+        let calls = (0..LOST_CALLS).map(|n| post("/write/now", &format!("s{round}-{n}")));
+        let calls = calls.map(|call| async move { send(other.callers, &call).await });
+        let calls = join_all(calls).await;
+        sleep(LEAVING_STEP * (round % LEAVING_STEPS)).await;
+        drop(calls);
+        sleep(LEAVING_PAUSE).await;
+    }
+    assert_eq!(read_answer(running).await, (200, SHORT_BODY.len()));
+}
+
 // Guards against an answer of the daemon's own in place of the one that the server gives
 // when the time that it was told is over.
 #[rstest]
