Do not end a connection of streams for the calls that are given up on it

Callers saw 502 for calls that a server had in hand: the HTTP/2 library closes a connection (GOAWAY, ENHANCE_YOUR_CALM, too_many_resets) once 20 streams have been reset before the daemon has taken them from it, and all calls on the connection end with it. Entries reset a stream whenever a call is given up: its caller leaves, or its arrival is not acknowledged within 250 ms. So 21 callers that leave at once, or a daemon that stands still, ended the calls of all others that need a confirmation.

The limit protects a server from strangers; both ends are daemons, and the number of streams is limited besides. It is now as high as that number.

--- a/src/peer/listen.rs
+++ b/src/peer/listen.rs
@@ -184,7 +184,10 @@
     http_builder
         .http2()
         .timer(TokioTimer::new())
-        .max_concurrent_streams(MAX_STREAMS);
+        .max_concurrent_streams(MAX_STREAMS)
+        // Entries reset the streams of calls that are given up. With more resets than this
+        // before it takes the streams, a connection ends, and with it all other calls.
+        .max_pending_accept_reset_streams(MAX_STREAMS as usize);
     http_builder
 }
 
