Wait for the answer behind one to an earlier request

Callers saw 502 (answer-garbled) for calls that their server had just begun: a server may send an answer once more, late, where the next one on that connection is expected. The guard took it for an invalid answer and gave the call up. The connection stayed in the pool with the real answer still to come, so the next call on it was given up for that one, and so on. A call without a retry, as most calls of servers are, ends so.

The id that answers repeat tells them apart. The connection now drops whole answers with another id than that of the request in progress, and the call goes on. What has no id or no known length is passed on as before, and so is everything after a HEAD request, whose answer names a length that it has not.

--- a/src/call/protocol.rs
+++ b/src/call/protocol.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use tokio::time::Instant;
 
 use super::{CallHead, Refusal};
@@ -87,6 +87,11 @@
         headers: &HeaderMap,
     ) -> AnswerMeaning;
 
+    /// Returns the header of a request that the backend server repeats in its answer.
+    fn answer_id_header(&self) -> Option<HeaderName> {
+        None
+    }
+
     /// Reads the backend server's notice from an answer.
     fn read_notice(&self, _: &HeaderMap) -> Notice {
         Notice::default()
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::uri::{Parts, PathAndQuery};
-use http::{HeaderMap, Request, Response, Uri};
+use http::{HeaderMap, HeaderName, Request, Response, Uri};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
@@ -71,8 +71,9 @@
 }
 
 impl Backend {
-    /// Creates a client of the backend server at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a client of the backend server at `address`, whose answers repeat the
+    /// header `id_header` of requests if there is one.
+    pub fn new(address: SocketAddr, id_header: Option<HeaderName>) -> Self {
         let dial = Dialer {
             address,
             local_ip: None,
@@ -84,7 +85,7 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         Self {
-            connections: ConnectionPool::new(dial, keep),
+            connections: ConnectionPool::new(dial, keep).with_answer_id(id_header),
         }
     }
 
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -54,7 +54,7 @@
             bytes: 8 * 1024 * 1024,
             retention: Duration::from_secs(24 * 3600),
         };
-        let backend = Backend::new(shared.config.backend);
+        let backend = Backend::new(shared.config.backend, shared.protocol.answer_id_header());
         Arc::new(Self {
             gate: Gate::new(settings),
             backend,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -166,6 +166,10 @@
         AnswerMeaning::Answer
     }
 
+    fn answer_id_header(&self) -> Option<HeaderName> {
+        Some(REQUEST_ID_HEADER)
+    }
+
     fn read_notice(&self, headers: &HeaderMap) -> Notice {
         let leaving = headers.get_all(&LEAVING_HEADER).iter();
         Notice {
--- a/src/web/connection_pool.rs
+++ b/src/web/connection_pool.rs
@@ -11,14 +11,16 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::Instant;
 
 use super::Dialer;
+use super::answer_filter::{AnswerFilter, ExpectedAnswer};
 
 /// Maximum size of a connection's buffer, in bytes; the head of an answer must fit
 /// into it, a body need not.
@@ -65,10 +67,17 @@
     pub idle_timeout: Duration,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct Connection<B> {
+    sender: SendRequest<B>,
+    expected: ExpectedAnswer,
+}
+
 /// A connection in the pool.
 #[derive(Debug)]
 struct IdleConnection<B> {
-    sender: SendRequest<B>,
+    connection: Connection<B>,
     idle_since: Instant,
     /// When the server is about to close it, if its answer said so.
     expires_at: Option<Instant>,
@@ -89,6 +98,8 @@
     dialer: Dialer,
     limits: PoolLimits,
     host: HeaderValue,
+    /// Header of a request that its answer repeats.
+    id_header: Option<HeaderName>,
     idle: Mutex<VecDeque<IdleConnection<B>>>,
     last_connected: Mutex<Option<Instant>>,
 }
@@ -105,11 +116,19 @@
             dialer,
             limits,
             host: host.unwrap_or_else(|_| HeaderValue::from_static("")),
+            id_header: None,
             idle: Mutex::default(),
             last_connected: Mutex::default(),
         }
     }
 
+    /// Drops answers in which the header `id_header`, if any, differs from that of the
+    /// request in progress: they belong to earlier ones.
+    #[must_use]
+    pub fn with_answer_id(self, id_header: Option<HeaderName>) -> Self {
+        Self { id_header, ..self }
+    }
+
     /// Sends a request, whose target is a path, and waits for the head of the
     /// answer.
     ///
@@ -127,9 +146,10 @@
         if !request.headers().contains_key(HOST) {
             request.headers_mut().insert(HOST, self.host.clone());
         }
-        while let Some(mut sender) = self.take_idle() {
-            match sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.keep_answered(sender, answer)),
+        while let Some(mut connection) = self.take_idle() {
+            self.expect_answer(&connection, &request);
+            match connection.sender.try_send_request(request).await {
+                Ok(answer) => return Ok(self.keep_answered(connection, answer)),
                 Err(mut failed) => match failed.take_message() {
                     // The server had already closed the connection.
                     Some(unsent) => request = unsent,
@@ -137,53 +157,62 @@
                 },
             }
         }
-        let mut sender = self.connect().await?;
-        match sender.send_request(request).await {
-            Ok(answer) => Ok(self.keep_answered(sender, answer)),
+        let mut connection = self.connect().await?;
+        self.expect_answer(&connection, &request);
+        match connection.sender.send_request(request).await {
+            Ok(answer) => Ok(self.keep_answered(connection, answer)),
             Err(e) => Err(RequestError::NoAnswer(e)),
         }
     }
 
+    fn expect_answer(&self, connection: &Connection<B>, request: &Request<B>) {
+        if let Some(id_header) = &self.id_header {
+            let id = request.headers().get(id_header).cloned();
+            connection
+                .expected
+                .expect(id, request.method() == Method::HEAD);
+        }
+    }
+
     /// Opens a connection and puts it into the pool.
     ///
     /// # Errors
     ///
     /// Fails if no connection can be opened.
     pub async fn open(&self) -> Result<(), RequestError> {
-        let sender = self.connect().await?;
-        self.put_back(sender, None);
+        let connection = self.connect().await?;
+        self.put_back(connection, None);
         Ok(())
     }
 
-    async fn connect(&self) -> Result<SendRequest<B>, RequestError> {
+    async fn connect(&self) -> Result<Connection<B>, RequestError> {
         let stream = self.dialer.connect().await.map_err(RequestError::Connect)?;
         self.last_connected.lock().replace(Instant::now());
-        let (sender, connection) = Builder::new()
-            .max_buf_size(MAX_BUFFER)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(RequestError::NoAnswer)?;
-        tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                spdlog::debug!("connection ended", kv: { cause = e.to_string().as_str() });
+        let expected = ExpectedAnswer::default();
+        let sender = match &self.id_header {
+            Some(id_header) => {
+                let filter = AnswerFilter::new(stream, id_header.clone(), expected.clone());
+                start_connection(filter).await
             }
-        });
-        Ok(sender)
+            None => start_connection(stream).await,
+        };
+        let sender = sender.map_err(RequestError::NoAnswer)?;
+        Ok(Connection { sender, expected })
     }
 
     /// Takes the most recently used connection that can carry a request now.
-    fn take_idle(&self) -> Option<SendRequest<B>> {
+    fn take_idle(&self) -> Option<Connection<B>> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
         let mut index = idle.len();
         while index > 0 {
             index -= 1;
-            let is_ready = idle[index].sender.is_ready();
+            let is_ready = idle[index].connection.sender.is_ready();
             let is_expired = is_ready && idle[index].is_expired(now);
             if is_ready && !is_expired {
-                return idle.remove(index).map(|idle| idle.sender);
+                return idle.remove(index).map(|idle| idle.connection);
             }
-            if is_expired || idle[index].sender.is_closed() {
+            if is_expired || idle[index].connection.sender.is_closed() {
                 idle.remove(index);
             }
         }
@@ -194,21 +223,21 @@
     /// arriving; it isn't taken again until the body has been read.
     fn keep_answered(
         &self,
-        sender: SendRequest<B>,
+        connection: Connection<B>,
         answer: Response<Incoming>,
     ) -> Response<Incoming> {
         let reuse_time = keep_alive_timeout(answer.headers()).map(|time| time.mul_f64(REUSE_SHARE));
-        self.put_back(sender, reuse_time);
+        self.put_back(connection, reuse_time);
         answer
     }
 
     /// Puts a connection into the pool, for at most `reuse_time` if set.
-    fn put_back(&self, sender: SendRequest<B>, reuse_time: Option<Duration>) {
+    fn put_back(&self, connection: Connection<B>, reuse_time: Option<Duration>) {
         let idle_since = Instant::now();
         let expires_at = reuse_time.map(|time| idle_since + time);
         let mut idle = self.idle.lock();
         idle.push_back(IdleConnection {
-            sender,
+            connection,
             idle_since,
             expires_at,
         });
@@ -245,3 +274,22 @@
         self.idle.lock().len()
     }
 }
+
+/// Starts HTTP on a stream, which a task drives.
+async fn start_connection<T, B>(stream: T) -> hyper::Result<SendRequest<B>>
+where
+    T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_BUFFER)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            spdlog::debug!("connection ended", kv: { cause = e.to_string().as_str() });
+        }
+    });
+    Ok(sender)
+}
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,6 +2,7 @@
 //! `hyper`; requests are sent by `hyper` and `hyper-util`.
 
 mod activity;
+mod answer_filter;
 mod caller_connection;
 mod client;
 mod connection_pool;
