Answer requests that are left when a drain ends

Callers saw their connection end without an answer 5.4 s after the SIGTERM of their daemon, though no server had the request: its target acknowledged the bytes and never answered, so that nothing was heard before the deadline.

When its time for calls is over, a stopping daemon now gives up the calls that are left and sends 504, which promises nothing, before it ends. Waiting longer is not possible, since the platform kills the process, and a call that a server is still at work on would be cut in the same moment. Answers whose body is on its way are not touched.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use super::accept::{AcceptedRequest, accept};
@@ -46,6 +47,8 @@
     in_flight: AtomicUsize,
     closed: AtomicBool,
     onward_closed: AtomicBool,
+    calls_ended: AtomicBool,
+    calls_end: Notify,
 }
 
 impl Entry {
@@ -57,6 +60,8 @@
             in_flight: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
             onward_closed: AtomicBool::new(false),
+            calls_ended: AtomicBool::new(false),
+            calls_end: Notify::new(),
         })
     }
 
@@ -76,6 +81,22 @@
         self.onward_closed.store(true, Ordering::SeqCst);
     }
 
+    /// Gives up all calls that are not answered yet, so that their callers get an answer
+    /// before their connections end with the process.
+    pub fn end_calls(&self) {
+        self.calls_ended.store(true, Ordering::SeqCst);
+        self.calls_end.notify_waiters();
+    }
+
+    /// Waits until all calls are given up.
+    async fn wait_calls_end(&self) {
+        // Created first: it is notified of each end after that.
+        let end = self.calls_end.notified();
+        if !self.calls_ended.load(Ordering::SeqCst) {
+            end.await;
+        }
+    }
+
     /// Returns whether new calls of callers are refused.
     pub(super) fn is_closed(&self) -> bool {
         self.closed.load(Ordering::SeqCst)
@@ -232,19 +253,19 @@
         accepted.head.fingerprint = self.fingerprint(accepted, parts, &body);
         self.count_repeat(accepted);
         let latest = accepted.head.deadline + VERDICT_GRACE;
+        let given_up = |reason, detail| CallOutcome {
+            result: Err(Attempt::plan().mark_sent().abandon(reason, detail)),
+            retries: 0,
+            targets: Box::default(),
+        };
         // Built inline: a future bound to a variable first would be stored twice.
-        match timeout_at(
-            latest,
-            ForwardedCall::new(&self.context, accepted).run(body),
-        )
-        .await
-        {
-            Ok(outcome) => outcome,
-            Err(_) => CallOutcome {
-                result: Err(Attempt::plan().mark_sent().abandon(Reason::Timeout, "")),
-                retries: 0,
-                targets: Box::default(),
-            },
+        tokio::select! {
+            biased;
+            outcome = timeout_at(
+                latest,
+                ForwardedCall::new(&self.context, accepted).run(body),
+            ) => outcome.unwrap_or_else(|_| given_up(Reason::Timeout, "")),
+            () = self.wait_calls_end() => given_up(Reason::Timeout, "this daemon ends"),
         }
     }
 
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -42,6 +42,8 @@
 /// Share of the drain after which no onward calls are started, so that those in flight
 /// can end before the process does.
 const ONWARD_DRAIN_SHARE: f64 = 5.0 / 6.0;
+/// How long the answers to calls that are given up may take to be sent.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long neighbours may take to acknowledge a stop; others learn of it by
 /// gossip.
 const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(500);
@@ -220,10 +222,25 @@
     InFlight::count(parts).log("drain ended", begin);
     if drained {
         close_connections(parts).await;
+    } else {
+        answer_rest(parts).await;
     }
     drained
 }
 
+/// Gives up the calls that are not answered yet, and waits for their answers to be sent.
+///
+/// Their callers would else see a connection that ends without an answer, which may
+/// happen as well if their target is silent and no server has the request.
+async fn answer_rest(parts: &StopParts) {
+    let latest = Instant::now() + ANSWER_TIMEOUT;
+    parts.entry.end_calls();
+    let is_sending = || parts.entry.in_flight() + parts.connections.busy.count() > 0;
+    while is_sending() && Instant::now() < latest {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
 /// Waits for callers to close connections whose last answer is sent: a connection that
 /// is closed with unread bytes is reset, and its caller may lose that answer.
 async fn close_connections(parts: &StopParts) {
