Test that a stop ends within its grace

What a stopping daemon waits for is limited one by one, and the sum is longer than the grace: a caller that stays after an answer near the end of the drain, a grace shorter than the delay of readiness.

--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -57,6 +57,11 @@
 impl HostedProcess {
     /// Starts a daemon, whose log goes to a file beside its settings.
     pub async fn start(service: &str, store: SocketAddr) -> Self {
+        Self::start_with_grace(service, store, Duration::from_secs(6)).await
+    }
+
+    /// Starts a daemon that is killed `grace` after it is told to stop.
+    pub async fn start_with_grace(service: &str, store: SocketAddr, grace: Duration) -> Self {
         let ip = own_ip();
         let port = || free_port(ip);
         let (callers, backend, announcements, readiness) = (port(), port(), port(), port());
@@ -64,9 +69,10 @@
             "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
              peers: {}\n  operators: {}\nbackend: {backend}\nplatform: {store}\nhosting:\n  \
              announcements: {announcements}\n  readiness: {readiness}\ncallers: {{ahead: 8}}\n\
-             grace: 6s\nlog: {{level: info, format: json}}\n",
+             grace: {}ms\nlog: {{level: info, format: json}}\n",
             port(),
             port(),
+            grace.as_millis(),
         );
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
         let settings = directory.join(format!("hosted-{callers}.yaml"));
