End a stop within its grace

Stops of hosted daemons could take longer than their grace, after which the platform kills the process: each wait is limited, but their sum is not, and the end of the operators' server and of the runtime had no limit at all.

A stop now waits for nothing after 0.95 of the grace, and for callers to close their connections until 0.93 of it. The process ends without waiting for its threads.

--- a/src/bin/bramleymountd/controller.rs
+++ b/src/bin/bramleymountd/controller.rs
@@ -50,7 +50,7 @@
     )?;
     let settings = args.settings.clone();
     let runtime = runtime(config.workers)?;
-    runtime.block_on(async {
+    let result = runtime.block_on(async {
         let failed = |e| Error::io("listen for signals", e);
         let mut term = signal(SignalKind::terminate()).map_err(failed)?;
         let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
@@ -63,7 +63,10 @@
         let drained = daemon.stop().await;
         repeats.abort();
         Ok(drained)
-    })
+    });
+    // The process ends without waiting for work on other threads.
+    runtime.shutdown_background();
+    result
 }
 
 /// Builds the runtime that serves callers, other daemons and the platform.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -33,7 +33,7 @@
 };
 use crate::task::{
     StopParts, gossip, keep_member_row, keep_ownership, keep_store_role, keep_suspect_rows,
-    log_load, poll_configuration, refresh_targets, report_demand, stop, watch_lease,
+    latest_end, log_load, poll_configuration, refresh_targets, report_demand, stop, watch_lease,
 };
 use crate::web::{HttpListener, ThreadedServer, caller_text, listen};
 
@@ -165,19 +165,28 @@
     }
 
     /// Stops as planned; returns whether all calls ended.
+    ///
+    /// A hosted daemon stops before its grace is over, whatever it still waits for.
     pub async fn stop(mut self) -> bool {
+        let begin = Instant::now();
+        let latest = latest_end(&self.parts.shared, begin);
         self.callers.disable_keep_alive();
-        let drained = stop(&self.parts).await;
+        let drained = within(latest, stop(&self.parts, begin)).await;
+        if drained.is_none() {
+            spdlog::warn!("stop cut short at the end of the grace");
+        }
+        let drained = drained.unwrap_or(false);
         self.platform_listeners.clear();
         self.tasks.abort_all();
         let _ = self.stop_peers.send(());
         if drained {
             // Streams end only when the other daemon has received their last frames.
-            let _ = tokio::time::timeout(PEER_CLOSE_TIMEOUT, self.peers_task).await;
+            let closing = tokio::time::timeout(PEER_CLOSE_TIMEOUT, self.peers_task);
+            let _ = within(latest, closing).await;
         }
         let mut operators = self.operators;
         let stopped = tokio::task::spawn_blocking(move || operators.stop());
-        let _ = stopped.await;
+        let _ = within(latest, stopped).await;
         drained
     }
 
@@ -187,6 +196,14 @@
     }
 }
 
+/// Waits for a future, until `latest` if it is limited; returns `None` after that.
+async fn within<T>(latest: Option<Instant>, waiting: impl Future<Output = T>) -> Option<T> {
+    match latest {
+        Some(latest) => tokio::time::timeout_at(latest, waiting).await.ok(),
+        None => Some(waiting.await),
+    }
+}
+
 /// Serves the metrics as text.
 async fn serve_metrics(
     address: SocketAddr,
--- a/src/task/mod.rs
+++ b/src/task/mod.rs
@@ -22,7 +22,7 @@
 pub use ownership::{keep_ownership, read_ownership};
 pub use poll::{CURRENT_ROW, CurrentRow, fetch_version, poll_configuration};
 pub use rates::{query_credit, report_demand};
-pub use stop::{StopParts, stop};
+pub use stop::{StopParts, latest_end, stop};
 pub use store_role::keep_store_role;
 pub use suspects::keep_suspect_rows;
 pub use targets::refresh_targets;
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -42,6 +42,12 @@
 /// Share of the drain after which no onward calls are started, so that those in flight
 /// can end before the process does.
 const ONWARD_DRAIN_SHARE: f64 = 5.0 / 6.0;
+/// Share of the grace after which a hosted daemon no longer waits for callers to close
+/// their connections.
+const CLOSE_GRACE_SHARE: f64 = 0.93;
+/// Share of the grace after which a hosted daemon waits for nothing. The rest is for the
+/// end of the process.
+const END_GRACE_SHARE: f64 = 0.95;
 /// How long the answers to calls that are given up may take to be sent.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long neighbours may take to acknowledge a stop; others learn of it by
@@ -67,8 +73,8 @@
 /// Stops a daemon as planned; returns whether no call was cut.
 ///
 /// It ends when all calls have ended, or after the grace in the settings. A hosted
-/// daemon ends before the grace is over.
-pub async fn stop(parts: &StopParts) -> bool {
+/// daemon ends before the grace is over, see [`latest_end`].
+pub async fn stop(parts: &StopParts, begin: Instant) -> bool {
     let StopParts {
         shared,
         entry,
@@ -76,7 +82,6 @@
         pool,
         ..
     } = parts;
-    let begin = Instant::now();
     InFlight::count(parts).log("stopping", begin);
     shared.readiness.set_stopping();
     if shared.config.hosting.is_some() {
@@ -105,6 +110,13 @@
     drained
 }
 
+/// Returns when a daemon whose stop began at `begin` waits for nothing any more; `None`
+/// if it is not hosted.
+pub fn latest_end(shared: &Shared, begin: Instant) -> Option<Instant> {
+    let hosting = shared.config.hosting.as_ref();
+    hosting.map(|_| begin + shared.config.grace.get().mul_f64(END_GRACE_SHARE))
+}
+
 /// What a stopping daemon still has in flight.
 struct InFlight {
     /// Requests of callers.
@@ -221,7 +233,7 @@
     };
     InFlight::count(parts).log("drain ended", begin);
     if drained {
-        close_connections(parts).await;
+        close_connections(parts, begin).await;
     } else {
         answer_rest(parts).await;
     }
@@ -243,8 +255,12 @@
 
 /// Waits for callers to close connections whose last answer is sent: a connection that
 /// is closed with unread bytes is reset, and its caller may lose that answer.
-async fn close_connections(parts: &StopParts) {
-    let latest = Instant::now() + LINGER_TIMEOUT;
+async fn close_connections(parts: &StopParts, begin: Instant) {
+    let config = &parts.shared.config;
+    let mut latest = Instant::now() + LINGER_TIMEOUT;
+    if config.hosting.is_some() {
+        latest = latest.min(begin + config.grace.get().mul_f64(CLOSE_GRACE_SHARE));
+    }
     while parts.connections.closing.count() > 0 && Instant::now() < latest {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
