Log the targets of calls that are given up

Log lines of calls that ran into their deadline, or were left at the end of a stop, named no target: the forwarding of the call is dropped, and its list with it.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -352,11 +352,12 @@
             ),
         };
         let time_left = head.deadline.saturating_duration_since(Instant::now());
-        let targets: Vec<String> = call_outcome
-            .targets
-            .iter()
-            .map(ToString::to_string)
-            .collect();
+        let targets = match &*call_outcome.targets {
+            // A call that is given up from outside does not return its targets.
+            [] => shared.journal.targets(head.call),
+            targets => targets.to_vec(),
+        };
+        let targets: Vec<String> = targets.iter().map(ToString::to_string).collect();
         let targets = targets.join(" ");
         let fingerprint = head.fingerprint.map(|digest| digest.to_string());
         let workspace = accepted
--- a/src/tables/journal.rs
+++ b/src/tables/journal.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::net::SocketAddr;
 
 use http::StatusCode;
 use parking_lot::Mutex;
@@ -102,6 +103,17 @@
         records.push_back(record);
     }
 
+    /// Returns the addresses of the daemons that a call was sent to, in order.
+    pub fn targets(&self, call: CallId) -> Vec<SocketAddr> {
+        let records = self.records.lock();
+        let of_call = records.iter().filter(|record| record.call == call);
+        let targets = of_call.filter_map(|record| match (record.step, record.detail) {
+            (CallStep::Sent, StepDetail::Target(target)) => Some(target.address),
+            _ => None,
+        });
+        targets.collect()
+    }
+
     /// Returns the entries of a call, oldest first.
     pub fn find(&self, call: CallId) -> Vec<JournalEntry> {
         self.records
--- a/tests/planned_stop_silent_target.rs
+++ b/tests/planned_stop_silent_target.rs
@@ -86,4 +86,9 @@
     let status = read_status(caller).await;
     assert!([502, 504].contains(&status), "{status}");
     assert_eq!(other.wait_exit().await, Some(3));
+    let log = other.log();
+    let mut lines = log.lines().filter(|line| line.contains("call failed"));
+    let line = lines.find(|line| line.contains(r#""request":"r1""#));
+    let line = line.expect("a line on the request");
+    assert!(!line.contains(r#""targets":"","#), "{line}");
 }
