--- a/examples/day/main.rs
+++ b/examples/day/main.rs
@@ -16,24 +16,24 @@
 mod site;
 mod vm;
 
-use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use argh::FromArgs;
 use bramleymount::emulator::free_address_on;
+use bramleymount::web::HttpListener;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use plan::{StoreListener, draw_plan, play};
+use plan::{draw_plan, play};
 use record::Record;
 use rows::RowsStandIn;
 use sender::run_callers;
@@ -86,9 +86,9 @@
     stubborn: f64,
     store: Arc<RowsStandIn>,
     second_store: SocketAddr,
-    second_listener: StoreListener,
+    second_listener: Mutex<Option<HttpListener>>,
     version: AtomicU64,
-    failures: Mutex<Vec<String>>,
+    failures: AtomicUsize,
 }
 
 impl World {
@@ -103,7 +103,7 @@
     /// Returns a VM of the zone that is ready, or any of the zone if none is.
     fn choose_vm(&self, zone: &str) -> usize {
         let mut known: Vec<usize> = (0..self.vms.len()).collect();
-        known.retain(|vm| *self.vms[*vm].zone == *zone);
+        known.retain(|vm| *self.vms[*vm].place.zone == *zone);
         let is_ready = |vm: &usize| self.vms[*vm].is_ready.load(Ordering::Relaxed);
         let ready: Vec<usize> = known.iter().copied().filter(is_ready).collect();
         let vms = if ready.is_empty() { known } else { ready };
@@ -117,15 +117,9 @@
         self.store.put("op", "config", &config);
     }
 
-    fn fail(&self, failure: String) {
+    fn fail(&self, failure: &str) {
         println!("{failure}");
-        self.failures.lock().push(failure);
-    }
-
-    fn note<E: fmt::Display>(&self, result: Result<(), E>) {
-        if let Err(e) = result {
-            self.fail(e.to_string());
-        }
+        self.failures.fetch_add(1, Ordering::Relaxed);
     }
 }
 
@@ -152,37 +146,21 @@
     let dir = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&dir)?;
     println!("seed {}, logs in {}", args.seed, dir.display());
-    let stores = [1, 2].map(|host| free_address_on(Ipv4Addr::new(127, 31, 0, host).into()));
-    let [first_store, second_store] = stores;
-    let (first_store, second_store) = (first_store?, second_store?);
+    let first_store = free_address_on(Ipv4Addr::new(127, 31, 0, 1).into())?;
+    let second_store = free_address_on(Ipv4Addr::new(127, 31, 0, 2).into())?;
     let (store, _first_listener) = RowsStandIn::start(first_store).await;
     let second_listener = Mutex::new(Some(store.listen(second_store).await));
 
     let mut vms = Vec::new();
-    let expand = |groups: &[site::VmGroup]| -> Vec<site::VmGroup> {
-        let groups = groups.iter();
-        groups
-            .flat_map(|group| std::iter::repeat_n(group.clone(), group.count))
-            .collect()
-    };
-    let mut groups = expand(&site.vms);
-    let first_added = groups.len();
-    groups.extend(expand(&site.added_vms));
-    for (index, group) in groups.iter().enumerate() {
-        let service = site.service_index(&group.service)?;
-        let service = (service, &site.services[service]);
-        let store = if index % SECOND_STORE_SHARE == 1 {
-            second_store
-        } else {
-            first_store
-        };
-        let files = (&*binary, &*dir);
-        vms.push(Vm::new(index, group, service, store, files, site.grace())?);
+    for (index, place) in site.vms.iter().enumerate() {
+        let is_second = index % SECOND_STORE_SHARE == 1;
+        let store = if is_second { second_store } else { first_store };
+        vms.push(Vm::new(index, place, &site, store, (&binary, &dir))?);
     }
     let world = Arc::new(World {
         site,
         vms,
-        record: Record::default(),
+        record: Record::new(),
         random: Mutex::new(SmallRng::seed_from_u64(args.seed)),
         next_id: AtomicU64::new(0),
         late_until: Mutex::default(),
@@ -191,59 +169,55 @@
         second_store,
         second_listener,
         version: AtomicU64::new(0),
-        failures: Mutex::default(),
+        failures: AtomicUsize::new(0),
     });
     world.publish_version();
     let mut listeners = Vec::new();
-    for vm in 0..world.vms.len() {
-        if vm < first_added {
-            world.vms[vm].start()?;
+    for (index, vm) in world.vms.iter().enumerate() {
+        if !vm.place.added {
+            vm.start()?;
         }
-        listeners.push(server::start(&world, vm).await?);
-        let announcing = Arc::clone(&world);
+        listeners.push(server::start(&world, index).await?);
+        let world = Arc::clone(&world);
         tokio::spawn(async move {
-            let vm = &announcing.vms[vm];
-            vm.announce(&announcing.site.services[vm.service]).await;
+            let vm = &world.vms[index];
+            let slots = world.site.services[&vm.place.service].slots;
+            vm.attend(slots).await;
         });
-        let probing = Arc::clone(&world);
-        tokio::spawn(async move { probing.vms[vm].probe().await });
     }
     sleep(SETTLE_TIME).await;
-    run_traffic(args, &world, first_added).await;
+    run_traffic(args, &world).await;
     Ok(conclude(&world))
 }
 
 /// Sends the traffic and plays the plan beside it, until both have ended.
-async fn run_traffic(args: &Args, world: &Arc<World>, first_added: usize) {
+async fn run_traffic(args: &Args, world: &Arc<World>) {
     let start = Instant::now();
     let end = start + Duration::from_secs_f64(args.seconds);
-    for traffic in 0..world.site.traffic.len() {
-        for class in 0..world.site.classes.len() {
-            let world = Arc::clone(world);
-            tokio::spawn(run_callers(world, traffic, class, args.load, end));
+    for traffic in &world.site.traffic {
+        let total: f64 = traffic.mix.values().sum();
+        for (class, weight) in &traffic.mix {
+            let rate = args.load * traffic.rate * weight / total;
+            let names = (traffic.zone.clone(), class.clone());
+            tokio::spawn(run_callers(Arc::clone(world), names, rate, end));
         }
     }
-    let grace_s = world.site.grace_s;
-    let vms = world.vms.len();
-    let plan = draw_plan(args.seed, args.seconds, vms, first_added, grace_s);
-    play(world, &plan, start, Duration::from_secs_f64(args.late)).await;
+    let plan = draw_plan(args.seed, args.seconds, &world.site);
+    play(world, plan, start, Duration::from_secs_f64(args.late)).await;
     sleep_until(end.max(Instant::now()) + END_TIME).await;
-    let lost = check::report(world, start);
+    let lost = check::report(world);
     if lost > 0 {
-        world.fail(format!("LOST: {lost} requests and calls"));
+        world.fail(&format!("LOST: {lost} requests and calls"));
     }
 }
 
 fn conclude(world: &World) -> ExitCode {
     for (index, vm) in world.vms.iter().enumerate() {
         if vm.has_ended() {
-            world.fail(format!("vm {index} has ended by itself"));
+            world.fail(&format!("vm {index} has ended by itself"));
         }
     }
-    let failures = world.failures.lock().len();
+    let failures = world.failures.load(Ordering::Relaxed);
     println!("{failures} broken promises");
-    if failures > 0 {
-        return ExitCode::FAILURE;
-    }
-    ExitCode::SUCCESS
+    ExitCode::from(u8::from(failures > 0))
 }
--- a/examples/day/plan.rs
+++ b/examples/day/plan.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bramleymount::web::HttpListener;
-use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -12,6 +10,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::World;
+use crate::site::Site;
 
 /// Seconds from the start of the traffic to the first stop.
 const FIRST_STOP_S: f64 = 3.0;
@@ -42,35 +41,27 @@
     StoreBack,
 }
 
-/// Events with seconds since the start of the traffic, in order.
-pub(crate) type Plan = Vec<(f64, Event)>;
-
-/// Draws up a plan for `length` seconds. The VMs from `first_added` on are added.
-pub(crate) fn draw_plan(
-    seed: u64,
-    length: f64,
-    vms: usize,
-    first_added: usize,
-    grace_s: f64,
-) -> Plan {
+/// Draws up a plan for `length` seconds: events in order, each with the seconds since the
+/// start of the traffic.
+pub(crate) fn draw_plan(seed: u64, length: f64, site: &Site) -> Vec<(f64, Event)> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut plan = Plan::new();
-    for vm in first_added..vms {
+    let mut plan = Vec::new();
+    for (vm, _) in site.vms.iter().enumerate().filter(|(_, place)| place.added) {
         let at = random.random_range(0.0..FIRST_STOP_S);
         plan.push((at, Event::Add(vm)));
     }
     let mut at = FIRST_STOP_S;
     while at < length {
-        let mut order: Vec<usize> = (0..vms).collect();
+        let mut order: Vec<usize> = (0..site.vms.len()).collect();
         order.shuffle(&mut random);
-        let count = (vms as f64 * ROUND_SHARE).ceil() as usize;
+        let count = (site.vms.len() as f64 * ROUND_SHARE).ceil() as usize;
         for vm in order.into_iter().take(count) {
             if at < length {
                 plan.push((at, Event::Stop(vm)));
             }
             at += random.random_range(STOP_GAP_S);
         }
-        at += grace_s + ROUND_GAP_S;
+        at += site.grace_s + ROUND_GAP_S;
     }
     let mut at = random.random_range(VERSION_GAP_S);
     while at < length {
@@ -81,7 +72,7 @@
     while at < length {
         plan.push((at, Event::StoreAway));
         at += random.random_range(STORE_AWAY_S);
-        plan.push((at, Event::StoreBack));
+        plan.push((at.min(length), Event::StoreBack));
         at += random.random_range(STORE_GAP_S);
     }
     plan.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -89,17 +80,26 @@
 }
 
 /// Plays a plan that begins at `start`, until all stops have ended.
-pub(crate) async fn play(world: &Arc<World>, plan: &Plan, start: Instant, late: Duration) {
+pub(crate) async fn play(
+    world: &Arc<World>,
+    plan: Vec<(f64, Event)>,
+    start: Instant,
+    late: Duration,
+) {
     let mut stops = JoinSet::new();
     for (at, event) in plan {
-        sleep_until(start + Duration::from_secs_f64(*at)).await;
-        println!("{at:7.2} {event:?}");
-        match *event {
+        sleep_until(start + Duration::from_secs_f64(at)).await;
+        println!("{:?}: {event:?}", world.record.now());
+        match event {
             Event::Stop(vm) => {
                 stops.spawn(stop(Arc::clone(world), vm));
                 *world.late_until.lock() = Some(Instant::now() + late);
             }
-            Event::Add(vm) => world.note(world.vms[vm].start()),
+            Event::Add(vm) => {
+                if let Err(e) = world.vms[vm].start() {
+                    world.fail(&format!("vm {vm}: {e}"));
+                }
+            }
             Event::NewVersion => world.publish_version(),
             Event::StoreAway => *world.second_listener.lock() = None,
             Event::StoreBack => {
@@ -111,19 +111,12 @@
     while stops.join_next().await.is_some() {}
 }
 
-/// The listener of a part of the store, while it accepts connections.
-pub(crate) type StoreListener = Mutex<Option<HttpListener>>;
-
 async fn stop(world: Arc<World>, vm: usize) {
     let grace = world.site.grace();
+    world.vms[vm].stops.lock().push(world.record.now());
     match world.vms[vm].restart(grace + KILL_SLACK).await {
-        Ok(Some(took)) if took <= grace => {}
-        Ok(Some(took)) => world.fail(format!(
-            "LOST: vm {vm} took {took:?} of a grace of {grace:?}"
-        )),
-        Ok(None) => world.fail(format!(
-            "LOST: vm {vm} did not stop in its grace of {grace:?}"
-        )),
-        Err(e) => world.fail(format!("vm {vm}: {e}")),
+        Ok(took) if took <= grace => {}
+        Ok(took) => world.fail(&format!("LOST: vm {vm} took {took:?} to stop")),
+        Err(e) => world.fail(&format!("vm {vm}: {e}")),
     }
 }
--- a/examples/day/record.rs
+++ b/examples/day/record.rs
@@ -7,88 +7,91 @@
 use tokio::time::Instant;
 
 /// How a request ended for its sender.
-#[derive(Clone, Debug)]
+#[expect(dead_code, reason = "shown by Debug")]
+#[derive(Debug)]
 pub(crate) enum Outcome {
-    Answer {
-        status: u16,
-        /// Whether the answer bears the signature of a server.
-        signed: bool,
-        /// The text of an answer without signature.
-        text: Box<str>,
-    },
+    /// Status of an answer with the signature of a server.
+    Signed(u16),
+    /// Status and text of an answer without one.
+    Own(u16, Box<str>),
     /// The connection ended without a whole answer.
     Cut(Box<str>),
     /// No connection was made.
     Unreached,
     /// No answer came before the sender's deadline.
     Waited,
-    /// The sender left earlier.
-    Left,
 }
 
-/// One run of a request at a server.
-#[derive(Clone, Debug)]
+/// One run of a request at a server. Moments count from the start of the day.
+#[expect(dead_code, reason = "shown by Debug")]
+#[derive(Debug)]
 pub(crate) struct Run {
     pub(crate) vm: usize,
-    pub(crate) read: Instant,
+    pub(crate) read: Duration,
     /// When it left the server's queue.
-    pub(crate) begin: Option<Instant>,
-    pub(crate) end: Option<Instant>,
+    pub(crate) begin: Option<Duration>,
+    pub(crate) end: Option<Duration>,
     /// What the server answered; `None` for a run that was broken off.
     pub(crate) status: Option<u16>,
     pub(crate) rejected: bool,
 }
 
 /// A request of a caller, or a call of a server.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Exchange {
     /// The VM whose daemon got it.
     pub(crate) vm: usize,
-    pub(crate) class: usize,
-    pub(crate) sent: Instant,
-    /// The time that the sender named.
-    pub(crate) wait: Duration,
-    pub(crate) end: Option<(Instant, Outcome)>,
+    pub(crate) class: Box<str>,
+    pub(crate) sent: Duration,
+    /// When the time is over that the sender named.
+    pub(crate) deadline: Duration,
+    /// `None` if the sender left.
+    pub(crate) end: Option<(Duration, Outcome)>,
     pub(crate) runs: Vec<Run>,
 }
 
-impl Run {
-    /// Returns whether the server had the request in hand at `moment`, or lost it
-    /// before because it was broken off.
-    pub(crate) fn is_at_work(&self, moment: Instant) -> bool {
-        let answered = self.status.is_some() && self.end.is_some_and(|end| end <= moment);
-        !self.rejected && self.read <= moment && !answered
-    }
-}
-
 /// All requests, by id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Record {
+    start: Instant,
     pub(crate) exchanges: Mutex<HashMap<Box<str>, Exchange>>,
 }
 
 impl Record {
-    /// Records a request that is being sent; it counts as left by its sender until it
-    /// is finished.
-    pub(crate) fn send<'a>(&'a self, id: &'a str, exchange: Exchange) -> Sending<'a> {
-        self.exchanges.lock().insert(id.into(), exchange);
-        Sending { record: self, id }
+    pub(crate) fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            exchanges: Mutex::default(),
+        }
     }
 
-    /// Records that a server has read a request.
+    /// Returns the time since the start of the day.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Changes a request that was sent.
+    pub(crate) fn update(&self, id: &str, change: impl FnOnce(&mut Exchange)) {
+        if let Some(exchange) = self.exchanges.lock().get_mut(id) {
+            change(exchange);
+        }
+    }
+
+    /// Records that a server has read a request; the run counts as broken off if the
+    /// result is dropped earlier than finished.
     pub(crate) fn read<'a>(&'a self, id: &'a str, vm: usize) -> Running<'a> {
         let run = Run {
             vm,
-            read: Instant::now(),
+            read: self.now(),
             begin: None,
             end: None,
             status: None,
             rejected: false,
         };
-        let mut exchanges = self.exchanges.lock();
-        let index = exchanges.get_mut(id).map_or(0, |exchange| {
+        let mut index = 0;
+        self.update(id, |exchange| {
+            index = exchange.runs.len();
             exchange.runs.push(run);
-            exchange.runs.len() - 1
         });
         Running {
             record: self,
@@ -98,34 +101,7 @@
     }
 }
 
-/// A request that is being sent.
-#[derive(Debug)]
-pub(crate) struct Sending<'a> {
-    record: &'a Record,
-    id: &'a str,
-}
-
-impl Sending<'_> {
-    pub(crate) fn finish(self, outcome: Outcome) {
-        self.end(outcome);
-    }
-
-    fn end(&self, outcome: Outcome) {
-        if let Some(exchange) = self.record.exchanges.lock().get_mut(self.id) {
-            exchange
-                .end
-                .get_or_insert_with(|| (Instant::now(), outcome));
-        }
-    }
-}
-
-impl Drop for Sending<'_> {
-    fn drop(&mut self) {
-        self.end(Outcome::Left);
-    }
-}
-
-/// A request at a server; it counts as broken off until it is finished.
+/// A request at a server.
 #[derive(Debug)]
 pub(crate) struct Running<'a> {
     record: &'a Record,
@@ -134,28 +110,17 @@
 }
 
 impl Running<'_> {
-    pub(crate) fn begin(&self) {
-        self.update(|run| run.begin = Some(Instant::now()));
-    }
-
-    pub(crate) fn finish(self, status: u16, rejected: bool) {
-        self.update(|run| {
-            run.status = Some(status);
-            run.rejected = rejected;
+    pub(crate) fn update(&self, change: impl FnOnce(&mut Run)) {
+        self.record.update(self.id, |exchange| {
+            if let Some(run) = exchange.runs.get_mut(self.index) {
+                change(run);
+            }
         });
     }
-
-    fn update(&self, change: impl FnOnce(&mut Run)) {
-        let mut exchanges = self.record.exchanges.lock();
-        let exchange = exchanges.get_mut(self.id);
-        if let Some(run) = exchange.and_then(|exchange| exchange.runs.get_mut(self.index)) {
-            change(run);
-        }
-    }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.update(|run| run.end = Some(Instant::now()));
+        self.update(|run| run.end = Some(self.record.now()));
     }
 }
--- a/examples/day/sender.rs
+++ b/examples/day/sender.rs
@@ -5,14 +5,13 @@
 
 use bramleymount::web::RequestError;
 use bytes::Bytes;
-use http::{HeaderMap, Request};
+use http::Request;
 use http_body_util::{BodyExt, Full};
 use rand::Rng;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::World;
 use crate::record::{Exchange, Outcome};
-use crate::site::{Class, Kind, Traffic};
 use crate::vm::{Pool, connect};
 
 /// Share of callers' requests that they leave before an answer.
@@ -21,159 +20,115 @@
 const LEAVE_AFTER_S: std::ops::Range<f64> = 0.05..0.7;
 /// Statuses after which a caller tries a request again that may not run twice.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
-/// Pause before another try, unless the answer names one.
+/// Pause before another try.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time that must be left for another try.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
 
-/// The answer of a request as its sender goes on with it.
-#[derive(Debug, Default)]
-pub(crate) struct Reply {
-    /// The status, or `None` without a whole answer.
-    pub(crate) status: Option<u16>,
-    /// The pause that the answer names.
-    retry_after: Option<Duration>,
-}
-
-/// Sends a request of `class` to a VM's daemon and records what comes back. The sender
-/// waits for as long as it says.
+/// Sends a request of a class to a VM's daemon and records what comes back. The sender
+/// waits for as long as it says. Returns the status, or `None` without a whole answer.
 pub(crate) async fn send(
     world: &World,
     pool: &Pool,
-    (vm, class): (usize, usize),
+    (vm, class): (usize, &str),
     id: &str,
     wait: Duration,
-) -> Reply {
-    let sent = Instant::now();
+) -> Option<u16> {
+    let bytes = vec![b'x'; world.site.classes[class].request_bytes];
+    let mut request = Request::builder()
+        .method(&*world.site.classes[class].method)
+        .uri(format!("/{class}/{}", &id[id.len() - 3..]))
+        .header("host", "a.example")
+        .header("x-request-id", id)
+        .header("x-deadline-ms", wait.as_millis().to_string());
+    if !bytes.is_empty() {
+        request = request.header("content-length", bytes.len());
+    }
+    let request = request.body(Full::new(Bytes::from(bytes))).ok()?;
+    let sent = world.record.now();
     let exchange = Exchange {
         vm,
-        class,
+        class: class.into(),
         sent,
-        wait,
+        deadline: sent + wait,
         end: None,
         runs: Vec::new(),
     };
-    let sending = world.record.send(id, exchange);
-    let request = request_of(&world.site.classes[class], id, wait);
-    let answer = timeout_at(sent + wait, exchange_with(pool, request)).await;
-    let (outcome, retry_after) = answer.unwrap_or((Outcome::Waited, None));
+    world.record.exchanges.lock().insert(id.into(), exchange);
+    let outcome = timeout(wait, receive(pool, request)).await;
+    let outcome = outcome.unwrap_or(Outcome::Waited);
     let status = match outcome {
-        Outcome::Answer { status, .. } => Some(status),
+        Outcome::Signed(status) | Outcome::Own(status, _) => Some(status),
         _ => None,
     };
-    sending.finish(outcome);
-    Reply {
-        status,
-        retry_after,
-    }
+    let end = world.record.now();
+    world
+        .record
+        .update(id, |exchange| exchange.end = Some((end, outcome)));
+    status
 }
 
-fn request_of(class: &Class, id: &str, wait: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::builder()
-        .method(&*class.method)
-        .uri(format!("/{}/{}", class.name, &id[id.len() - 3..]))
-        .header("host", "a.example")
-        .header("x-request-id", id)
-        .header("x-deadline-ms", wait.as_millis().to_string());
-    if class.request_bytes > 0 {
-        request = request.header("content-length", class.request_bytes);
-    }
-    request
-        .body(Full::new(Bytes::from(vec![b'x'; class.request_bytes])))
-        .expect("a method, path and headers of the site")
-}
-
-async fn exchange_with(pool: &Pool, request: Request<Full<Bytes>>) -> (Outcome, Option<Duration>) {
+async fn receive(pool: &Pool, request: Request<Full<Bytes>>) -> Outcome {
     let answer = match pool.request(request).await {
         Ok(answer) => answer,
-        Err(RequestError::Connect(_)) => return (Outcome::Unreached, None),
-        Err(RequestError::NoAnswer(e)) => return (Outcome::Cut(e.to_string().into()), None),
+        Err(RequestError::Connect(_)) => return Outcome::Unreached,
+        Err(RequestError::NoAnswer(e)) => return Outcome::Cut(e.to_string().into()),
     };
     let (head, body) = answer.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => return (Outcome::Cut(format!("in the body: {e}").into()), None),
-    };
-    let signed = head.headers.contains_key("x-server-signature");
-    let text = if signed {
-        Box::default()
-    } else {
-        String::from_utf8_lossy(&body).trim().into()
-    };
-    let outcome = Outcome::Answer {
-        status: head.status.as_u16(),
-        signed,
-        text,
-    };
-    (outcome, retry_after(&head.headers))
-}
-
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get("retry-after")?.to_str().ok()?;
-    Some(Duration::from_secs_f64(text.parse().ok()?))
+    let status = head.status.as_u16();
+    match body.collect().await {
+        Ok(_) if head.headers.contains_key("x-server-signature") => Outcome::Signed(status),
+        Ok(body) => {
+            let body = body.to_bytes();
+            Outcome::Own(status, String::from_utf8_lossy(&body).trim().into())
+        }
+        Err(e) => Outcome::Cut(format!("in the body: {e}").into()),
+    }
 }
 
 /// Sends requests of one class from one zone until `end`, at random moments.
 pub(crate) async fn run_callers(
     world: Arc<World>,
-    traffic: usize,
-    class: usize,
-    load: f64,
+    (zone, class): (Box<str>, Box<str>),
+    rate: f64,
     end: Instant,
 ) {
-    let from = &world.site.traffic[traffic];
-    let rate = load * rate_of(from, &world.site.classes[class]);
-    while rate > 0.0 && Instant::now() < end {
+    while Instant::now() < end {
         let pause = -world.draw(1e-9..1.0).ln() / rate;
         sleep(Duration::from_secs_f64(pause)).await;
-        tokio::spawn(call(Arc::clone(&world), traffic, class));
-    }
-}
-
-fn rate_of(traffic: &Traffic, class: &Class) -> f64 {
-    let total: f64 = traffic.mix.values().sum();
-    let weight = traffic.mix.get(&class.name).copied().unwrap_or_default();
-    traffic.rate * weight / total
-}
-
-/// Sends one request of a caller, with its retries; some callers leave.
-async fn call(world: Arc<World>, traffic: usize, class: usize) {
-    let leaves = world.random.lock().random_bool(LEAVE_SHARE);
-    let patience = Duration::from_secs_f64(world.draw(LEAVE_AFTER_S));
-    let attempts = attempt(&world, traffic, class);
-    if leaves {
-        let _ = tokio::time::timeout(patience, attempts).await;
-    } else {
-        attempts.await;
+        let (world, zone, class) = (Arc::clone(&world), zone.clone(), class.clone());
+        tokio::spawn(async move {
+            let calling = call(&world, &zone, &class);
+            let leaves = world.random.lock().random_bool(LEAVE_SHARE);
+            if leaves {
+                let patience = Duration::from_secs_f64(world.draw(LEAVE_AFTER_S));
+                let _ = timeout(patience, calling).await;
+            } else {
+                calling.await;
+            }
+        });
     }
 }
 
-async fn attempt(world: &World, traffic: usize, index: usize) {
-    let class = &world.site.classes[index];
+/// Sends one request of a caller, with its retries.
+async fn call(world: &World, zone: &str, name: &str) {
+    let class = &world.site.classes[name];
     let deadline = Instant::now() + class.deadline();
     for _ in 0..=class.retries {
         let left = deadline.saturating_duration_since(Instant::now());
         if left < MIN_TIME_LEFT {
             return;
         }
-        let vm = world.choose_vm(&world.site.traffic[traffic].zone);
-        let fresh;
-        let pool = if class.fresh_connections {
-            fresh = connect(world.vms[vm].callers, 0);
-            &fresh
-        } else {
-            &world.vms[vm].caller_pool
-        };
-        let reply = send(world, pool, (vm, index), &world.new_id(), left).await;
-        let repeats = match reply.status {
-            Some(status) => status >= 500 || NOT_RUN.contains(&status),
-            None => true,
-        };
-        let is_safe = class.kind == Kind::Idempotent;
-        let not_run = reply.status.is_some_and(|status| NOT_RUN.contains(&status));
-        if !repeats || !(is_safe || not_run) {
+        let vm = world.choose_vm(zone);
+        let is_fresh = class.fresh_connections;
+        let fresh = is_fresh.then(|| connect(world.vms[vm].callers, 0));
+        let pool = fresh.as_ref().unwrap_or(&world.vms[vm].caller_pool);
+        let status = send(world, pool, (vm, name), &world.new_id(), left).await;
+        let not_run = status.is_some_and(|status| NOT_RUN.contains(&status));
+        let failed = status.is_none_or(|status| status >= 500);
+        if !not_run && !(failed && class.is_safe()) {
             return;
         }
-        sleep(reply.retry_after.unwrap_or(RETRY_PAUSE).min(left / 3)).await;
+        sleep(RETRY_PAUSE).await;
     }
 }
--- a/examples/day/server.rs
+++ b/examples/day/server.rs
@@ -1,7 +1,6 @@
 //! A backend server: slots, a queue, and calls through its own VM's daemon.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bramleymount::web::{CallerAnswer, HttpListener, caller_text, listen};
@@ -14,7 +13,7 @@
 
 use crate::World;
 use crate::sender::send;
-use crate::site::{Calls, Work};
+use crate::site::{Calls, Class, Work};
 
 /// Share of answers after which a server closes the connection.
 const CLOSE_SHARE: f64 = 0.02;
@@ -22,10 +21,6 @@
 const DEFAULT_WAIT_MS: f64 = 5000.0;
 
 /// Starts the server of a VM.
-///
-/// # Errors
-///
-/// Its address is in use.
 pub(crate) async fn start(world: &Arc<World>, vm: usize) -> eyre::Result<HttpListener> {
     let address = world.vms[vm].backend;
     let world = Arc::clone(world);
@@ -70,11 +65,13 @@
     let id = header(&head, "x-request-id").unwrap_or_default();
     let expected = header(&head, "x-expect-instance");
     let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-    let known = world.site.class_index(name);
-    let other = expected.is_some_and(|expected| expected != server.id);
-    let (Ok(class), false) = (known, other) else {
-        let status = if other { 421 } else { 200 };
-        let status = StatusCode::from_u16(status).unwrap_or_default();
+    let is_other = expected.is_some_and(|expected| expected != server.id);
+    let Some(class) = world.site.classes.get(name).filter(|_| !is_other) else {
+        let status = if is_other {
+            StatusCode::MISDIRECTED_REQUEST
+        } else {
+            StatusCode::OK
+        };
         let mut answer = answer(id, status, 0);
         if let Ok(own) = HeaderValue::from_str(&server.id) {
             answer.headers_mut().insert("x-instance-id", own);
@@ -85,17 +82,19 @@
     let wait = header(&head, "x-deadline-ms").and_then(|text| text.parse().ok());
     let wait = Duration::from_secs_f64(wait.unwrap_or(DEFAULT_WAIT_MS) / 1000.0);
     let running = world.record.read(id, vm);
-    let end = run(&world, (vm, class), id, read + wait, || running.begin()).await;
+    let begin = || running.update(|run| run.begin = Some(world.record.now()));
+    let end = run(&world, (vm, class), id, read + wait, begin).await;
     let status = end.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    running.finish(status.as_u16(), end.is_none());
-    let bytes = world.site.classes[class].response_bytes;
-    let mut answer = answer(id, status, if end.is_some() { bytes } else { 0 });
+    running.update(|run| {
+        run.status = Some(status.as_u16());
+        run.rejected = end.is_none();
+    });
+    drop(running);
+    let bytes = end.map_or(0, |_| class.response_bytes);
+    let mut answer = answer(id, status, bytes);
     let headers = answer.headers_mut();
-    if end.is_some() {
-        headers.insert("x-server-signature", HeaderValue::from_static("signed"));
-    } else {
-        headers.insert("x-not-executed", HeaderValue::from_static("1"));
-    }
+    let name = end.map_or("x-not-executed", |_| "x-server-signature");
+    headers.insert(name, HeaderValue::from_static("1"));
     if world.random.lock().random_bool(CLOSE_SHARE) {
         headers.insert("connection", HeaderValue::from_static("close"));
     }
@@ -105,18 +104,16 @@
 /// Waits for a slot and runs a request; returns `None` if the queue is full.
 async fn run(
     world: &World,
-    (vm, class): (usize, usize),
+    (vm, class): (usize, &Class),
     id: &str,
     deadline: Instant,
     begin: impl FnOnce(),
 ) -> Option<StatusCode> {
     let server = &world.vms[vm];
-    let limit = world.site.services[server.service].queue;
     let _slot = match server.slots.try_acquire() {
         Ok(slot) => slot,
-        Err(_) if server.queued.load(Ordering::Relaxed) >= limit => return None,
         Err(_) => {
-            let _place = Place::take(&server.queued);
+            let _place = server.queue.try_acquire().ok()?;
             match timeout_at(deadline, server.slots.acquire()).await {
                 Ok(slot) => slot.ok()?,
                 Err(_) => return Some(StatusCode::GATEWAY_TIMEOUT),
@@ -131,23 +128,22 @@
 
 async fn work(
     world: &World,
-    (vm, index): (usize, usize),
+    (vm, class): (usize, &Class),
     id: &str,
     deadline: Instant,
 ) -> StatusCode {
-    let class = &world.site.classes[index];
-    let time = sleep(draw_work(world, &class.work_ms).div_f64(world.vms[vm].speed));
+    let working = sleep(draw_work(world, &class.work_ms).div_f64(world.vms[vm].speed));
     let succeeded = match &class.calls {
         Some(calls) if calls.together => {
             let calling = make_calls(world, vm, calls, id, deadline);
-            tokio::join!(time, calling).1
+            tokio::join!(working, calling).1
         }
         Some(calls) => {
-            time.await;
+            working.await;
             make_calls(world, vm, calls, id, deadline).await
         }
         None => {
-            time.await;
+            working.await;
             true
         }
     };
@@ -169,34 +165,22 @@
 /// Makes the calls of a run until one fails; returns whether none did. Each may take
 /// what is left of the run's time.
 async fn make_calls(world: &World, vm: usize, calls: &Calls, id: &str, deadline: Instant) -> bool {
-    let Ok(class) = world.site.class_index(&calls.class) else {
-        return false;
-    };
+    let longest = world.site.classes[&calls.class].deadline();
     for _ in 0..calls.times {
         let left = deadline.saturating_duration_since(Instant::now());
-        let wait = left.min(world.site.classes[class].deadline());
         let call = format!("{id}.{}", world.new_id());
         let pool = &world.vms[vm].server_pool;
-        let reply = Box::pin(send(world, pool, (vm, class), &call, wait)).await;
-        if reply.status != Some(200) {
+        let status = Box::pin(send(
+            world,
+            pool,
+            (vm, &calls.class),
+            &call,
+            left.min(longest),
+        ))
+        .await;
+        if status != Some(200) {
             return false;
         }
     }
     true
 }
-
-/// A place in a server's queue.
-struct Place<'a>(&'a AtomicUsize);
-
-impl<'a> Place<'a> {
-    fn take(queued: &'a AtomicUsize) -> Self {
-        queued.fetch_add(1, Ordering::Relaxed);
-        Self(queued)
-    }
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/examples/day/site.rs
+++ b/examples/day/site.rs
@@ -4,8 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use eyre::{OptionExt, WrapErr};
+use eyre::WrapErr;
 use serde::Deserialize;
+use serde_json::{Map, json};
 
 /// VMs, services, classes of requests and traffic.
 #[derive(Debug, Deserialize)]
@@ -13,29 +14,26 @@
 pub(crate) struct Site {
     /// Seconds that a daemon has to stop.
     pub(crate) grace_s: f64,
-    pub(crate) vms: Vec<VmGroup>,
-    /// VMs that start during the day.
-    #[serde(default)]
-    pub(crate) added_vms: Vec<VmGroup>,
-    pub(crate) services: Vec<Service>,
-    pub(crate) classes: Vec<Class>,
+    pub(crate) vms: Vec<Place>,
+    pub(crate) services: BTreeMap<Box<str>, Service>,
+    pub(crate) classes: BTreeMap<Box<str>, Class>,
     pub(crate) traffic: Vec<Traffic>,
 }
 
-/// VMs of one service in one zone.
+/// What a VM is for.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct VmGroup {
+pub(crate) struct Place {
     pub(crate) zone: Box<str>,
     pub(crate) service: Box<str>,
-    #[serde(default = "one")]
-    pub(crate) count: usize,
+    /// Whether the VM starts during the day.
+    #[serde(default)]
+    pub(crate) added: bool,
 }
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Service {
-    pub(crate) name: Box<str>,
     /// Requests that a server runs at once.
     pub(crate) slots: usize,
     /// Requests that wait at a server; it rejects those beyond.
@@ -48,10 +46,10 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Class {
-    pub(crate) name: Box<str>,
     pub(crate) service: Box<str>,
     pub(crate) method: Box<str>,
-    pub(crate) kind: Kind,
+    /// The route's type.
+    pub(crate) kind: Box<str>,
     pub(crate) priority: u32,
     pub(crate) goal_ms: f64,
     pub(crate) deadline_ms: f64,
@@ -73,14 +71,6 @@
     pub(crate) calls: Option<Calls>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum Kind {
-    Idempotent,
-    NonIdempotent,
-    Upload,
-}
-
 /// A log-normal distribution of the time that a run takes.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -112,59 +102,23 @@
     pub(crate) mix: BTreeMap<Box<str>, f64>,
 }
 
-const fn one() -> usize {
-    1
-}
-
 impl Site {
     /// Reads a site file.
-    ///
-    /// # Errors
-    ///
-    /// The file can't be read, or names a service or a class that it does not describe.
     pub(crate) fn read(path: &Path) -> eyre::Result<Self> {
         let text = std::fs::read_to_string(path)
             .wrap_err_with(|| format!("failed to read {}", path.display()))?;
         let site: Self = serde_saphyr::from_str(&text)?;
-        for group in site.vms.iter().chain(&site.added_vms) {
-            site.service_index(&group.service)?;
-        }
-        for class in &site.classes {
-            site.service_index(&class.service)?;
-            if let Some(calls) = &class.calls {
-                site.class_index(&calls.class)?;
-            }
-        }
-        for name in site.traffic.iter().flat_map(|traffic| traffic.mix.keys()) {
-            site.class_index(name)?;
-        }
+        let classes = site.classes.values();
+        let mut services = site.vms.iter().map(|place| &place.service);
+        let mut called = classes.filter_map(|class| class.calls.as_ref());
+        let mut sent = site.traffic.iter().flat_map(|traffic| traffic.mix.keys());
+        let complete = services.all(|name| site.services.contains_key(name))
+            && called.all(|calls| site.classes.contains_key(&calls.class))
+            && sent.all(|name| site.classes.contains_key(name));
+        eyre::ensure!(complete, "a service or a class is not described");
         Ok(site)
     }
 
-    /// Returns the index of a service.
-    ///
-    /// # Errors
-    ///
-    /// There is no such service.
-    pub(crate) fn service_index(&self, name: &str) -> eyre::Result<usize> {
-        let mut names = self.services.iter().map(|service| &*service.name);
-        names
-            .position(|known| known == name)
-            .ok_or_eyre(format!("no service {name}"))
-    }
-
-    /// Returns the index of a class.
-    ///
-    /// # Errors
-    ///
-    /// There is no such class.
-    pub(crate) fn class_index(&self, name: &str) -> eyre::Result<usize> {
-        let mut names = self.classes.iter().map(|class| &*class.name);
-        names
-            .position(|known| known == name)
-            .ok_or_eyre(format!("no class {name}"))
-    }
-
     pub(crate) fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
@@ -172,23 +126,26 @@
     /// Returns the configuration of this version. Odd versions have longer timeouts.
     pub(crate) fn config_json(&self, version: u64) -> String {
         let longer = if version.is_multiple_of(2) { 0.0 } else { 0.05 };
-        let routes: serde_json::Map<_, _> = self
-            .classes
-            .iter()
-            .map(|class| (class.name.to_string(), class.route_json(longer)))
-            .collect();
-        let services: serde_json::Map<_, _> = self
-            .services
-            .iter()
-            .map(|service| {
-                let limits = serde_json::json!({
-                    "healthPath": "/health",
-                    "maxConns": service.max_connections,
-                });
-                (service.name.to_string(), limits)
-            })
-            .collect();
-        serde_json::json!({"version": version, "routes": routes, "services": services}).to_string()
+        let mut routes = Map::new();
+        for (name, class) in &self.classes {
+            let route = json!({
+                "authority": "a.example",
+                "pathPrefix": format!("/{name}/"),
+                "routeType": class.kind,
+                "timeoutS": class.timeout().as_secs_f64() + longer,
+                "goalS": class.goal_ms / 1000.0,
+                "priority": class.priority,
+                "upstream": class.service,
+                "attempts": if class.is_safe() { 2 } else { 1 },
+            });
+            routes.insert(name.to_string(), route);
+        }
+        let mut services = Map::new();
+        for (name, service) in &self.services {
+            let limits = json!({"healthPath": "/health", "maxConns": service.max_connections});
+            services.insert(name.to_string(), limits);
+        }
+        json!({"version": version, "routes": routes, "services": services}).to_string()
     }
 }
 
@@ -202,21 +159,8 @@
         Duration::from_secs_f64(self.timeout_ms.unwrap_or(self.deadline_ms) / 1000.0)
     }
 
-    fn route_json(&self, longer: f64) -> serde_json::Value {
-        let kind = match self.kind {
-            Kind::Idempotent => "idempotent",
-            Kind::NonIdempotent => "non_idempotent",
-            Kind::Upload => "upload",
-        };
-        serde_json::json!({
-            "authority": "a.example",
-            "pathPrefix": format!("/{}/", self.name),
-            "routeType": kind,
-            "timeoutS": self.timeout().as_secs_f64() + longer,
-            "goalS": self.goal_ms / 1000.0,
-            "priority": self.priority,
-            "upstream": self.service,
-            "attempts": if self.kind == Kind::Idempotent { 2 } else { 1 },
-        })
+    /// Returns whether a request may run more than once.
+    pub(crate) fn is_safe(&self) -> bool {
+        &*self.kind == "idempotent"
     }
 }
