--- a/examples/day/sender.rs
+++ b/examples/day/sender.rs
@@ -126,7 +126,8 @@
         let status = send(world, pool, (vm, name), &world.new_id(), left).await;
         let not_run = status.is_some_and(|status| NOT_RUN.contains(&status));
         let failed = status.is_none_or(|status| status >= 500);
-        if !not_run && !(failed && class.is_safe()) {
+        let repeats = not_run || failed && class.is_safe();
+        if !repeats {
             return;
         }
         sleep(RETRY_PAUSE).await;
