Soak: servers count the time of their calls themselves

A server took the time of its parent from what its daemon keeps, so that calls at their parent's deadline were excused, which no rule does. It now counts from when it reads the parent, with what it was told.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -462,12 +462,11 @@
     put("x-server-signature", "signed");
     tokio::time::sleep(run_time(path)).await;
     let time_left = text("x-deadline-ms").parse().map(Duration::from_millis);
-    let own_deadline = arrived_at + time_left.unwrap_or(MAX_TIME);
     let parent_run = ParentRun {
         sender: &sender,
         id: &id,
         path,
-        deadline: own_deadline.min(shared.record.deadline(&id).unwrap_or(own_deadline)),
+        deadline: arrived_at + time_left.unwrap_or(MAX_TIME),
         is_repeat: shared.record.is_repeat(&id, index),
     };
     if !parent_run.make_calls().await {
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -158,11 +158,6 @@
         }
     }
 
-    /// Returns when a request reaches its deadline or the timeout of its route.
-    pub(crate) fn deadline(&self, id: &str) -> Option<Instant> {
-        self.requests.lock().get(id).map(|request| request.deadline)
-    }
-
     /// Returns whether a run of a request is a repeat, or was made by one.
     pub(crate) fn is_repeat(&self, id: &str, index: usize) -> bool {
         let requests = self.requests.lock();
