Drop late answers without a body as well

Callers saw 502 for a call at work where the answer that its server sent once more, late, had status 204 or 304: its length was taken as unknown, or, with a length named, as that of a body which never follows, so that the real answer was dropped in its place. The two cases of extra_answer_gives_up_no_call failed before and pass; chunked late answers and bytes that are no answer still end the call.

--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -146,10 +146,15 @@
         found.next().map(|header| header.value)
     };
     let is_other = value(id_header).is_some_and(|id| id != expected.as_bytes());
-    let is_last = answer
-        .code
-        .is_some_and(|code| code >= StatusCode::OK.as_u16());
-    if !is_other || !is_last || value(&TRANSFER_ENCODING).is_some() {
+    let status = answer.code.and_then(|code| StatusCode::from_u16(code).ok());
+    let Some(status) = status.filter(|status| is_other && !status.is_informational()) else {
+        return HeadCheck::Expected;
+    };
+    // These have no body, whatever length they name.
+    if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return HeadCheck::Other(head, 0);
+    }
+    if value(&TRANSFER_ENCODING).is_some() {
         return HeadCheck::Expected;
     }
     let length = value(&CONTENT_LENGTH).and_then(|length| std::str::from_utf8(length).ok());
--- a/tests/extra_answers.rs
+++ b/tests/extra_answers.rs
@@ -32,6 +32,13 @@
     /// Together with the start of the next answer.
     WithNext,
     Twice,
+    /// As an answer with this status, which has no body whatever length it names.
+    Bodiless(u16),
+}
+
+/// Returns the length of the body of an answer, which is the id of its request.
+fn id_length(answer: &str) -> usize {
+    answer.rsplit("\r\n\r\n").next().map_or(0, str::len)
 }
 
 async fn run_server(address: SocketAddr, repeat: Repeat) {
@@ -65,6 +72,11 @@
                 Repeat::Whole => stream.write_all(extra.as_bytes()).await?,
                 Repeat::Twice => stream.write_all(extra.repeat(2).as_bytes()).await?,
                 Repeat::WithNext => start = extra,
+                Repeat::Bodiless(status) => {
+                    let (head, _) = extra.split_at(extra.len() - id_length(&extra));
+                    let head = head.replace("200 OK", &format!("{status} -"));
+                    stream.write_all(head.as_bytes()).await?;
+                }
                 Repeat::Parts(from_end) => {
                     let (first, rest) = extra.split_at(extra.len() - from_end);
                     stream.write_all(first.as_bytes()).await?;
@@ -91,6 +103,8 @@
 #[case::cut_in_body(Method::POST, Repeat::Parts(1))]
 #[case::with_the_next(Method::POST, Repeat::WithNext)]
 #[case::twice(Method::POST, Repeat::Twice)]
+#[case::no_content(Method::GET, Repeat::Bodiless(204))]
+#[case::not_modified(Method::GET, Repeat::Bodiless(304))]
 #[tokio::test]
 async fn extra_answer_gives_up_no_call(#[case] method: Method, #[case] repeat: Repeat) {
     let (address, rows, _listening) = store().await;
