Break off no call at work that names no time of its own

They now expire with their parent like all others, and are given up at the timeout of their route. Found by the review. The case time_not_named of deadline_of_parent_breaks_off_no_call failed before and passes.

--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -205,12 +205,10 @@
         (Some(timeout), None) => timeout,
         (None, _) => max_timeout.get(),
     };
-    let own_deadline = arrived_at + timeout;
-    let expires = parent.map_or(own_deadline, |parent| {
-        own_deadline.min(parent.deadline + PARENT_GRACE)
+    let deadline = arrived_at + timeout;
+    let expires = parent.map_or(deadline, |parent| {
+        deadline.min(parent.deadline + PARENT_GRACE)
     });
-    // A caller that names no timeout waits no longer than its parent's caller.
-    let deadline = info.timeout.map_or(expires, |_| own_deadline);
     let root = match parent {
         Some(parent) => parent.root,
         None => info.root.unwrap_or_else(RootId::random),
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -434,15 +434,19 @@
 // Guards against calls of a server that are broken off at work when the time of their parent
 // is over, while the server that made them, which read the parent late, still waits.
 #[rstest]
-#[case::running(false)]
-#[case::stopping(true)]
+#[case::running(false, true)]
+#[case::stopping(true, true)]
+#[case::time_not_named(false, false)]
 #[tokio::test]
-async fn deadline_of_parent_breaks_off_no_call(#[case] stops: bool) {
+async fn deadline_of_parent_breaks_off_no_call(#[case] stops: bool, #[case] is_named: bool) {
     let (vm, _other, _kept) = start_vms().await;
     let parent = get_within("/read/x", "r1", PARENT_TIME);
     let _parent = send(vm.callers, &parent).await;
     sleep(ARRIVAL_TIME).await;
-    let call = get_within("/read/600", "r1.c1", CALL_TIME);
+    let mut call = get_within("/read/600", "r1.c1", CALL_TIME);
+    if !is_named {
+        call = call.replace("x-deadline-ms: 699\r\n", "");
+    }
     let call = send(vm.callers, &call).await;
     if stops {
         vm.signal("TERM");
