Answer all requests that are left when a drain ends

A request that waits for the rate limit of its workspace, or for its body, when the drain of a stop ends was still cut without an answer: only the forwarding of calls was given up. Found by the review by reading; no test shows the case itself. The tests of stops and their lines pass as before.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -28,6 +28,17 @@
     pub(super) retries: u32,
 }
 
+impl CallOutcome {
+    /// Creates the outcome of a call that may have run and is no longer waited for.
+    pub(super) fn given_up(detail: &str) -> Self {
+        let attempt = Attempt::plan().mark_sent();
+        Self {
+            result: Err(attempt.abandon(Reason::Timeout, detail)),
+            retries: 0,
+        }
+    }
+}
+
 /// A call that the entry is forwarding.
 pub(super) struct ForwardedCall<'e> {
     pub(super) context: &'e Context,
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -134,9 +134,11 @@
         shared
             .journal
             .record(call, CallStep::Entered, StepDetail::None);
-        let outcome = self
-            .run_within_rate(&mut accepted, &parts, body, &trace)
-            .await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.run_within_rate(&mut accepted, &parts, body, &trace) => outcome,
+            () = self.wait_calls_end() => CallOutcome::given_up("this daemon ends"),
+        };
         undecided.is_decided = true;
         self.record_metrics(&accepted, &outcome, arrived_at.elapsed());
         self.log_failure(FailedCall {
@@ -264,19 +266,13 @@
         accepted.head.fingerprint = self.fingerprint(accepted, parts, &body);
         self.count_repeat(accepted);
         let latest = accepted.head.deadline + VERDICT_GRACE;
-        let given_up = |reason, detail| CallOutcome {
-            result: Err(Attempt::plan().mark_sent().abandon(reason, detail)),
-            retries: 0,
-        };
         // Built inline: a future bound to a variable first would be stored twice.
-        tokio::select! {
-            biased;
-            outcome = timeout_at(
-                latest,
-                ForwardedCall::new(&self.context, accepted, trace).run(body),
-            ) => outcome.unwrap_or_else(|_| given_up(Reason::Timeout, "")),
-            () = self.wait_calls_end() => given_up(Reason::Timeout, "this daemon ends"),
-        }
+        timeout_at(
+            latest,
+            ForwardedCall::new(&self.context, accepted, trace).run(body),
+        )
+        .await
+        .unwrap_or_else(|_| CallOutcome::given_up(""))
     }
 
     /// Returns the fingerprint of a request and its caller, unless the body is
