--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -19,7 +19,7 @@
 struct Expectation {
     /// The id that it repeats; taken once the connection waits for the answer.
     id: Option<HeaderValue>,
-    /// Whether the lengths of earlier answers are known from their heads.
+    /// Whether the lengths of earlier answers can't be told from their heads.
     has_unknown_lengths: bool,
 }
 
@@ -28,8 +28,9 @@
 pub(super) struct ExpectedAnswer(Arc<Mutex<Expectation>>);
 
 impl ExpectedAnswer {
-    /// Records that a request with this id is about to be sent. The answer to a request
-    /// for a head has no body, whatever length it names.
+    /// Records that a request with this id is about to be sent. If it is a HEAD request
+    /// (`is_head`), its answer has no body, whatever length it names, so later answers are
+    /// no longer checked.
     pub(super) fn expect(&self, id: Option<HeaderValue>, is_head: bool) {
         let mut expected = self.0.lock();
         expected.id = id.filter(|_| !expected.has_unknown_lengths);
