Let no process of the log tests inherit a port that is being looked up

Cause, as traced for the other process tests before: a child that another test of the file spawns at that moment holds the port until it runs its own program. Look-ups and spawns of the file now exclude each other; no check changes.

--- a/tests/log_output.rs
+++ b/tests/log_output.rs
@@ -13,6 +13,7 @@
 use http::Method;
 use rstest::rstest;
 use support::{DaemonProcess, ctl, example, headers, platform, request, text};
+use tokio::sync::Mutex;
 
 /// Service of the daemon.
 const SERVICE: &str = "forecast-archive";
@@ -29,8 +30,13 @@
 /// Lines that a child process logs before it ends.
 const CHILD_LINES: usize = 4000;
 
+/// Held while processes start and ports are looked up: a process that is spawned meanwhile
+/// inherits the port until it runs its own program, so that it can't be bound.
+static START_LOCK: Mutex<()> = Mutex::const_new(());
+
 /// Starts a daemon whose standard output is a pipe, and fills the pipe.
 async fn start_with_full_pipe() -> (DaemonProcess, impl Sized) {
+    let starting = START_LOCK.lock().await;
     let (store, memory, running) = platform();
     let piped = Stdio::piped();
     let daemon = DaemonProcess::start_with_output("log", "oslo-1", SERVICE, store, &[], piped);
@@ -39,6 +45,7 @@
     let example = example("nordlysvakt");
     let applied = ctl(&["apply", &example, "--to", &operators, "--author", "test"]);
     assert!(applied.status.success(), "{}", text(&applied));
+    drop(starting);
     let host = format!("{}.example", "h".repeat(HOST_PADDING));
     let url = format!("http://{}/x", daemon.callers);
     for _ in 0..REFUSED_REQUESTS {
@@ -104,12 +111,15 @@
 #[case::panic("panic", 1)]
 fn child_writes_all_lines(#[case] case: &str, #[case] panics: usize) {
     let program = std::env::current_exe().expect("this program");
-    let child = Command::new(program)
-        .args(["--exact", "child_case", "--nocapture"])
-        .env(CASE_VARIABLE, case)
-        .stderr(Stdio::null())
-        .output()
-        .expect("a child process");
+    let mut command = Command::new(program);
+    command.args(["--exact", "child_case", "--nocapture"]);
+    command.env(CASE_VARIABLE, case);
+    command.stdout(Stdio::piped()).stderr(Stdio::null());
+    let child = {
+        let _alone = START_LOCK.blocking_lock();
+        command.spawn().expect("a child process")
+    };
+    let child = child.wait_with_output().expect("its output");
     let text = String::from_utf8(child.stdout).expect("text");
     let lines = || {
         text.lines()
