--- a/examples/day/main.rs
+++ b/examples/day/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod plan;
 mod record;
+mod relay;
 #[allow(dead_code, missing_docs, unreachable_pub)]
 #[path = "../../tests/support/rows.rs"]
 mod rows;
@@ -68,6 +69,10 @@
     /// share of runs that go on after their connection has closed (default 0.2)
     #[argh(option, default = "0.2")]
     stubborn: f64,
+    /// share of answers of the last services that are sent once more, before the next
+    /// answer on their connection (default 0)
+    #[argh(option, default = "0.0")]
+    extra: f64,
     /// the daemon's program (default: the one built beside this)
     #[argh(option)]
     daemon: Option<PathBuf>,
@@ -84,6 +89,9 @@
     late_until: Mutex<Option<Instant>>,
     /// Share of runs that go on after their connection has closed.
     stubborn: f64,
+    /// Share of answers of the last services that are sent once more.
+    extra: f64,
+    extra_answers: AtomicUsize,
     store: Arc<RowsStandIn>,
     second_store: SocketAddr,
     second_listener: Mutex<Option<HttpListener>>,
@@ -165,6 +173,8 @@
         next_id: AtomicU64::new(0),
         late_until: Mutex::default(),
         stubborn: args.stubborn,
+        extra: args.extra,
+        extra_answers: AtomicUsize::new(0),
         store,
         second_store,
         second_listener,
@@ -217,6 +227,8 @@
             world.fail(&format!("vm {index} has ended by itself"));
         }
     }
+    let extra_answers = world.extra_answers.load(Ordering::Relaxed);
+    println!("{extra_answers} answers sent once more");
     let failures = world.failures.load(Ordering::Relaxed);
     println!("{failures} broken promises");
     ExitCode::from(u8::from(failures > 0))
--- a/examples/day/server.rs
+++ b/examples/day/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bramleymount::emulator::free_address_on;
 use bramleymount::web::{CallerAnswer, HttpListener, caller_text, listen};
 use http::request::Parts;
 use http::{HeaderValue, Request, StatusCode};
@@ -12,6 +13,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::World;
+use crate::relay;
 use crate::sender::send;
 use crate::site::{Calls, Class, Work};
 
@@ -22,7 +24,12 @@
 
 /// Starts the server of a VM.
 pub(crate) async fn start(world: &Arc<World>, vm: usize) -> eyre::Result<HttpListener> {
-    let address = world.vms[vm].backend;
+    let server = &world.vms[vm];
+    let mut address = server.backend;
+    if world.extra > 0.0 && world.site.is_last(&server.place.service) {
+        address = free_address_on(address.ip())?;
+        relay::start(world, server.backend, address).await?;
+    }
     let world = Arc::clone(world);
     let listener = listen(address, move |request, _| {
         let world = Arc::clone(&world);
--- a/examples/day/site.rs
+++ b/examples/day/site.rs
@@ -123,6 +123,16 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// Returns whether a service runs a class that is called and makes no calls.
+    pub(crate) fn is_last(&self, service: &str) -> bool {
+        let classes = self.classes.values();
+        let mut called = classes.filter_map(|class| class.calls.as_ref());
+        called.any(|calls| {
+            let class = &self.classes[&calls.class];
+            class.calls.is_none() && *class.service == *service
+        })
+    }
+
     /// Returns the configuration of this version. Odd versions have longer timeouts.
     pub(crate) fn config_json(&self, version: u64) -> String {
         let longer = if version.is_multiple_of(2) { 0.0 } else { 0.05 };
