Check the answer behind an interim one

Callers saw 502 for a call at work where its server sent an interim answer (1xx) before the answer to an earlier request: the check ended with the first head without another id. Interim answers are now dropped, since callers get none of them, and the check goes on with the next head; 101 is passed on as before, as what follows it is no HTTP.

--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -59,6 +59,8 @@
     Incomplete,
     /// It may be the expected one.
     Expected,
+    /// It is an interim one, and the expected one is still to come; the length of its head.
+    Interim(usize),
     /// It is to another request; the length of its head, and its body.
     Other(usize, LateBody),
 }
@@ -112,6 +114,7 @@
                 Stage::Head(id) => match check_head(&self.buffer, &self.id_header, id) {
                     HeadCheck::Incomplete if self.buffer.len() < MAX_BUFFER => return false,
                     HeadCheck::Incomplete | HeadCheck::Expected => self.stage = Stage::Pass,
+                    HeadCheck::Interim(head) => self.buffer.advance(head),
                     HeadCheck::Other(head, body) => {
                         spdlog::debug!("answer to an earlier request dropped");
                         self.buffer.advance(head);
@@ -146,12 +149,15 @@
     let id = headers.find(|header| id_header == header.name);
     let is_other = id.is_some_and(|id| id.value != expected.as_bytes());
     let status = answer.code.and_then(|code| StatusCode::from_u16(code).ok());
-    let Some(status) = status.filter(|status| is_other && !status.is_informational()) else {
-        return HeadCheck::Expected;
-    };
-    match late_body(&answer, status) {
-        Some(body) => HeadCheck::Other(head, body),
-        None => HeadCheck::Expected,
+    match status {
+        Some(StatusCode::SWITCHING_PROTOCOLS) | None => HeadCheck::Expected,
+        // No caller is told of it.
+        Some(status) if status.is_informational() => HeadCheck::Interim(head),
+        Some(status) if is_other => match late_body(&answer, status) {
+            Some(body) => HeadCheck::Other(head, body),
+            None => HeadCheck::Expected,
+        },
+        Some(_) => HeadCheck::Expected,
     }
 }
 
