Reuse no connection to a server after a HEAD request

One HEAD request turned the check of late answers off for the connection that carried it, for as long as it lived: a late answer to it names a length without a body, so the ends of later answers couldn't be told. Callers whose calls met a late answer on such a connection saw 502 with their server at work.

A connection whose late answers are dropped is now closed after a HEAD request, so that the check holds on all others. Pools without an id, those between daemons among them, reuse their connections as before; so do connections that were opened without a request.

--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -18,27 +18,15 @@
 /// The transfer coding in chunks.
 const CHUNKED: &[u8] = b"chunked";
 
-/// What the connection expects of the next answer.
-#[derive(Debug, Default)]
-struct Expectation {
-    /// The id that it repeats; taken once the connection waits for the answer.
-    id: Option<HeaderValue>,
-    /// Whether the lengths of earlier answers can't be told from their heads.
-    has_unknown_lengths: bool,
-}
-
-/// Tells a connection which answer to expect; clones are for the same connection.
+/// Tells a connection which answer to expect: the id that it repeats, taken once the
+/// connection waits for the answer; clones are for the same connection.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ExpectedAnswer(Arc<Mutex<Expectation>>);
+pub(super) struct ExpectedAnswer(Arc<Mutex<Option<HeaderValue>>>);
 
 impl ExpectedAnswer {
-    /// Records that a request with this id is about to be sent. If it is a HEAD request
-    /// (`is_head`), its answer has no body, whatever length it names, so later answers are
-    /// no longer checked.
-    pub(super) fn expect(&self, id: Option<HeaderValue>, is_head: bool) {
-        let mut expected = self.0.lock();
-        expected.id = id.filter(|_| !expected.has_unknown_lengths);
-        expected.has_unknown_lengths |= is_head;
+    /// Records that a request with this id is about to be sent.
+    pub(super) fn expect(&self, id: Option<HeaderValue>) {
+        *self.0.lock() = id;
     }
 }
 
@@ -67,6 +55,9 @@
 
 /// A connection that drops answers with another id than that of the current request, which
 /// a server may send late.
+///
+/// Their ends are told from their heads, so the connection must carry no request after one
+/// whose answer has no body whatever length it names.
 #[derive(Debug)]
 pub(super) struct AnswerFilter {
     stream: TcpStream,
@@ -91,7 +82,7 @@
 
     /// Moves on to the answer to a request that was sent since the last read.
     fn begin_answer(&mut self) {
-        let Some(id) = self.expected.0.lock().id.take() else {
+        let Some(id) = self.expected.0.lock().take() else {
             return;
         };
         self.stage = match self.stage {
--- a/src/web/connection_pool.rs
+++ b/src/web/connection_pool.rs
@@ -133,7 +133,8 @@
     /// answer.
     ///
     /// The connection is reused once the body of the answer has been read; it
-    /// closes if this future or the body is dropped earlier.
+    /// closes if this future or the body is dropped earlier, and after a HEAD request
+    /// if late answers are dropped.
     ///
     /// # Errors
     ///
@@ -146,10 +147,16 @@
         if !request.headers().contains_key(HOST) {
             request.headers_mut().insert(HOST, self.host.clone());
         }
+        let allows_reuse = self.allows_reuse(&request);
         while let Some(mut connection) = self.take_idle() {
             self.expect_answer(&connection, &request);
             match connection.sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.keep_answered(connection, answer)),
+                Ok(answer) => {
+                    if allows_reuse {
+                        self.keep_answered(connection, &answer);
+                    }
+                    return Ok(answer);
+                }
                 Err(mut failed) => match failed.take_message() {
                     // The server had already closed the connection.
                     Some(unsent) => request = unsent,
@@ -159,21 +166,29 @@
         }
         let mut connection = self.connect().await?;
         self.expect_answer(&connection, &request);
-        match connection.sender.send_request(request).await {
-            Ok(answer) => Ok(self.keep_answered(connection, answer)),
-            Err(e) => Err(RequestError::NoAnswer(e)),
+        let answer = connection.sender.send_request(request).await;
+        let answer = answer.map_err(RequestError::NoAnswer)?;
+        if allows_reuse {
+            self.keep_answered(connection, &answer);
         }
+        Ok(answer)
     }
 
     fn expect_answer(&self, connection: &Connection<B>, request: &Request<B>) {
         if let Some(id_header) = &self.id_header {
             let id = request.headers().get(id_header).cloned();
-            connection
-                .expected
-                .expect(id, request.method() == Method::HEAD);
+            connection.expected.expect(id);
         }
     }
 
+    /// Returns whether its connection may carry another request after this one.
+    ///
+    /// If late answers are dropped, it must not after a HEAD request: a late answer to it
+    /// names the length of a body that doesn't follow.
+    fn allows_reuse(&self, request: &Request<B>) -> bool {
+        self.id_header.is_none() || request.method() != Method::HEAD
+    }
+
     /// Opens a connection and puts it into the pool.
     ///
     /// # Errors
@@ -221,14 +236,9 @@
 
     /// Returns a connection to the pool while the body of its answer may still be
     /// arriving; it isn't taken again until the body has been read.
-    fn keep_answered(
-        &self,
-        connection: Connection<B>,
-        answer: Response<Incoming>,
-    ) -> Response<Incoming> {
+    fn keep_answered(&self, connection: Connection<B>, answer: &Response<Incoming>) {
         let reuse_time = keep_alive_timeout(answer.headers()).map(|time| time.mul_f64(REUSE_SHARE));
         self.put_back(connection, reuse_time);
-        answer
     }
 
     /// Puts a connection into the pool, for at most `reuse_time` if set.
