Count answers that a backend server sends late

Nothing told an operator that a backend server answers requests more than once: one debug line for each was all. The connections to the server now count the answers to earlier requests that they drop; the guard adds them every 2 s to a metric, `late_answers` by StatsD and `bramleymount_late_answers_total` on the page, and logs their number in one line, which thus needs no budget of its own.

--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -94,6 +94,11 @@
         self.connections.trim();
     }
 
+    /// Returns how many answers to earlier requests were dropped since the last call.
+    pub(super) fn take_late_answers(&self) -> u64 {
+        self.connections.take_late_answers()
+    }
+
     /// Sends a call and waits for status and headers of the answer.
     pub(super) async fn send(
         &self,
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -91,6 +91,16 @@
         self.backend.trim();
     }
 
+    /// Counts and logs the answers to earlier requests that the backend server has sent since
+    /// the last call.
+    pub fn count_late_answers(&self) {
+        let count = self.backend.take_late_answers();
+        if count > 0 {
+            self.shared.metrics.count_late_answers(count);
+            spdlog::warn!("late answers of the backend server dropped", kv: { count = count });
+        }
+    }
+
     /// Applies the current configuration.
     pub fn reload(&self) {
         let Some(in_force) = self.shared.current.get() else {
--- a/src/metrics/losses.rs
+++ b/src/metrics/losses.rs
@@ -1,10 +1,11 @@
-//! Counts of requests that were dropped and answers that were not sent completely.
+//! Counts of requests that were dropped and answers that were not sent completely, or once
+//! more.
 
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// The names of these metrics and their help texts.
-pub const LOSS_NAMES: [(&str, &str); 3] = [
+pub const LOSS_NAMES: [(&str, &str); 4] = [
     (
         "bramleymount_requests_dropped_total",
         "requests dropped before their answer was decided, by whether they had been sent to a guard",
@@ -17,15 +18,20 @@
         "bramleymount_backend_dropped_total",
         "calls dropped by their caller while the backend server had them",
     ),
+    (
+        "bramleymount_late_answers_total",
+        "answers to earlier requests that the backend server sent late",
+    ),
 ];
 
-/// Requests without an answer and answers without their end.
+/// Requests without an answer, answers without their end, and those that are one too many.
 #[derive(Debug, Default)]
 pub(super) struct LossCounts {
     dropped_sent: AtomicU64,
     dropped_unsent: AtomicU64,
     unsent_answers: AtomicU64,
     backend_dropped: AtomicU64,
+    late_answers: AtomicU64,
 }
 
 impl LossCounts {
@@ -46,10 +52,14 @@
         self.backend_dropped.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(super) fn count_late_answers(&self, count: u64) {
+        self.late_answers.fetch_add(count, Ordering::Relaxed);
+    }
+
     /// Formats the page.
     pub(super) fn page(&self) -> String {
         let get = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        let [dropped, unsent, at_backend] = LOSS_NAMES;
+        let [dropped, unsent, at_backend, late] = LOSS_NAMES;
         let mut text = String::new();
         // Writing to a string cannot fail.
         let (name, help) = dropped;
@@ -60,6 +70,7 @@
         let others = [
             (unsent, &self.unsent_answers),
             (at_backend, &self.backend_dropped),
+            (late, &self.late_answers),
         ];
         for ((name, help), count) in others {
             let _ = writeln!(text, "# HELP {name} {help}\n# TYPE {name} counter");
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -136,7 +136,15 @@
         self.count("backend_dropped");
     }
 
-    /// Formats the counts of dropped requests and answers not sent completely.
+    /// Counts answers to earlier requests that the backend server sent late.
+    pub fn count_late_answers(&self, count: u64) {
+        self.losses.count_late_answers(count);
+        if let Some(client) = &self.client {
+            let _ = client.count("late_answers", count);
+        }
+    }
+
+    /// Formats the counts of dropped requests, answers not sent completely, and late ones.
     pub fn loss_page(&self) -> String {
         self.losses.page()
     }
--- a/src/task/load.rs
+++ b/src/task/load.rs
@@ -12,13 +12,14 @@
 /// Maximum number of workspaces that a line names.
 const MAX_WORKSPACES: usize = 4;
 
-/// Logs the load of the guard while calls wait or are shed, forever.
+/// Logs the load of the guard while calls wait or are shed, and late answers, forever.
 pub async fn log_load(shared: Arc<Shared>, guard: Arc<Guard>) {
     let mut dropped = 0;
     let mut busy = false;
     loop {
         tokio::time::sleep(LOG_INTERVAL).await;
         guard.trim();
+        guard.count_late_answers();
         let load = guard.gate().report();
         let loaded = load.waiting > 0 || load.shed > 0;
         if loaded || busy {
--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
 use bytes::{Buf, BytesMut};
@@ -63,18 +64,27 @@
     stream: TcpStream,
     id_header: HeaderName,
     expected: ExpectedAnswer,
+    /// Number of answers dropped on all connections to the server.
+    dropped: Arc<AtomicU64>,
     stage: Stage,
     /// Bytes that have arrived and are neither passed on nor dropped yet.
     buffer: BytesMut,
 }
 
 impl AnswerFilter {
-    /// Wraps a connection on which answers repeat the header `id_header` of requests.
-    pub(super) fn new(stream: TcpStream, id_header: HeaderName, expected: ExpectedAnswer) -> Self {
+    /// Wraps a connection on which answers repeat the header `id_header` of requests; adds
+    /// those that it drops to `dropped`.
+    pub(super) fn new(
+        stream: TcpStream,
+        id_header: HeaderName,
+        expected: ExpectedAnswer,
+        dropped: Arc<AtomicU64>,
+    ) -> Self {
         Self {
             stream,
             id_header,
             expected,
+            dropped,
             stage: Stage::Pass,
             buffer: BytesMut::new(),
         }
@@ -107,7 +117,7 @@
                     HeadCheck::Incomplete | HeadCheck::Expected => self.stage = Stage::Pass,
                     HeadCheck::Interim(head) => self.buffer.advance(head),
                     HeadCheck::Other(head, body) => {
-                        spdlog::debug!("answer to an earlier request dropped");
+                        self.dropped.fetch_add(1, Ordering::Relaxed);
                         self.buffer.advance(head);
                         self.stage = Stage::Drop(body, id.clone());
                     }
--- a/src/web/connection_pool.rs
+++ b/src/web/connection_pool.rs
@@ -7,6 +7,8 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -100,6 +102,8 @@
     host: HeaderValue,
     /// Header of a request that its answer repeats.
     id_header: Option<HeaderName>,
+    /// Number of late answers dropped since they were last taken.
+    late_answers: Arc<AtomicU64>,
     idle: Mutex<VecDeque<IdleConnection<B>>>,
     last_connected: Mutex<Option<Instant>>,
 }
@@ -117,6 +121,7 @@
             limits,
             host: host.unwrap_or_else(|_| HeaderValue::from_static("")),
             id_header: None,
+            late_answers: Arc::default(),
             idle: Mutex::default(),
             last_connected: Mutex::default(),
         }
@@ -206,7 +211,9 @@
         let expected = ExpectedAnswer::default();
         let sender = match &self.id_header {
             Some(id_header) => {
-                let filter = AnswerFilter::new(stream, id_header.clone(), expected.clone());
+                let late = Arc::clone(&self.late_answers);
+                let expected = expected.clone();
+                let filter = AnswerFilter::new(stream, id_header.clone(), expected, late);
                 start_connection(filter).await
             }
             None => start_connection(stream).await,
@@ -278,6 +285,11 @@
         *self.last_connected.lock()
     }
 
+    /// Returns how many late answers were dropped since the last call.
+    pub fn take_late_answers(&self) -> u64 {
+        self.late_answers.swap(0, Ordering::Relaxed)
+    }
+
     /// Returns the number of pooled connections; the body of a last answer may still
     /// be arriving.
     pub fn idle_count(&self) -> usize {
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -143,12 +143,15 @@
     metrics.count_dropped(false);
     metrics.count_unsent_answer();
     metrics.count_backend_dropped();
+    metrics.count_late_answers(3);
+    metrics.count_late_answers(1);
     let text = metrics.loss_page();
     for line in [
         "bramleymount_requests_dropped_total{sent=\"true\"} 2",
         "bramleymount_requests_dropped_total{sent=\"false\"} 1",
         "bramleymount_answers_unsent_total 1",
         "bramleymount_backend_dropped_total 1",
+        "bramleymount_late_answers_total 4",
     ] {
         assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
     }
