Log late answers of the backend server at a stop too

What operators saw: nothing of answers that a server sent late in the last two seconds of its daemon, since their number is logged and counted at intervals; stops are when such answers matter. It is now counted once more when a stop has ended or is cut short.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -176,6 +176,7 @@
             spdlog::warn!("stop cut short at the end of the grace");
         }
         let drained = drained.unwrap_or(false);
+        self.parts.guard.count_late_answers();
         self.platform_listeners.clear();
         self.tasks.abort_all();
         let _ = self.stop_peers.send(());
--- a/tests/extra_answers.rs
+++ b/tests/extra_answers.rs
@@ -27,6 +27,8 @@
 
 /// Time between two parts of bytes that are split anywhere.
 const SPLIT_INTERVAL: Duration = Duration::from_millis(2);
+/// Grace of a daemon that ends before it logs the numbers of what it has counted.
+const SHORT_GRACE: Duration = Duration::from_millis(600);
 /// Time after which a request counts as stuck.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of bytes after which a line must have ended.
@@ -212,6 +214,38 @@
     .await;
 }
 
+// Guards against late answers that nothing tells of, since their daemon stops before it has
+// logged their number.
+#[tokio::test]
+async fn extra_answers_are_logged_at_a_stop() {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let mut vm = HostedProcess::start_with_grace("svc", address, SHORT_GRACE).await;
+    tokio::spawn(run_server(vm.backend, Repeat::Whole));
+    vm.wait_serving().await;
+    let ask = async |end: &str, id: &str| {
+        let sent = headers(&[
+            ("host", "a.example"),
+            ("x-request-id", id),
+            ("x-deadline-ms", "3000"),
+        ]);
+        let url = format!("http://{}/read/{end}", vm.callers);
+        let answer = request(Method::GET, &url, sent, Bytes::new()).await;
+        answer.expect("an answer").status
+    };
+    eventually("an answer", || async {
+        (ask("start", "first").await == StatusCode::OK).then_some(())
+    })
+    .await;
+    assert_eq!(ask("extra", "earlier").await, StatusCode::OK);
+    assert_eq!(ask("x", "later").await, StatusCode::OK);
+    vm.signal("TERM");
+    vm.wait_exit().await;
+    let log = vm.log();
+    let line = "late answers of the backend server dropped";
+    assert!(log.contains(line), "{log}");
+}
+
 fn pool(address: SocketAddr, id_header: Option<HeaderName>) -> ConnectionPool<Full<Bytes>> {
     let dialer = Dialer {
         address,
