--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -49,8 +49,6 @@
 /// Share of the grace after which a hosted daemon waits for nothing. The rest is for the
 /// end of the process.
 const END_GRACE_SHARE: f64 = 0.95;
-/// Minimum time for the end of the process, which a short grace does not make faster.
-const MIN_END_TIME: Duration = Duration::from_millis(300);
 /// How long the answers to calls that are given up may take to be sent.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long neighbours may take to acknowledge a stop; others learn of it by
@@ -118,9 +116,7 @@
 /// if it is not hosted.
 pub fn latest_end(shared: &Shared, begin: Instant) -> Option<Instant> {
     let hosting = shared.config.hosting.as_ref();
-    let grace = shared.config.grace.get();
-    let longest = grace.saturating_sub(MIN_END_TIME);
-    hosting.map(|_| begin + grace.mul_f64(END_GRACE_SHARE).min(longest))
+    hosting.map(|_| begin + shared.config.grace.get().mul_f64(END_GRACE_SHARE))
 }
 
 /// What a stopping daemon still has in flight.
