Send a retry over another connection than the attempt before it

What callers could see: a request that may not run twice is answered 503, or sent to another server, though the first server runs it.

Cause: answers of a backend server are told apart by the id of their request, and all attempts at one server have the same. The connection used last is reused first, so a retry after a rejection goes over the connection that may still bring that rejection once more.

A connection now carries no request with the id of its last one, so that a late answer to the attempt before can't be taken for that to the retry; it is dropped as that to any other request.

--- a/src/web/connection_pool.rs
+++ b/src/web/connection_pool.rs
@@ -74,6 +74,8 @@
 struct Connection<B> {
     sender: SendRequest<B>,
     expected: ExpectedAnswer,
+    /// Id of the last request, if answers repeat it.
+    last_id: Option<HeaderValue>,
 }
 
 /// A connection in the pool.
@@ -153,8 +155,8 @@
             request.headers_mut().insert(HOST, self.host.clone());
         }
         let allows_reuse = self.allows_reuse(&request);
-        while let Some(mut connection) = self.take_idle() {
-            self.expect_answer(&connection, &request);
+        while let Some(mut connection) = self.take_idle(self.id_of(&request)) {
+            self.expect_answer(&mut connection, &request);
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => {
                     if allows_reuse {
@@ -170,7 +172,7 @@
             }
         }
         let mut connection = self.connect().await?;
-        self.expect_answer(&connection, &request);
+        self.expect_answer(&mut connection, &request);
         let answer = connection.sender.send_request(request).await;
         let answer = answer.map_err(RequestError::NoAnswer)?;
         if allows_reuse {
@@ -179,10 +181,16 @@
         Ok(answer)
     }
 
-    fn expect_answer(&self, connection: &Connection<B>, request: &Request<B>) {
-        if let Some(id_header) = &self.id_header {
-            let id = request.headers().get(id_header).cloned();
-            connection.expected.expect(id);
+    /// Returns the id of a request that its answer repeats, if there is one.
+    fn id_of<'r>(&self, request: &'r Request<B>) -> Option<&'r HeaderValue> {
+        request.headers().get(self.id_header.as_ref()?)
+    }
+
+    fn expect_answer(&self, connection: &mut Connection<B>, request: &Request<B>) {
+        if self.id_header.is_some() {
+            let id = self.id_of(request);
+            connection.last_id = id.cloned();
+            connection.expected.expect(id.cloned());
         }
     }
 
@@ -219,11 +227,18 @@
             None => start_connection(stream).await,
         };
         let sender = sender.map_err(RequestError::NoAnswer)?;
-        Ok(Connection { sender, expected })
+        Ok(Connection {
+            sender,
+            expected,
+            last_id: None,
+        })
     }
 
-    /// Takes the most recently used connection that can carry a request now.
-    fn take_idle(&self) -> Option<Connection<B>> {
+    /// Takes the most recently used connection that can carry a request with this id now.
+    ///
+    /// A retry goes over another connection than the attempt before it: a late answer to
+    /// that attempt has the same id.
+    fn take_idle(&self, id: Option<&HeaderValue>) -> Option<Connection<B>> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
         let mut index = idle.len();
@@ -231,7 +246,8 @@
             index -= 1;
             let is_ready = idle[index].connection.sender.is_ready();
             let is_expired = is_ready && idle[index].is_expired(now);
-            if is_ready && !is_expired {
+            let is_retry = id.is_some() && idle[index].connection.last_id.as_ref() == id;
+            if is_ready && !is_expired && !is_retry {
                 return idle.remove(index).map(|idle| idle.connection);
             }
             if is_expired || idle[index].connection.sender.is_closed() {
