Read the length of a late answer as strictly as the HTTP library

Found by review: of several different lengths the last was believed, and a sign was allowed, both of which the library rejects; a wrong length would take bytes of the answer expected. Such an answer now ends its connection as before the check.

Comments on what stays unclear: interim answers, HEAD, the coding.

--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -16,7 +16,7 @@
 use super::late_body::{InvalidBody, LateBody};
 use super::{MAX_BUFFER, MAX_HEADERS};
 
-/// The transfer coding in chunks.
+/// Final transfer coding of a body that names its own end.
 const CHUNKED: &[u8] = b"chunked";
 
 /// Tells a connection which answer to expect: the id that it repeats, taken once the
@@ -57,8 +57,8 @@
 /// A connection that drops answers with another id than that of the current request, which
 /// a server may send late.
 ///
-/// Their ends are told from their heads, so the connection must carry no request after one
-/// whose answer has no body whatever length it names.
+/// Their ends are told from their heads, so the connection must not be reused after a HEAD
+/// request, whose late answer names a length without a body.
 #[derive(Debug)]
 pub(super) struct AnswerFilter {
     stream: TcpStream,
@@ -152,7 +152,7 @@
     let status = answer.code.and_then(|code| StatusCode::from_u16(code).ok());
     match status {
         Some(StatusCode::SWITCHING_PROTOCOLS) | None => HeadCheck::Expected,
-        // No caller is told of it.
+        // Interim answers are not forwarded.
         Some(status) if status.is_informational() => HeadCheck::Interim(head),
         Some(status) if is_other => match late_body(&answer, status) {
             Some(body) => HeadCheck::Other(head, body),
@@ -168,17 +168,19 @@
     if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
         return Some(LateBody::Length(0));
     }
-    let value = |name: &HeaderName| {
-        let found = answer.headers.iter().rfind(|header| name == header.name);
-        found.map(|header| header.value)
-    };
-    if let Some(codings) = value(&TRANSFER_ENCODING) {
-        let last = codings.rsplit(|byte| *byte == b',').next()?;
+    let mut headers = answer.headers.iter();
+    if let Some(codings) = headers.rfind(|header| TRANSFER_ENCODING == header.name) {
+        let last = codings.value.rsplit(|byte| *byte == b',').next()?;
         let is_chunked = last.trim_ascii().eq_ignore_ascii_case(CHUNKED);
         return (is_chunked && answer.version == Some(1)).then_some(LateBody::ChunkSize);
     }
-    let length = std::str::from_utf8(value(&CONTENT_LENGTH)?).ok()?;
-    length.trim().parse().ok().map(LateBody::Length)
+    let headers = answer.headers.iter();
+    let lengths = headers.filter(|header| CONTENT_LENGTH == header.name);
+    let mut lengths = lengths.map(|header| header.value.trim_ascii());
+    let length = lengths.next()?;
+    let is_valid = length.iter().all(u8::is_ascii_digit) && lengths.all(|other| other == length);
+    let length = std::str::from_utf8(length).ok().filter(|_| is_valid)?;
+    length.parse().ok().map(LateBody::Length)
 }
 
 impl AsyncRead for AnswerFilter {
--- a/src/web/late_body.rs
+++ b/src/web/late_body.rs
@@ -9,7 +9,7 @@
 /// What ends the data of a chunk.
 const CHUNK_END: &[u8] = b"\r\n";
 
-/// The rest of a body that is skipped.
+/// What is left to skip of the body of a late answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LateBody {
     /// So many bytes.
@@ -24,7 +24,7 @@
     Trailers,
 }
 
-/// Bytes that are not the body that they should be.
+/// Bytes that violate the chunked coding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct InvalidBody;
 
