Let no early answer pass the check of answers at the deadline

Found by review: a call that the daemon gives up early, or never sends, looked like one whose server is late, so some such calls could pass beside eight good ones. The test now asks that no answer comes before the call's time is over and that each call reaches the server, and waits for the time at which a server in time has written. A server counts as in time until 20 ms after the deadline (28 before): the daemon has the other 10 to read the answer.

The onward call of 1,500 ms has 1,700 ms (2,000): an end more than 200 ms early is seen.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -18,7 +18,7 @@
 use support::hosted_process::{HostedProcess, store};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// How long the backend server runs a request: past the time at which a stopping daemon
 /// starts to drain, and within its grace.
@@ -31,15 +31,16 @@
 const CALL_COUNT: usize = 8;
 /// Time that callers give a call.
 const CALL_TIME: Duration = Duration::from_millis(699);
-/// Time that callers give a call whose server takes 600 ms.
+/// Time that callers give a call whose server takes 600 ms; a drain still starts it at
+/// nine tenths of a second before its end.
 const ONWARD_TIME: Duration = Duration::from_millis(890);
 /// Time that callers give a parent call, less than two calls take.
 const PARENT_TIME: Duration = Duration::from_millis(400);
 /// How late a server answers whose time for a call is over.
 const SERVER_DELAY: Duration = Duration::from_millis(4);
-/// How long after a deadline a daemon still takes the answer of its VM's server, less the
-/// rounding of times on the way to it.
-const SERVER_GRACE: Duration = Duration::from_millis(28);
+/// How long after a deadline a server may have written its answer at the latest: a daemon
+/// takes it for 30 ms, and has the rest to read it.
+const SERVER_GRACE: Duration = Duration::from_millis(20);
 /// How often the calls are made at most, until enough are answered by their server in time.
 const MAX_ROUNDS: usize = 20;
 /// How long a daemon stands still.
@@ -224,7 +225,7 @@
     start_vms_with(Reached::default()).await
 }
 
-/// Does so with a server that records the requests that reach it.
+/// Starts both daemons; the server of the first records the requests that reach it.
 async fn start_vms_with(reached: Reached) -> (HostedProcess, HostedProcess, impl Sized) {
     let (address, rows, listening) = store().await;
     rows.put("op", "config", &document(7, "svc", 5.0));
@@ -429,14 +430,17 @@
             let id = format!("r{round}-{n}");
             let request = get_within("/read/limit", &id, CALL_TIME);
             let sent = Instant::now();
-            (id, sent, read_answer(send(callers, &request).await).await)
+            let answer = read_answer(send(callers, &request).await).await;
+            (id, sent, Instant::now(), answer)
         });
         let answers = join_all(calls).await;
-        // A server whose answer is not written then is late.
-        sleep(SERVER_GRACE).await;
-        for (id, sent, answer) in answers {
+        // A server that has not written its answer then is late.
+        let latest = answers.iter().map(|(_, sent, ..)| *sent).max();
+        sleep_until(latest.expect("calls") + CALL_TIME + SERVER_GRACE).await;
+        for (id, sent, answered, answer) in answers {
             assert_eq!(answer.0, 504);
-            let written = reached.lock().get(&id).copied().flatten();
+            assert!(answered >= sent + CALL_TIME, "{id}");
+            let written = *reached.lock().get(&id).expect("a call at the server");
             if written.is_some_and(|written| written <= sent + CALL_TIME + SERVER_GRACE) {
                 assert_eq!(answer.1, SHORT_BODY.len(), "{id}");
                 timely_count += 1;
@@ -458,7 +462,7 @@
     let parent = get_within("/read/x", "r1", Duration::from_millis(1000));
     let parent = send(vm.callers, &parent).await;
     sleep(Duration::from_millis(200)).await;
-    let call = get_within("/read/1500", "r1.c1", Duration::from_millis(2000));
+    let call = get_within("/read/1500", "r1.c1", Duration::from_millis(1700));
     let call = send(vm.callers, &call).await;
     assert_eq!(read_answer(call).await, (200, SHORT_BODY.len()));
     assert_eq!(read_answer(parent).await.0, 504);
@@ -478,7 +482,8 @@
     sleep(ARRIVAL_TIME).await;
     let mut call = get_within("/read/600", "r1.c1", ONWARD_TIME);
     if !is_named {
-        call = call.replace("x-deadline-ms: 890\r\n", "");
+        let time = format!("x-deadline-ms: {}\r\n", ONWARD_TIME.as_millis());
+        call = call.replace(&time, "");
     }
     let call = send(vm.callers, &call).await;
     if stops {
