--- a/examples/day/main.rs
+++ b/examples/day/main.rs
@@ -229,6 +229,9 @@
     }
     let extra_answers = world.extra_answers.load(Ordering::Relaxed);
     println!("{extra_answers} answers sent once more");
+    if world.extra > 0.0 && extra_answers == 0 {
+        world.fail("no answer was sent once more");
+    }
     let failures = world.failures.load(Ordering::Relaxed);
     println!("{failures} broken promises");
     ExitCode::from(u8::from(failures > 0))
