--- a/src/metrics/losses.rs
+++ b/src/metrics/losses.rs
@@ -1,5 +1,5 @@
-//! Counts of requests that were dropped and answers that were not sent completely, or once
-//! more.
+//! Counts of requests that were dropped, answers that were not sent completely, and late
+//! answers of the backend server.
 
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,7 +24,7 @@
     ),
 ];
 
-/// Requests without an answer, answers without their end, and those that are one too many.
+/// Requests without an answer, answers without their end, and late answers.
 #[derive(Debug, Default)]
 pub(super) struct LossCounts {
     dropped_sent: AtomicU64,
--- a/src/task/load.rs
+++ b/src/task/load.rs
@@ -12,7 +12,7 @@
 /// Maximum number of workspaces that a line names.
 const MAX_WORKSPACES: usize = 4;
 
-/// Logs the load of the guard while calls wait or are shed, and late answers, forever.
+/// Logs the load of the guard while calls wait or are shed, and counts late answers, forever.
 pub async fn log_load(shared: Arc<Shared>, guard: Arc<Guard>) {
     let mut dropped = 0;
     let mut busy = false;
--- a/src/web/answer_filter.rs
+++ b/src/web/answer_filter.rs
@@ -39,12 +39,13 @@
     /// They begin an answer, which may be to an earlier request.
     Head(HeaderValue),
     /// They belong to the body of an answer to an earlier request.
-    Drop(LateBody, HeaderValue),
+    Skip(LateBody, HeaderValue),
 }
 
 /// What the head of an answer says about it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeadCheck {
+    /// It has not arrived whole.
     Incomplete,
     /// It may be the expected one.
     Expected,
@@ -97,7 +98,7 @@
         };
         self.stage = match self.stage {
             Stage::Pass | Stage::Head(_) => Stage::Head(id),
-            Stage::Drop(body, _) => Stage::Drop(body, id),
+            Stage::Skip(body, _) => Stage::Skip(body, id),
         };
     }
 
@@ -107,7 +108,7 @@
         loop {
             match &mut self.stage {
                 Stage::Pass => return true,
-                Stage::Drop(body, id) => match body.skip(&mut self.buffer) {
+                Stage::Skip(body, id) => match body.skip(&mut self.buffer) {
                     Ok(false) => return false,
                     // What follows an invalid body may be the expected answer.
                     Ok(true) | Err(InvalidBody) => self.stage = Stage::Head(id.clone()),
@@ -119,7 +120,7 @@
                     HeadCheck::Other(head, body) => {
                         self.dropped.fetch_add(1, Ordering::Relaxed);
                         self.buffer.advance(head);
-                        self.stage = Stage::Drop(body, id.clone());
+                        self.stage = Stage::Skip(body, id.clone());
                     }
                 },
             }
@@ -204,7 +205,7 @@
             }
             if arrived.is_empty() {
                 // The connection has ended, so nothing follows what is buffered.
-                if matches!(this.stage, Stage::Drop(..)) {
+                if matches!(this.stage, Stage::Skip(..)) {
                     this.buffer.clear();
                 }
                 this.stage = Stage::Pass;
