--- a/review/standins.py
+++ b/review/standins.py
@@ -10,7 +10,9 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -19,6 +21,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BINARY = ROOT / "target/release/bramleymountd"
 START = time.monotonic()
+# The daemons that were started, to be ended with the scenario.
+PROCESSES = []
 
 
 def now():
@@ -334,6 +338,84 @@
         return True
 
 
+class Proxy(Listener):
+    """A proxy before the address of a daemon for other daemons.
+
+    `cut` holds the addresses of VMs that are cut off: connections from and to them are
+    reset, those that are open and those that come."""
+
+    cut = set()
+    lock = threading.Lock()
+    connections = []
+    # How many queries for credit each daemon received, by its address.
+    queries = {}
+
+    def __init__(self, address, target):
+        self.target = target
+        super().__init__(address)
+
+    @classmethod
+    def cut_off(cls, ip):
+        with cls.lock:
+            cls.cut.add(ip)
+            harmed = [connection for connection in cls.connections if ip in connection[0]]
+        for _, *sockets in harmed:
+            for one in sockets:
+                reset(one)
+
+    @classmethod
+    def heal(cls, ip):
+        with cls.lock:
+            cls.cut.discard(ip)
+
+    def serve(self, connection, _):
+        ends = {connection.getpeername()[0], self.target[0]}
+        onward = socket.create_connection(self.target, timeout=1)
+        onward.settimeout(None)
+        onward.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        entry = (ends, connection, onward)
+        with self.lock:
+            is_cut = bool(ends & self.cut)
+            if not is_cut:
+                self.connections.append(entry)
+        if is_cut:
+            reset(connection)
+            reset(onward)
+            return
+        back = threading.Thread(target=self.copy, args=(onward, connection), daemon=True)
+        back.start()
+        self.copy(connection, onward)
+        back.join()
+        onward.close()
+        with self.lock:
+            self.connections.remove(entry)
+
+    def copy(self, source, target):
+        try:
+            while data := source.recv(65536):
+                if data.startswith(b"POST /credit "):
+                    with self.lock:
+                        self.queries[self.target[0]] = self.queries.get(self.target[0], 0) + 1
+                target.sendall(data)
+        except OSError:
+            pass
+        for one in (source, target):
+            try:
+                one.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def reset(connection):
+    """Resets a connection, also while another thread reads it."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+        connection.close()
+    except OSError:
+        pass
+
+
 class Answer:
     """What a caller got: a status, headers, and a body that is complete or not."""
 
@@ -360,11 +442,13 @@
         self.stream.close()
         self.connection.close()
 
-    def send(self, target, request, method="GET", deadline_ms=5000, body=b""):
+    def send(self, target, request, method="GET", deadline_ms=5000, body=b"", key=None):
         length = f"Content-Length: {len(body)}\r\n" if body or method != "GET" else ""
         self.connection.sendall(
             f"{method} {target} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {request}\r\n"
-            f"X-Deadline-Ms: {deadline_ms}\r\n{length}\r\n".encode() + body
+            f"X-Deadline-Ms: {deadline_ms}\r\n"
+            f"{f'Api-Key: {key}' + chr(13) + chr(10) if key else ''}{length}\r\n".encode()
+            + body
         )
 
     def receive(self):
@@ -402,8 +486,9 @@
 class Vm:
     """A VM: a daemon with the settings of the deploy file, and its addresses."""
 
-    def __init__(self, index, ip, ports, service, zone, store, folder):
-        names = ["callers", "peers", "operators", "announcements", "readiness", "metrics", "backend"]
+    def __init__(self, index, ip, ports, service, zone, store, folder, extra):
+        names = ["callers", "peers", "operators", "announcements", "readiness", "metrics"]
+        names += ["backend", "proxy"]
         at = {name: (ip, port) for name, port in zip(names, ports)}
         self.callers, self.announcements, self.readiness = (
             at["callers"],
@@ -411,6 +496,7 @@
             at["readiness"],
         )
         self.backend = at["backend"]
+        self.ip = ip
         self.service = service
         self.zone = zone
         self.settings = folder / f"vm-{index}.yaml"
@@ -420,15 +506,19 @@
         def text(name):
             return "%s:%d" % at[name]
 
+        advertised = ""
+        if extra.get("proxy"):
+            Proxy(at["proxy"], at["peers"])
+            advertised = f"  advertised: {text('proxy')}\n"
         # deploy/settings.yaml, filled in.
         self.settings.write_text(
             f"data_centre: {zone}\nhall: {zone}\nservice: {service}\nlisten:\n"
             f"  callers: {text('callers')}\n  peers: {text('peers')}\n"
-            f"  operators: 127.0.0.1:{ports[2] + index}\n"
+            f"{advertised}  operators: 127.0.0.1:{ports[2] + index}\n"
             f"backend: {text('backend')}\nplatform: {store[0]}:{store[1]}\nhosting:\n"
             f"  announcements: {text('announcements')}\n  seeds: []\n"
             f"  readiness: {text('readiness')}\n  metrics: {text('metrics')}\n"
-            f"  repeats: {{share: 0.2, window: 10s}}\n"
+            f"  repeats: {{share: 0.2, window: 10s}}\n{extra.get('hosting', '')}"
             f"callers: {{ahead: 8}}\nbalance: auto\ngrace: 6s\n"
             f"log: {{level: info, format: json}}\n"
         )
@@ -442,6 +532,7 @@
             stderr=self.log,
             cwd=ROOT,
         )
+        PROCESSES.append(self.process)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -463,20 +554,21 @@
 class Deployment:
     """A store, and VMs with a daemon and a server each."""
 
-    def __init__(self, folder, services, document, answer=None):
-        """`services` lists a service and a zone for each VM."""
+    def __init__(self, folder, services, document, answer=None, **extra):
+        """`services` lists a service and a zone for each VM; `extra` holds `proxy` if a
+        proxy stands before each daemon, and `hosting`, further lines of the settings."""
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(folder)
         net = random.randrange(20, 250)
         ips = [f"127.{net}.0.{index + 1}" for index in range(len(services))]
-        ports = free_ports(ips + ["127.0.0.1"], 8)
+        ports = free_ports(ips + ["127.0.0.1"], 9)
         # Operators listen on loopback, so their ports differ.
         ports[2] = free_ports_in_a_row(len(services))
-        store = (ips[0], ports[7])
+        store = (ips[0], ports[8])
         self.store = Store(store, self.record)
         self.store.put("op", "config", json.dumps(document))
         self.vms = [
-            Vm(index, ip, ports, service, zone, store, self.folder)
+            Vm(index, ip, ports, service, zone, store, self.folder, extra)
             for index, (ip, (service, zone)) in enumerate(zip(ips, services))
         ]
         self.servers = [
@@ -495,7 +587,7 @@
             time.sleep(0.1)
         return True
 
-    def wait_served(self, target, timeout=15.0):
+    def wait_served(self, target, timeout=15.0, **more):
         """Waits until each VM serves a target; returns whether all do."""
         end = time.monotonic() + timeout
         for vm in self.vms:
@@ -504,7 +596,7 @@
                 if time.monotonic() > end:
                     return False
                 caller = Caller(vm.callers)
-                answer = caller.ask(target, request_id())
+                answer = caller.ask(target, request_id(), **more)
                 caller.close()
                 served = served + 1 if answer is not None and answer.status == 200 else 0
                 time.sleep(0.1)
@@ -568,10 +660,19 @@
     if not BINARY.exists():
         print(f"{BINARY} is not built")
         os._exit(2)
-    signal.signal(signal.SIGTERM, lambda *_: os._exit(2))
+    signal.signal(signal.SIGTERM, lambda *_: end_all(2))
     try:
         code = scenario()
     except Exception as error:  # a case that can't run is told from a broken rule
         print(f"the case couldn't run: {error!r}")
         code = 2
+    end_all(code)
+
+
+def end_all(code):
+    """Ends all processes that the scenario started, then the scenario."""
+    for process in PROCESSES:
+        if process.poll() is None:
+            process.kill()
+    sys.stdout.flush()
     os._exit(code)
