Review case 8: a fleet keeps an old configuration while the store serves it

Cause: only the delegates of each data centre read the store. One that the store turns away stays a delegate, and no other daemon takes its place.

Done: a script with 36 daemons in three data centres, whose store turns away the twelve machines that call it and would serve the others, while a version moves one route and drops another. The store's stand-in has an address for each machine.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec python3 run.py
