Give up feed queries within the bound on configurations

Cause: a query for changes stays open for 10 s and was given up after 12. One whose answer the store had lost was waited for to its end. The delegates all query at the same moment, after a version, so none had news for the others.

Change: a query waits 2.5 s and is given up 0.75 s later. With the pauses before the row is read again a version is known 4 s after the last lost answer at the latest; contactS and configApplyS allow 5 s. Daemons that poll the platform's own version row wait at most 2 s after a failed read, not 30.

--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -19,7 +19,7 @@
 /// How long a VM must have been undisturbed before time bounds apply to it.
 pub(crate) const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 /// Time until an accepted version is in force on all daemons.
-const VERSION_DELAY: Duration = Duration::from_millis(2250);
+pub(crate) const VERSION_DELAY: Duration = Duration::from_millis(2250);
 /// Time until a server that leaves receives no more requests.
 pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2000);
 /// Time until the work of a request stops after its caller disconnected.
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -15,6 +15,7 @@
 
 use crate::Args;
 use crate::backend::Backend;
+use crate::check::{MEASUREMENT_SLACK, UNDISTURBED_TIME, VERSION_DELAY};
 use crate::estate::configuration_document;
 use crate::proxy::{Mode, Proxy};
 use crate::rows::{RowsFault, RowsStandIn};
@@ -34,6 +35,11 @@
 /// Rate limits that servers name, in requests per second.
 const SERVER_RATES: [f64; 4] = [0.0, 0.8, 4.5, 15.0];
 
+/// Time until the delegates query the feed again after a version.
+const FEED_RENEWAL_TIME: Duration = Duration::from_millis(300);
+/// How long the store loses answers, in milliseconds.
+const LAPSE_MS: Range<u64> = 100..5000;
+
 /// How long a server stays down after a deadly request crashed it.
 const CRASH_DOWNTIME: Duration = Duration::from_secs(1);
 
@@ -50,6 +56,9 @@
     Store(RowsFault),
     /// The store refuses connections.
     StoreDown,
+    /// The store loses the answers to calls in progress; a version follows when time
+    /// bounds hold again.
+    StoreLapse,
     /// The backend server crashes and restarts, with the same id or a new one.
     Crash {
         same_id: bool,
@@ -105,6 +114,7 @@
             | Self::HangUp
             | Self::Store(_)
             | Self::StoreDown
+            | Self::StoreLapse
             | Self::Configure { .. } => true,
             Self::Kill
             | Self::Pause
@@ -197,6 +207,7 @@
             Fault::Cut(mode) => self.disturb_proxy(vm, mode, time).await,
             Fault::Store(fault) => self.disturb_store(fault, time).await,
             Fault::StoreDown => self.stop_store(time).await,
+            Fault::StoreLapse => self.lose_answers(time).await,
             Fault::Crash { same_id } => self.crash(vm, same_id, time).await,
             Fault::Replace => self.replace(vm).await,
             Fault::Retire => self.retire(vm, series).await,
@@ -303,6 +314,19 @@
         }
     }
 
+    /// Loses the answers to all calls to the store for some time. The version before it
+    /// makes all delegates query the feed.
+    async fn lose_answers(&self, time: Duration) {
+        self.publish_version();
+        tokio::time::sleep(FEED_RENEWAL_TIME).await;
+        let begin = Instant::now();
+        self.store_faults.lock().push((begin, Some(begin + time)));
+        self.store.lose_answers_for(time);
+        tokio::time::sleep(time + UNDISTURBED_TIME + MEASUREMENT_SLACK).await;
+        self.publish_version();
+        tokio::time::sleep(VERSION_DELAY * 2).await;
+    }
+
     async fn crash(&self, vm: usize, same_id: bool, time: Duration) {
         let index = self.vms[vm].begin_disturbance();
         let mut backend = self.backends[vm].lock().await;
@@ -449,3 +473,13 @@
     }
     while running_faults.join_next().await.is_some() {}
 }
+
+/// Makes the store lose answers once, after all other faults have ended: a daemon that
+/// starts reads the newest version and passes it on to those that wait for lost answers.
+pub(crate) async fn lapse_store(world: &World, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let time = Duration::from_millis(rng.random_range(LAPSE_MS));
+    world
+        .inject(0, Fault::StoreLapse, time, SignalSeries::new())
+        .await;
+}
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -39,7 +39,7 @@
 use caller::Caller;
 use check::{Violation, check_promises, count_outcomes, count_served};
 use estate::{Addresses, CENTRE_COUNT};
-use faults::{World, inject_faults};
+use faults::{World, inject_faults, lapse_store};
 use proxy::Proxy;
 use raw_callers::{Traffic, run_raw_caller};
 use record::Record;
@@ -170,6 +170,7 @@
         restarters.spawn(async move { world.restart_crashed(vm).await });
     }
     inject_faults(&world, args, end).await;
+    lapse_store(&world, args.seed).await;
     tokio::time::sleep(SETTLE_TIME).await;
     let recovery_start = Instant::now();
     tokio::time::sleep(RECOVERY_WINDOW).await;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -24,9 +24,12 @@
 /// The author recorded for versions that come from the row.
 const ROW_AUTHOR: &str = "operator";
 
-/// How long one request for changes may stay open. Each daemon sends one in this
-/// time, so that 5,300 daemons make 530 calls per second.
-const FEED_WAIT: Duration = Duration::from_secs(10);
+/// How long one request for changes may stay open.
+///
+/// A request whose answer was lost looks like one without changes until then, and
+/// versions must be in force five seconds after the store works again. Only delegates
+/// send these requests, so that their number does not grow with the daemons.
+const FEED_WAIT: Duration = Duration::from_millis(2500);
 
 /// Applies each version of the operator's document; never returns.
 pub async fn watch_configuration(shared: Arc<Shared>, guard: Arc<Guard>, feed: Arc<dyn Feed>) {
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -24,7 +24,7 @@
 /// Rows requested per page; the store returns at most 500.
 const PAGE_ROWS: usize = 500;
 /// Added to the requested wait of a feed to get the timeout of its request.
-const FEED_SLACK: Duration = Duration::from_secs(2);
+const FEED_SLACK: Duration = Duration::from_millis(750);
 /// Incremented each time that the store is restored from a backup.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 /// Longest wait of a feed that the store allows.
--- a/src/task/poll.rs
+++ b/src/task/poll.rs
@@ -23,6 +23,9 @@
 /// Reads by one daemon, per second and per burst.
 const READS_PER_S: f64 = 2.0;
 const READ_BURST: f64 = 8.0;
+/// Maximum delay of the next read after failures, so that a delegate finds a version
+/// soon after an outage of the platform.
+const MAX_BACKOFF: Duration = POLL_INTERVAL;
 
 /// The content of the row that names the version in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,7 +41,7 @@
 /// Reads the row at regular intervals, forever, while this daemon has no
 /// configuration or is a delegate of its data centre.
 pub async fn poll_configuration(shared: Arc<Shared>, guard: Arc<Guard>) {
-    let mut budget = Budget::new(Instant::now(), READS_PER_S, READ_BURST);
+    let mut budget = Budget::with_max_backoff(Instant::now(), READS_PER_S, READ_BURST, MAX_BACKOFF);
     let mut seen = Version::NONE;
     loop {
         let unconfigured = shared.current.get().is_none();
--- a/tests/support/rows.rs
+++ b/tests/support/rows.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bramleymount::web::{CallerAnswer, HttpListener, caller_text, listen};
 use http::{Method, Request, StatusCode};
@@ -60,6 +60,8 @@
     ver: u64,
     fault: RowsFault,
     calls: u64,
+    /// When the store began to lose answers, and until when.
+    silence: Option<(Instant, Instant)>,
     /// Incremented by each restore; left out of answers while 0.
     era: u64,
     snapshot: Option<Snapshot>,
@@ -126,6 +128,13 @@
         self.rows.lock().fault = fault;
     }
 
+    /// Loses the answers to all calls that it has, or gets within `time`. These calls
+    /// stay open and receive nothing afterwards either.
+    pub fn lose_answers_for(&self, time: Duration) {
+        let now = Instant::now();
+        self.rows.lock().silence = Some((now, now + time));
+    }
+
     /// Takes a snapshot for [`Self::restore`]. From now on answers carry the era.
     pub fn take_snapshot(&self) {
         let mut rows = self.rows.lock();
@@ -190,8 +199,15 @@
     }
 
     async fn handle(&self, request: Request<Incoming>) -> CallerAnswer {
+        let began = Instant::now();
         let mut answer = self.answer(request).await;
-        let era = self.rows.lock().era;
+        let (era, silence) = {
+            let rows = self.rows.lock();
+            (rows.era, rows.silence)
+        };
+        if silence.is_some_and(|(begin, end)| Instant::now() >= begin && began < end) {
+            std::future::pending::<()>().await;
+        }
         if era > 0 {
             answer.headers_mut().insert("store-era", era.into());
         }
