Refuse onward calls that may outlast a planned stop

Cause: a share of the grace decided whether a call was taken, not the time that it has. A call at a server can't be taken back at the end of the drain.

Calls that were sent up to 3 s after the SIGTERM are excused by the platform.

--- a/examples/day/check.rs
+++ b/examples/day/check.rs
@@ -1,6 +1,6 @@
 //! The rule LOST, for requests of callers and calls of servers alike.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::World;
@@ -61,6 +61,27 @@
         })
 }
 
+/// Returns the number of servers' calls around stops, and how many parents failed since
+/// one of them was not answered by a server.
+fn count_failed_parents(world: &World, exchanges: &HashMap<Box<str>, Exchange>) -> (usize, usize) {
+    let grace = world.site.grace();
+    let mut calls = 0;
+    let mut failed = BTreeSet::new();
+    for (id, exchange) in exchanges {
+        let Some((parent, _)) = id.rsplit_once('.') else {
+            continue;
+        };
+        if find_stop(exchange, &world.vms[exchange.vm].stops.lock(), grace).is_none() {
+            continue;
+        }
+        calls += 1;
+        if !matches!(exchange.end, Some((_, Outcome::Signed(_)))) {
+            failed.insert(parent);
+        }
+    }
+    (calls, failed.len())
+}
+
 /// Prints counts by class and outcome and the first lost requests; returns the number of
 /// lost ones.
 pub(crate) fn report(world: &World) -> usize {
@@ -97,5 +118,7 @@
         println!("LOST {count} {kind}");
     }
     println!("{} requests and calls", exchanges.len());
+    let (calls, failed) = count_failed_parents(world, &exchanges);
+    println!("{calls} calls of servers around stops, {failed} parents without an answer");
     lost.len()
 }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -1,8 +1,8 @@
 //! The entry of one daemon: handling of requests from arrival to answer.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http::request::Parts;
@@ -28,6 +28,7 @@
 };
 use crate::peer::Pool;
 use crate::policy::admission::Shed;
+use crate::policy::drain::OnwardDrain;
 use crate::policy::once::OnceRefusal;
 use crate::policy::retry::RepeatDetector;
 use crate::policy::route::TargetState;
@@ -47,7 +48,7 @@
     repeat_detector: Mutex<RepeatDetector>,
     in_flight: AtomicUsize,
     closed: AtomicBool,
-    onward_closed: AtomicBool,
+    onward_drain: OnceLock<OnwardDrain>,
     calls_ended: AtomicBool,
     calls_end: Notify,
 }
@@ -60,7 +61,7 @@
             repeat_detector: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
-            onward_closed: AtomicBool::new(false),
+            onward_drain: OnceLock::new(),
             calls_ended: AtomicBool::new(false),
             calls_end: Notify::new(),
         })
@@ -77,9 +78,9 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
-    /// Refuses new onward calls, too.
-    pub fn close_onward(&self) {
-        self.onward_closed.store(true, Ordering::SeqCst);
+    /// Refuses new onward calls that may not end before the drain does.
+    pub fn drain_onward(&self, drain: OnwardDrain) {
+        self.onward_drain.get_or_init(|| drain);
     }
 
     /// Gives up all calls that are not answered yet, so that their callers get an answer
@@ -184,9 +185,10 @@
         };
         let mut accepted = accept(parts, arrived_at, from, &configuration.estate, shared)
             .map_err(|rejected| Attempt::plan().refuse(rejected.reason, rejected.detail))?;
-        let is_closed = match &accepted.parent {
-            Some(_) => self.onward_closed.load(Ordering::SeqCst),
-            None => self.is_closed(),
+        let is_closed = match (&accepted.parent, self.onward_drain.get()) {
+            (Some(_), Some(drain)) => !drain.accepts(arrived_at, accepted.head.deadline),
+            (Some(_), None) => false,
+            (None, _) => self.is_closed(),
         };
         if is_closed {
             return Err(attempt.refuse(Reason::Shed(Shed::Leaving), "this daemon is shutting down"));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod crash;
+pub mod drain;
 pub mod front;
 pub mod member;
 pub mod once;
--- a/src/task/stop.rs
+++ b/src/task/stop.rs
@@ -13,6 +13,7 @@
 use crate::guard::Guard;
 use crate::model::Instance;
 use crate::peer::{Pool, exchange, hand_over};
+use crate::policy::drain::OnwardDrain;
 use crate::policy::member::{MemberState, SyncPosition, neighbours};
 use crate::policy::once::{Successor, hand_over as hand_over_row};
 use crate::store::{Condition, WriteOutcome, write_with_retry};
@@ -40,9 +41,6 @@
 /// Share of the grace after which a hosted daemon that still drains tells others that
 /// it has left.
 const LEAVE_GRACE_SHARE: f64 = 5.0 / 6.0;
-/// Share of the drain after which no onward calls are started, so that those in flight
-/// can end before the process does.
-const ONWARD_DRAIN_SHARE: f64 = 5.0 / 6.0;
 /// Share of the grace after which a hosted daemon no longer waits for callers to close
 /// their connections.
 const CLOSE_GRACE_SHARE: f64 = 0.93;
@@ -85,6 +83,7 @@
     } = parts;
     InFlight::count(parts).log("stopping", begin);
     shared.readiness.set_stopping();
+    entry.drain_onward(OnwardDrain::new(begin, drain_time(shared)));
     if shared.config.hosting.is_some() {
         tokio::time::sleep(READINESS_DELAY).await;
     }
@@ -224,13 +223,9 @@
         if InFlight::count(parts).is_empty() {
             break true;
         }
-        let elapsed = begin.elapsed();
-        if elapsed >= time {
+        if begin.elapsed() >= time {
             break false;
         }
-        if elapsed >= time.mul_f64(ONWARD_DRAIN_SHARE) {
-            parts.entry.close_onward();
-        }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     };
     InFlight::count(parts).log("drain ended", begin);
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -34,6 +34,13 @@
 /// Time that callers give a call whose server takes 600 ms; a drain still starts it at
 /// nine tenths of a second before its end.
 const ONWARD_TIME: Duration = Duration::from_millis(890);
+/// Grace of the daemons.
+const GRACE_TIME: Duration = Duration::from_secs(6);
+/// Calls sent later than this after SIGTERM may not be broken off.
+const LATE_SEND: Duration = Duration::from_secs(3);
+/// Times that callers give a call whose server takes 1.4 s.
+const SHORT_TIME: Duration = Duration::from_millis(1600);
+const LONG_TIME: Duration = Duration::from_millis(2500);
 /// Time that callers give a parent call, less than two calls take.
 const PARENT_TIME: Duration = Duration::from_millis(400);
 /// How late a server answers whose time for a call is over.
@@ -332,6 +339,62 @@
     assert!(reached.lock().len() > MIN_CALLS);
 }
 
+// Guards against calls of a server that a stopping daemon takes although their time ends
+// after its own, and answers itself while their server is at work.
+#[rstest]
+#[case::of_long_parent(Duration::from_millis(5000))]
+#[case::of_parent_whose_time_ends_before(Duration::from_millis(4200))]
+#[tokio::test]
+async fn stop_breaks_off_no_late_onward_call(#[case] parent_time: Duration) {
+    let (address, rows, _listening) = store().await;
+    rows.put("op", "config", &document(7, "svc", 5.0));
+    let reached = Reached::default();
+    let mut vm = start_vm(address, &reached).await;
+    let begin = Instant::now();
+    vm.signal("TERM");
+    sleep(Duration::from_secs(1)).await;
+    let parent = get_within("/read/9000", "r1", parent_time);
+    let _parent = send(vm.callers, &parent).await;
+    let _called = start_vm(address, &reached).await;
+    sleep_until(begin + LATE_SEND).await;
+    let mut calls = Vec::new();
+    while !vm.has_exited() {
+        for time in [SHORT_TIME, LONG_TIME] {
+            let id = format!("r1.c{}", calls.len());
+            let request = get_within("/read/1400", &id, time);
+            let callers = vm.callers;
+            calls.push(tokio::spawn(async move {
+                let sent = Instant::now();
+                let answers = try_send(callers, &request).await.map(read_answers);
+                let status = match answers {
+                    Ok(answers) => answers.await.first().map(|(status, _)| *status),
+                    Err(_) => None,
+                };
+                (id, sent, sent + time, status)
+            }));
+        }
+        sleep(SIGNAL_INTERVAL).await;
+    }
+    let mut answered = 0;
+    for call in calls {
+        let (id, sent, deadline, status) = call.await.expect("a call");
+        let sent = sent - begin;
+        let has_arrived = reached.lock().contains_key(&id);
+        assert_eq!(
+            has_arrived,
+            status == Some(200),
+            "{id} sent after {sent:?}: {status:?}"
+        );
+        let fits = deadline < begin + GRACE_TIME.mul_f64(5.0 / 6.0);
+        assert!(
+            has_arrived || !fits,
+            "{id} sent after {sent:?} is refused: {status:?}"
+        );
+        answered += usize::from(has_arrived);
+    }
+    assert!(answered > 0, "no call was answered");
+}
+
 // Guards against pipelined requests that are read and dropped without an answer.
 #[rstest]
 #[case::read_before_the_signal(0)]
