Limit the successor of a silent coordinator to the shares it is told

Cause: a bucket holds back only shares of daemons that have queried it. The successor has heard of nobody and granted the whole rate, beside the one that is cut off. A daemon that is cut off alone finds itself the coordinator of everything and did the same.

Change: a daemon that coordinates in place of one that fell silent, and may be cut off, grants the sum of the shares that daemons bring, until the other is heard, has left or has been silent for 90 s. The larger side gains the rest as fast as the smaller one loses it. All sides together have the rate. The coordinator's own share is promised to nobody, so that a new caller elsewhere gets one at once.

With the coordinator gone for good and a load below the rate at most 2 in 100 requests are refused.

--- a/src/policy/member/view.rs
+++ b/src/policy/member/view.rs
@@ -25,6 +25,7 @@
     /// The latest change of the member.
     change: ChangeCount,
     left_at: Option<Instant>,
+    silent_at: Option<Instant>,
 }
 
 /// Part of the changed members of a view.
@@ -156,6 +157,7 @@
     fn insert(&mut self, now: Instant, member: Member) {
         let address = member.instance.address;
         let left_at = (member.state == MemberState::Left).then_some(now);
+        let silent_at = self.silence_start(now, &member);
         self.remove(address);
         self.digest ^= digest_of(&member);
         self.change = ChangeCount(self.change.0 + 1);
@@ -167,10 +169,26 @@
             member,
             change: self.change,
             left_at,
+            silent_at,
         };
         self.members.insert(address, entry);
     }
 
+    /// Returns since when a member is silent, unless it was leaving before.
+    fn silence_start(&self, now: Instant, member: &Member) -> Option<Instant> {
+        if member.state != MemberState::Silent {
+            return None;
+        }
+        match self.members.get(&member.instance.address) {
+            Some(known) if known.member.instance == member.instance => match known.member.state {
+                MemberState::Silent => known.silent_at,
+                MemberState::Leaving | MemberState::Left => None,
+                MemberState::Waiting | MemberState::Serving => Some(now),
+            },
+            _ => Some(now),
+        }
+    }
+
     fn remove(&mut self, address: SocketAddr) {
         let Some(old) = self.members.remove(&address) else {
             return;
@@ -250,6 +268,13 @@
             .filter(move |m| m.service == *service && m.state == MemberState::Serving)
     }
 
+    /// Returns the members that fell silent after `since` and were not leaving.
+    pub fn silent_after(&self, since: Instant) -> impl Iterator<Item = Instance> + '_ {
+        let is_recent = move |entry: &&MemberEntry| entry.silent_at.is_some_and(|at| at > since);
+        let silent = self.members.values().filter(is_recent);
+        silent.map(|entry| entry.member.instance)
+    }
+
     /// Returns the running members by data centre.
     pub fn running(&self) -> &RankedMembers {
         &self.running
--- a/src/policy/rate/bucket.rs
+++ b/src/policy/rate/bucket.rs
@@ -27,6 +27,9 @@
 const SHARE_TOLERANCE: f64 = 2.0;
 /// After this long without a query the coordinator forgets a daemon.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(90);
+/// How long a silent member may be cut off rather than gone; as long as its coordinator
+/// reserves a share for it.
+pub const PARTITION_TIMEOUT: Duration = FORGET_TIMEOUT;
 /// Largest fraction of the credit that is granted at once, so that some is left
 /// for the next daemon.
 const MAX_GRANT_FRACTION: f64 = 0.5;
@@ -36,6 +39,29 @@
 const MIN_WAIT: Duration = Duration::from_millis(50);
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
+/// How many of the members the coordinator reaches, those that fell silent lately included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// More than half of them, or nobody is silent.
+    #[default]
+    Majority,
+    /// Exactly half.
+    Half,
+    /// Less than half.
+    Minority,
+}
+
+impl Standing {
+    /// Compares the number of members that run with that of silent ones.
+    pub fn new(running: usize, silent: usize) -> Self {
+        match running.cmp(&silent) {
+            std::cmp::Ordering::Greater => Self::Majority,
+            std::cmp::Ordering::Equal => Self::Half,
+            std::cmp::Ordering::Less => Self::Minority,
+        }
+    }
+}
+
 /// A query for credit, which also reports on the daemon that sends it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CreditQuery {
@@ -77,11 +103,24 @@
 }
 
 /// The credit of one workspace, from which its coordinator makes grants.
+///
+/// If the coordinator falls silent, it may have stopped, or it may be cut off and still
+/// grant what the others are not known to have. So its successor has the shares of the
+/// daemons that query it, and no more, until the other is heard or known to have left.
+/// The rest is then moved from the smaller side to the larger one as fast as reserved
+/// shares decay.
 #[derive(Debug)]
 pub struct CreditBucket {
     available: f64,
     last_refill: Instant,
     daemons: HashMap<SocketAddr, DaemonCredit>,
+    /// The daemon that coordinates.
+    own: SocketAddr,
+    standing: Standing,
+    /// Since when the standing is that.
+    standing_since: Instant,
+    /// The sum of the shares that daemons brought, if a silent coordinator was replaced.
+    inherited: Option<f64>,
 }
 
 impl CreditBucket {
@@ -90,11 +129,41 @@
     ///
     /// The grants of an earlier coordinator are unknown, so the bucket starts
     /// with little credit. It refills from `since`, up to the full burst.
-    pub fn new(since: Instant, tolerance: &RateTolerance) -> Self {
+    pub fn new(since: Instant, own: SocketAddr, tolerance: &RateTolerance) -> Self {
         Self {
             available: tolerance.initial_credit(),
             last_refill: since,
             daemons: HashMap::new(),
+            own,
+            standing: Standing::default(),
+            standing_since: since,
+            inherited: None,
+        }
+    }
+
+    /// Creates the bucket of a workspace whose coordinator fell silent and may be cut off.
+    pub fn take_over(now: Instant, own: SocketAddr, tolerance: &RateTolerance) -> Self {
+        Self {
+            inherited: Some(0.0),
+            ..Self::new(now, own, tolerance)
+        }
+    }
+
+    /// Returns whether this bucket replaces that of a silent coordinator.
+    pub fn is_taken_over(&self) -> bool {
+        self.inherited.is_some()
+    }
+
+    /// Grants the whole rate from now on: the earlier coordinator is known to have gone.
+    pub fn own_rate(&mut self) {
+        self.inherited = None;
+    }
+
+    /// Sets how many members the coordinator reaches.
+    pub fn set_standing(&mut self, now: Instant, standing: Standing) {
+        if self.standing != standing {
+            self.standing = standing;
+            self.standing_since = now;
         }
     }
 
@@ -110,7 +179,16 @@
         // The query replaces the estimate of its credit.
         let previous = self.daemons.remove(&from);
         self.refill(now, tolerance, limit, query.balance, previous);
-        let reserved_credit = previous.map_or(0.0, |previous| previous.reserved_credit(now));
+        let standing = self.standing;
+        let reserved_credit = match (previous, &mut self.inherited) {
+            (Some(previous), _) => previous.reserved_credit(now, standing),
+            (None, Some(inherited)) => {
+                *inherited += query.share;
+                // Admitted on the share that it brings, before this bucket has it.
+                query.local_admits
+            }
+            (None, None) => 0.0,
+        };
         // Admissions beyond its reserved credit are charged to the workspace.
         let unreserved = (query.local_admits - reserved_credit).max(0.0);
         self.available = (self.available - unreserved).max(-tolerance.max_debt(limit));
@@ -120,7 +198,7 @@
         self.available -= credit;
         let is_short = amount >= 1.0 && query.balance + credit < 1.0;
         let shortage = f64::from(u8::from(is_short));
-        let rate = tolerance.rate(limit);
+        let rate = self.rate(now, tolerance, limit);
         let share = self.next_share(now, rate, rate * self.rate_share(query.demand), query.share);
         let daemon = DaemonCredit {
             credit: query.balance + credit,
@@ -137,6 +215,39 @@
         }
     }
 
+    /// Returns the rate that this bucket may grant and reserve.
+    fn rate(&self, now: Instant, tolerance: &RateTolerance, limit: RateLimit) -> f64 {
+        tolerance.rate(limit) * self.owned_part(now, tolerance, limit)
+    }
+
+    /// Returns the part of the workspace's rate and capacity that this bucket has.
+    fn owned_part(&self, now: Instant, tolerance: &RateTolerance, limit: RateLimit) -> f64 {
+        let Some(inherited) = self.inherited else {
+            return 1.0;
+        };
+        let rate = tolerance.rate(limit).max(f64::MIN_POSITIVE);
+        let part = (inherited / rate).min(1.0);
+        match self.standing {
+            Standing::Majority => 1.0 - (1.0 - part) * self.standing_decay(now),
+            Standing::Half => part,
+            Standing::Minority => part * self.standing_decay(now),
+        }
+    }
+
+    /// Returns the part of the unreserved rate that is granted: a coordinator that reaches
+    /// few members may be cut off from one that grants the rest.
+    fn granted_part(&self, now: Instant) -> f64 {
+        match (self.inherited, self.standing) {
+            (None, Standing::Minority) => self.standing_decay(now),
+            _ => 1.0,
+        }
+    }
+
+    fn standing_decay(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.standing_since);
+        decay(age, SHARE_DECAY_TIME)
+    }
+
     /// Returns the share of the rate for a daemon with `demand` requests per
     /// second: half of the rate is divided by demand, half equally among the
     /// daemons with any. A few requests predict little of what one of many
@@ -157,9 +268,11 @@
     /// to no more than the rate.
     ///
     /// A share near the fair one is kept: while an answer may be lost, the larger of
-    /// the old and the new one is not free for others.
+    /// the old and the new one is not free for others. The coordinator itself needs no
+    /// promise, since it has what it has not promised to others.
     fn next_share(&self, now: Instant, rate: f64, fair: f64, held: f64) -> f64 {
-        let promised = self.daemons.values().map(|other| other.promised_rate(now));
+        let others = self.daemons.iter().filter(|(from, _)| **from != self.own);
+        let promised = others.map(|(_, other)| other.promised_rate(now, self.standing));
         let free = (rate - promised.sum::<f64>()).max(0.0);
         let is_near = held <= fair * SHARE_TOLERANCE && fair <= held * SHARE_TOLERANCE;
         if is_near && held <= free {
@@ -189,20 +302,22 @@
         self.last_refill = now;
         self.daemons
             .retain(|_, other| now.saturating_duration_since(other.last_query) < FORGET_TIMEOUT);
-        let rate = tolerance.rate(limit);
+        let rate = self.rate(now, tolerance, limit);
         let reserved: f64 = self
             .daemons
             .values()
             .chain(&requester)
-            .map(|other| other.reserved_rate(now))
+            .map(|other| other.reserved_rate(now, self.standing))
             .sum();
         let outstanding: f64 = self
             .daemons
             .values()
-            .map(|other| other.outstanding(now))
+            .map(|other| other.outstanding(now, self.standing))
             .sum();
-        let room = (tolerance.capacity(limit) - outstanding - balance).max(0.0);
-        let added = (rate - reserved).max(0.0) * age.as_secs_f64();
+        let capacity = tolerance.capacity(limit) * self.owned_part(now, tolerance, limit);
+        let room = (capacity - outstanding - balance).max(0.0);
+        let granted = (rate - reserved).max(0.0) * self.granted_part(now);
+        let added = granted * age.as_secs_f64();
         self.available = (self.available + added).min(room.max(1.0));
     }
 
@@ -223,7 +338,7 @@
             .filter(|other| now.saturating_duration_since(other.last_query) < DISCONNECT_TIMEOUT)
             .map(|other| other.shortage)
             .sum();
-        let rate = tolerance.rate(limit).max(f64::MIN_POSITIVE);
+        let rate = self.rate(now, tolerance, limit).max(f64::MIN_POSITIVE);
         Duration::try_from_secs_f64(waiting_daemons / rate)
             .unwrap_or(MAX_WAIT)
             .clamp(MIN_WAIT, MAX_WAIT)
@@ -232,9 +347,10 @@
 
 impl DaemonCredit {
     /// Returns the most credit that the daemon may still have, granted or reserved.
-    fn outstanding(&self, now: Instant) -> f64 {
+    fn outstanding(&self, now: Instant, standing: Standing) -> f64 {
         let age = now.saturating_duration_since(self.last_query);
-        let unspent = self.reserved_credit(now).min(self.share * LOCAL_BURST_SECS);
+        let reserved = self.reserved_credit(now, standing);
+        let unspent = reserved.min(self.share * LOCAL_BURST_SECS);
         if age >= OUTSTANDING_LIFETIME {
             unspent
         } else {
@@ -243,11 +359,14 @@
     }
 
     /// Returns the credit reserved for the daemon since it may be disconnected.
-    fn reserved_credit(&self, now: Instant) -> f64 {
+    fn reserved_credit(&self, now: Instant, standing: Standing) -> f64 {
         let age = now.saturating_duration_since(self.last_query);
         if age < DISCONNECT_TIMEOUT {
             return 0.0;
         }
+        if standing != Standing::Majority {
+            return self.share * (age - DISCONNECT_TIMEOUT).as_secs_f64();
+        }
         let decay_secs = SHARE_DECAY_TIME.as_secs_f64();
         self.share
             * decay_secs
@@ -255,15 +374,19 @@
     }
 
     /// Returns the requests per second that it may be admitting by itself.
-    fn reserved_rate(&self, now: Instant) -> f64 {
+    fn reserved_rate(&self, now: Instant, standing: Standing) -> f64 {
         if now.saturating_duration_since(self.last_query) < DISCONNECT_TIMEOUT {
             return 0.0;
         }
-        self.promised_rate(now)
+        self.promised_rate(now, standing)
     }
 
-    /// Returns the requests per second that it may admit by itself if disconnected.
-    fn promised_rate(&self, now: Instant) -> f64 {
+    /// Returns the requests per second that it may admit by itself if disconnected. Those
+    /// on the larger side of a partition keep their shares.
+    fn promised_rate(&self, now: Instant, standing: Standing) -> f64 {
+        if standing != Standing::Majority {
+            return self.share;
+        }
         let age = now.saturating_duration_since(self.last_query);
         self.share * decay(age, SHARE_DECAY_TIME)
     }
--- a/src/policy/rate/mod.rs
+++ b/src/policy/rate/mod.rs
@@ -9,7 +9,9 @@
 //! whole rate there.
 //!
 //! A daemon that cannot reach the coordinator continues at the share of the rate
-//! that it was last granted, which the coordinator reserves for it. The escrow of
+//! that it was last granted, which the coordinator reserves for it. Daemons that cannot
+//! reach it together have a coordinator of their own after some seconds, which divides
+//! the shares that they bring. The escrow of
 //! credit follows stores of replicated counters (O'Neil, "The Escrow
 //! Transactional Method", 1986). Choosing a coordinator by hash, and its takeover
 //! after a failure, follow distributed hash tables, as in the location mechanism
@@ -21,7 +23,7 @@
 mod ring;
 mod tolerance;
 
-pub use bucket::{CreditBucket, CreditGrant, CreditQuery};
+pub use bucket::{CreditBucket, CreditGrant, CreditQuery, PARTITION_TIMEOUT, Standing};
 pub use local_credit::{CreditDecision, LocalCredit};
 pub use ring::HashRing;
 pub use tolerance::{RateTolerance, Sharing};
--- a/src/policy/rate/ring.rs
+++ b/src/policy/rate/ring.rs
@@ -1,5 +1,6 @@
 //! The choice of the daemon that coordinates a workspace.
 
+use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::model::{Instance, WorkspaceName};
@@ -23,12 +24,17 @@
     /// it silent; daemons disconnected from it admit requests by themselves
     /// meanwhile.
     pub fn new(view: &View) -> Self {
-        let is_staying = |state| state < MemberState::Leaving;
-        let mut points: Vec<(u64, Instance)> = view
-            .members()
-            .filter(|member| is_staying(member.state))
-            .flat_map(|member| member_points(member.instance))
-            .collect();
+        Self::of(staying(view))
+    }
+
+    /// Creates the ring of the same members and of those that fell silent after `since`:
+    /// the coordinators of before, unless they left.
+    pub fn with_silent(view: &View, since: Instant) -> Self {
+        Self::of(staying(view).chain(view.silent_after(since)))
+    }
+
+    fn of(members: impl Iterator<Item = Instance>) -> Self {
+        let mut points: Vec<(u64, Instance)> = members.flat_map(member_points).collect();
         points.sort_unstable();
         Self { points }
     }
@@ -52,6 +58,13 @@
     }
 }
 
+/// Returns the members that run and are not leaving.
+fn staying(view: &View) -> impl Iterator<Item = Instance> + '_ {
+    let members = view.members();
+    let staying = members.filter(|member| member.state < MemberState::Leaving);
+    staying.map(|member| member.instance)
+}
+
 /// Returns the points of a member. They depend on its address only, so that a
 /// restarted daemon has the same ones.
 fn member_points(instance: Instance) -> impl Iterator<Item = (u64, Instance)> {
--- a/src/tables/rates.rs
+++ b/src/tables/rates.rs
@@ -11,13 +11,15 @@
 use tokio::time::Instant;
 
 use crate::declare::RateLimit;
-use crate::model::WorkspaceName;
+use crate::model::{Instance, WorkspaceName};
 use crate::policy::member::{ChangeCount, View};
 use crate::policy::rate::{
-    CreditBucket, CreditDecision, CreditGrant, CreditQuery, HashRing, LocalCredit, RateTolerance,
-    Sharing,
+    CreditBucket, CreditDecision, CreditGrant, CreditQuery, HashRing, LocalCredit,
+    PARTITION_TIMEOUT, RateTolerance, Sharing, Standing,
 };
 
+/// How often it is checked whether silent members count as gone.
+const FORMER_INTERVAL: Duration = Duration::from_secs(5);
 /// Queries for credit between two removals of idle buckets.
 const QUERIES_PER_SWEEP: u64 = 4096;
 
@@ -49,6 +51,32 @@
     change: Option<ChangeCount>,
     ring: Arc<HashRing>,
     since: Instant,
+    /// The ring with the members that fell silent lately.
+    former: Arc<HashRing>,
+    /// When the former ring is to be computed again, since silent members count as gone.
+    former_until: Option<Instant>,
+    standing: Standing,
+}
+
+/// What the members say of the coordination of a workspace by this daemon.
+struct Coordination {
+    since: Instant,
+    /// Whether another daemon coordinates it, or did and may be cut off.
+    is_taken_over: bool,
+    standing: Standing,
+}
+
+impl RingState {
+    fn update_former(&mut self, now: Instant, view: &View) {
+        let since = now.checked_sub(PARTITION_TIMEOUT).unwrap_or(now);
+        let silent = view.silent_after(since).count();
+        self.standing = Standing::new(self.ring.len(), silent);
+        self.former_until = (silent > 0).then_some(now + FORMER_INTERVAL);
+        self.former = match silent {
+            0 => Arc::clone(&self.ring),
+            _ => Arc::new(HashRing::with_silent(view, since)),
+        };
+    }
 }
 
 /// The credit of all workspaces with a rate limit.
@@ -72,6 +100,9 @@
                 change: None,
                 ring: Arc::default(),
                 since: Instant::now(),
+                former: Arc::default(),
+                former_until: None,
+                standing: Standing::default(),
             }),
             credits: Mutex::default(),
             buckets: Mutex::default(),
@@ -82,18 +113,42 @@
 
     /// Returns the hash ring of the members of a view.
     pub fn ring(&self, view: &View) -> Arc<HashRing> {
+        let now = Instant::now();
         let mut state = self.ring.lock();
-        if state.change != Some(view.change()) {
+        let is_changed = state.change != Some(view.change());
+        if is_changed {
             state.change = Some(view.change());
             let ring = HashRing::new(view);
             if ring != *state.ring {
+                self.end_takeovers(&ring, view.own().instance);
                 state.ring = Arc::new(ring);
-                state.since = Instant::now();
+                state.since = now;
             }
         }
+        if is_changed || state.former_until.is_some_and(|until| now >= until) {
+            state.update_former(now, view);
+        }
         Arc::clone(&state.ring)
     }
 
+    /// Drops the buckets of workspaces whose coordinator was silent and is heard again.
+    fn end_takeovers(&self, ring: &HashRing, own: Instance) {
+        let is_own = |workspace: &WorkspaceName| ring.coordinator(workspace) == Some(own);
+        let mut buckets = self.buckets.lock();
+        buckets.retain(|workspace, bucket| !bucket.is_taken_over() || is_own(workspace));
+    }
+
+    /// Returns how the daemon at `own` coordinates a workspace.
+    fn coordination(&self, workspace: &WorkspaceName, own: SocketAddr) -> Coordination {
+        let state = self.ring.lock();
+        let former = state.former.coordinator(workspace);
+        Coordination {
+            since: state.since,
+            is_taken_over: former.is_some_and(|former| former.address != own),
+            standing: state.standing,
+        }
+    }
+
     /// Returns the local credit of a workspace.
     pub fn credit(&self, workspace: &WorkspaceName) -> Arc<WorkspaceCredit> {
         let mut credits = self.credits.lock();
@@ -177,15 +232,17 @@
         local.record_no_answer(Instant::now(), &self.tolerance, members, &mut rand::rng());
     }
 
-    /// Grants credit of a workspace that this daemon coordinates.
+    /// Grants credit of a workspace that the daemon at `own` coordinates.
     pub fn grant(
         &self,
         workspace: &WorkspaceName,
         limit: RateLimit,
+        own: SocketAddr,
         from: SocketAddr,
         query: CreditQuery,
     ) -> CreditGrant {
         let now = Instant::now();
+        let coordination = self.coordination(workspace, own);
         let mut buckets = self.buckets.lock();
         if self
             .grant_queries
@@ -194,14 +251,28 @@
         {
             buckets.retain(|_, bucket| !bucket.is_idle(now));
         }
-        if !buckets.contains_key(workspace) {
-            let since = self.ring.lock().since;
-            buckets.insert(workspace.clone(), CreditBucket::new(since, &self.tolerance));
+        let tolerance = &self.tolerance;
+        let is_usable =
+            |bucket: &CreditBucket| bucket.is_taken_over() || !coordination.is_taken_over;
+        if !buckets.get(workspace).is_some_and(is_usable) {
+            let bucket = if coordination.is_taken_over {
+                spdlog::info!("rate taken over from a silent daemon", kv: {
+                    workspace = workspace.as_str()
+                });
+                CreditBucket::take_over(now, own, tolerance)
+            } else {
+                CreditBucket::new(coordination.since, own, tolerance)
+            };
+            buckets.insert(workspace.clone(), bucket);
         }
-        match buckets.get_mut(workspace) {
-            Some(bucket) => bucket.grant(now, &self.tolerance, limit, from, query),
-            None => CreditGrant::default(),
+        let Some(bucket) = buckets.get_mut(workspace) else {
+            return CreditGrant::default();
+        };
+        if !coordination.is_taken_over {
+            bucket.own_rate();
         }
+        bucket.set_standing(now, coordination.standing);
+        bucket.grant(now, tolerance, limit, from, query)
     }
 
     /// Returns the counts of the `limit` workspaces with most requests, largest first.
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -128,7 +128,8 @@
         let in_force = self.current.get()?;
         let workspaces = in_force.estate.workspaces.as_ref()?;
         let limit = workspaces.get(workspace)?.limit?;
-        Some(self.rates.grant(workspace, limit, from, query))
+        let own = self.instance.address;
+        Some(self.rates.grant(workspace, limit, own, from, query))
     }
 
     /// Returns whether the daemon is ready for callers: a configuration is in force,
--- a/tests/rates/main.rs
+++ b/tests/rates/main.rs
@@ -15,7 +15,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
-use world::{World, limit};
+use world::{COORDINATOR, World, limit};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -137,6 +137,74 @@
     assert_within_bound(&world);
 }
 
+/// Guards against a rate that is granted twice, by a coordinator that is cut off and by
+/// the one in its place. All callers of both sides ask for several times the rate.
+#[rstest]
+#[case::coordinator_alone(COORDINATOR..COORDINATOR + 1)]
+#[case::another_daemon_alone(3..4)]
+#[case::half_with_coordinator(44..88)]
+#[case::half_without_coordinator(0..44)]
+#[case::few_without_coordinator(0..10)]
+#[case::most_without_coordinator(0..60)]
+fn partition_does_not_double_the_rate(
+    #[case] cut_off: std::ops::Range<usize>,
+    #[values(8, 20, 60)] secs: u32,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut world = World::new(88, limit(60.0, 60), Sharing::Lent, seed);
+    // Half of the load is on the daemons cut off, however few they are.
+    let inside = cut_off.clone();
+    let load = move |index: usize| match inside.contains(&index) {
+        true => 200.0 / inside.len() as f64,
+        false => 200.0 / (88 - inside.len()) as f64,
+    };
+    world.run_for(10 * SECOND, &load);
+    world.cut_off(cut_off);
+    world.run_for(secs * SECOND, &load);
+    world.heal();
+    world.run_for(8 * SECOND, &load);
+    assert_within_bound(&world);
+}
+
+/// Guards against a rate that is exceeded by the shares of daemons that are cut off while the
+/// coordinator restarts: its next run doesn't know them.
+#[test]
+fn coordinator_restart_in_partition_does_not_exceed_the_rate() {
+    let mut world = World::new(88, limit(60.0, 60), Sharing::Lent, 1);
+    world.run_for(10 * SECOND, on_all_daemons(400.0, 88));
+    world.cut_off(0..44);
+    world.run_for(6 * SECOND, on_all_daemons(400.0, 88));
+    world.restart(COORDINATOR);
+    world.lose_coordinator();
+    world.run_for(8 * SECOND, on_all_daemons(400.0, 88));
+    assert_within_bound(&world);
+}
+
+/// Bounds what the guard against a doubled rate costs when the coordinator is really gone:
+/// only the share of its own callers is held back.
+#[rstest]
+#[case::on_all_daemons(false)]
+#[case::on_few(true)]
+fn load_below_the_rate_passes_without_coordinator(
+    #[case] is_on_few: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut world = World::new(88, limit(82.0, 82), Sharing::Lent, seed);
+    let run = |world: &mut World, time| match is_on_few {
+        true => world.run_for(time, on_three_daemons(51.0)),
+        false => world.run_for(time, on_all_daemons(51.0, 88)),
+    };
+    run(&mut world, 5 * SECOND);
+    world.cut_off(COORDINATOR..COORDINATOR + 1);
+    // The daemons admit requests by themselves until they take the coordinator for silent.
+    run(&mut world, 5 * SECOND);
+    world.take_refused_share();
+    run(&mut world, 20 * SECOND);
+    let refused = world.take_refused_share();
+    assert!(refused <= 0.02, "{refused} refused");
+    assert_within_bound(&world);
+}
+
 /// With equal parts instead of credit, a workspace whose callers are on few VMs
 /// is refused most of its requests although they are within its rate.
 #[test]
@@ -227,3 +295,63 @@
         );
     }
 }
+
+#[derive(Clone, Debug)]
+enum PartitionEvent {
+    Load(u32),
+    LoadOnFew(u32),
+    CutOff(usize, usize),
+    Heal,
+    Restart(usize),
+}
+
+fn partition_event() -> impl Strategy<Value = PartitionEvent> {
+    prop_oneof![
+        2 => (0u32..400).prop_map(PartitionEvent::Load),
+        1 => (0u32..400).prop_map(PartitionEvent::LoadOnFew),
+        1 => (0usize..88).prop_map(|one| PartitionEvent::CutOff(one, one + 1)),
+        1 => Just(PartitionEvent::CutOff(COORDINATOR, COORDINATOR + 1)),
+        1 => (0usize..44, 44usize..88).prop_map(|(from, to)| PartitionEvent::CutOff(from, to)),
+        3 => Just(PartitionEvent::Heal),
+        1 => (0usize..88).prop_map(PartitionEvent::Restart),
+    ]
+}
+
+proptest! {
+    #![proptest_config(histories())]
+
+    /// No window exceeds the bound while daemons are cut off together, have a coordinator of
+    /// their own and find the others again, one partition after the other. A daemon may
+    /// restart meanwhile, but not the coordinator.
+    #[test]
+    fn no_window_is_over_the_bound_in_partitions(
+        events in prop::collection::vec((partition_event(), 500u64..9000), 4..10),
+        rate in 5u32..120,
+        seed in any::<u64>(),
+    ) {
+        let world = play_partitions(&events, rate, seed);
+        prop_assert!(
+            world.worst_window as f64 <= world.bound(),
+            "{} in a window, {} allowed", world.worst_window, world.bound()
+        );
+    }
+}
+
+fn play_partitions(events: &[(PartitionEvent, u64)], rate: u32, seed: u64) -> World {
+    let mut world = World::new(88, limit(f64::from(rate), rate), Sharing::Lent, seed);
+    let (mut all, mut on_few) = (50.0, 0.0);
+    for (event, millis) in events {
+        match event {
+            PartitionEvent::Load(load) => all = f64::from(*load),
+            PartitionEvent::LoadOnFew(load) => on_few = f64::from(*load),
+            PartitionEvent::CutOff(from, to) => world.cut_off(*from..*to),
+            PartitionEvent::Heal => world.heal(),
+            PartitionEvent::Restart(daemon) => world.restart(*daemon),
+        }
+        let time = Duration::from_millis(*millis);
+        world.run_for(time, |index| {
+            all / 88.0 + if index < 3 { on_few / 3.0 } else { 0.0 }
+        });
+    }
+    world
+}
--- a/tests/rates/world.rs
+++ b/tests/rates/world.rs
@@ -8,6 +8,7 @@
 use bramleymount::model::Rate;
 use bramleymount::policy::rate::{
     CreditBucket, CreditDecision, CreditGrant, CreditQuery, LocalCredit, RateTolerance, Sharing,
+    Standing,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -39,6 +40,28 @@
     }
 }
 
+/// Time until daemons that a coordinator doesn't answer take it for silent.
+const SILENCE_TIME: Duration = Duration::from_secs(4);
+/// Time until daemons that are no longer cut off know it.
+const HEAL_TIME: Duration = Duration::from_millis(500);
+
+/// The daemon that coordinates, without callers in tests that put them on the first ones.
+pub(crate) const COORDINATOR: usize = 60;
+
+/// The address of a daemon.
+fn address(daemon: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], daemon as u16 + 1))
+}
+
+/// Daemons that are cut off from all others, and reach each other.
+struct Partition {
+    daemons: std::ops::Range<usize>,
+    since: Duration,
+    healed_at: Option<Duration>,
+    /// The bucket of the daemons without the coordinator, once they have one.
+    bucket: Option<CreditBucket>,
+}
+
 /// A query on its way to the coordinator.
 struct QueryInFlight {
     daemon: usize,
@@ -67,6 +90,9 @@
     pub(crate) tolerance: RateTolerance,
     daemons: Vec<Daemon>,
     bucket: CreditBucket,
+    /// The daemon that coordinates; another one takes over in a partition.
+    coordinator: usize,
+    partition: Option<Partition>,
     queries: Vec<QueryInFlight>,
     replies: Vec<ReplyInFlight>,
     pub(crate) loss_rate: f64,
@@ -94,7 +120,9 @@
             limit,
             tolerance,
             daemons: (0..daemons).map(daemon).collect(),
-            bucket: CreditBucket::new(start, &tolerance),
+            bucket: CreditBucket::new(start, address(COORDINATOR), &tolerance),
+            coordinator: COORDINATOR,
+            partition: None,
             queries: Vec::new(),
             replies: Vec::new(),
             loss_rate: 0.0,
@@ -136,7 +164,65 @@
 
     /// Replaces the coordinator by one without its state.
     pub(crate) fn lose_coordinator(&mut self) {
-        self.bucket = CreditBucket::new(self.start + self.now, &self.tolerance);
+        let own = address(self.coordinator);
+        self.bucket = CreditBucket::new(self.start + self.now, own, &self.tolerance);
+    }
+
+    /// Cuts daemons off from all others; they reach each other.
+    pub(crate) fn cut_off(&mut self, daemons: std::ops::Range<usize>) {
+        self.partition = Some(Partition {
+            daemons,
+            since: self.now,
+            healed_at: None,
+            bucket: None,
+        });
+    }
+
+    /// Ends the partition; daemons know it a little later.
+    pub(crate) fn heal(&mut self) {
+        if let Some(partition) = &mut self.partition {
+            partition.healed_at = Some(self.now);
+        }
+    }
+
+    /// Returns whether a daemon is on the coordinator's side of the partition.
+    fn is_with_coordinator(&self, daemon: usize) -> bool {
+        self.partition.as_ref().is_none_or(|partition| {
+            let is_inside = |daemon| partition.daemons.contains(&daemon);
+            is_inside(daemon) == is_inside(self.coordinator)
+        })
+    }
+
+    /// Lets the daemons without the coordinator take over, and both sides know how many
+    /// daemons they reach.
+    fn update_partition(&mut self) {
+        let (start, now, count) = (self.start, self.now, self.daemons.len());
+        let Some(partition) = &mut self.partition else {
+            return;
+        };
+        if partition.healed_at.is_some_and(|at| now >= at + HEAL_TIME) {
+            self.partition = None;
+            self.bucket.set_standing(start + now, Standing::Majority);
+            return;
+        }
+        if partition.bucket.is_none() && now >= partition.since + SILENCE_TIME {
+            let inside = partition.daemons.len();
+            let with_coordinator = match partition.daemons.contains(&self.coordinator) {
+                true => inside,
+                false => count - inside,
+            };
+            let others = count - with_coordinator;
+            let at = start + now;
+            self.bucket
+                .set_standing(at, Standing::new(with_coordinator, others));
+            let first = (0..count).find(|daemon| {
+                partition.daemons.contains(daemon) != partition.daemons.contains(&self.coordinator)
+            });
+            let own = address(first.unwrap_or_default());
+            let mut bucket = CreditBucket::take_over(at, own, &self.tolerance);
+            bucket.set_standing(at, Standing::new(others, with_coordinator));
+            partition.bucket = Some(bucket);
+        }
     }
 
     /// Runs for `time`, while `rates` requests per second arrive at each daemon.
@@ -144,6 +230,7 @@
         let end = self.now + time;
         while self.now < end {
             self.now += STEP;
+            self.update_partition();
             for index in 0..self.daemons.len() {
                 let mean = rates(index) * STEP.as_secs_f64();
                 let minimum = mean.floor() as u32;
@@ -210,7 +297,11 @@
         let daemon = &mut self.daemons[index];
         daemon.asking = true;
         self.query_count += 1;
-        let lost = daemon.is_disconnected || self.rng.random_bool(self.loss_rate);
+        let is_disconnected = daemon.is_disconnected && index != self.coordinator;
+        let lost = is_disconnected || self.rng.random_bool(self.loss_rate);
+        let is_cut_off = !self.is_with_coordinator(index)
+            && !matches!(&self.partition, Some(partition) if partition.bucket.is_some());
+        let lost = lost || is_cut_off;
         let delay = Duration::from_millis(self.rng.random_range(1..6));
         self.queries.push(QueryInFlight {
             daemon: index,
@@ -228,11 +319,14 @@
             .partition::<Vec<_>, _>(|query| is_due(query.arrival));
         self.queries = rest;
         for query in arrived {
-            let address = SocketAddr::from(([10, 0, 0, 1], query.daemon as u16 + 1));
-            let grant = (!query.lost).then(|| {
-                let (tolerance, limit) = (&self.tolerance, self.limit);
-                self.bucket
-                    .grant(now, tolerance, limit, address, query.query)
+            let is_with_coordinator = self.is_with_coordinator(query.daemon);
+            let (tolerance, limit) = (&self.tolerance, self.limit);
+            let bucket = match &mut self.partition {
+                Some(partition) if !is_with_coordinator => partition.bucket.as_mut(),
+                _ => Some(&mut self.bucket),
+            };
+            let grant = bucket.filter(|_| !query.lost).map(|bucket| {
+                bucket.grant(now, tolerance, limit, address(query.daemon), query.query)
             });
             // A reply may be lost too, and its credit with it.
             let lost = query.lost || self.rng.random_bool(self.loss_rate);
