Cut bodies of servers at the deadline of their calls

Seen: a body without end, in chunks or without a length, is forwarded to a caller that goes on reading for 17 s past deadline and timeout, until the server stops.

Cause: a large body was forwarded as long as something arrived each 10 s. A server stops work at the deadline that it is told, so a body that goes on after it doesn't end.

Change: the body is cut at the deadline and the connection to the server is closed. The caller's connection ends with it; it lingered for 0.5 s more, as after an answer that was sent completely.

--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -198,8 +198,21 @@
     Ok(AnswerBody::Whole(whole.freeze()))
 }
 
-/// Forwards a large body; returns whether it was forwarded completely.
+/// Forwards a large body until `latest`; returns whether it was forwarded completely.
+///
+/// A server stops work at the deadline of its call, so a body that goes on is none that
+/// ends.
 pub(super) async fn copy_body(
+    first: Bytes,
+    body: Incoming,
+    latest: Instant,
+    to: &tokio::sync::mpsc::Sender<Result<Bytes, IncompleteBody>>,
+) -> bool {
+    let copied = tokio::time::timeout_at(latest, copy_chunks(first, body, to)).await;
+    copied.unwrap_or(false)
+}
+
+async fn copy_chunks(
     first: Bytes,
     mut body: Incoming,
     to: &tokio::sync::mpsc::Sender<Result<Bytes, IncompleteBody>>,
--- a/src/guard/reply.rs
+++ b/src/guard/reply.rs
@@ -1,8 +1,7 @@
 //! Replies and refusals to the entry for calls that were sent to the backend server.
 
-use bytes::Bytes;
 use http::StatusCode;
-use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::backend::{AnswerBody, BackendError, copy_body, stream};
 use super::server_request::ServerAnswer;
@@ -88,14 +87,14 @@
         !outcomes.is_empty()
     }
 
-    /// Creates the reply; a task forwards a large body and holds the slot until the
-    /// body ends.
+    /// Creates the reply; a task forwards a large body until `latest` and holds the slot
+    /// until the body ends.
     pub(super) fn reply(
         &self,
         answer: ServerAnswer,
         onward: bool,
-        slot: SlotPermit,
-        held: ParentCallGuard,
+        latest: Instant,
+        (slot, held): (SlotPermit, ParentCallGuard),
     ) -> Reply {
         let mut head = ReplyHead {
             status: answer.status,
@@ -113,25 +112,15 @@
             }
             AnswerBody::Large(first, rest) => {
                 head.returned_retries = held.close();
-                self.forward_body(answer.length, first, rest, (slot, held))
+                let (sender, chunks) = Chunks::channel();
+                self.handle.spawn(async move {
+                    let _guards = (slot, held);
+                    copy_body(first, rest, latest, &sender).await;
+                });
+                stream(answer.length, chunks)
             }
         };
         head.guard_status = self.status();
         Reply { head, body }
     }
-
-    fn forward_body(
-        &self,
-        length: Option<u64>,
-        first: Bytes,
-        rest: Incoming,
-        guards: (SlotPermit, ParentCallGuard),
-    ) -> Payload {
-        let (sender, chunks) = Chunks::channel();
-        self.handle.spawn(async move {
-            let _guards = guards;
-            copy_body(first, rest, &sender).await;
-        });
-        stream(length, chunks)
-    }
 }
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -271,6 +271,6 @@
             Ok(Ok(answer)) => answer,
         };
         let onward = self.record_end(&mut slot, &held, answer.status);
-        Ok(self.reply(answer, onward, slot, held))
+        Ok(self.reply(answer, onward, latest, (slot, held)))
     }
 }
--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -71,11 +71,16 @@
             .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(pipelined), service);
         let served = (&mut connection).await;
+        let is_cut = served.as_ref().is_err_and(hyper::Error::is_user);
         if let Err(e) = served {
             spdlog::debug!("connection of a caller failed", kv: { cause = e.to_string().as_str() });
         }
         self.pipeline.lock().end_connection();
         drop(unsent);
+        // The body of an answer was cut off: its caller waits for nothing else.
+        if is_cut {
+            return;
+        }
         let stream = connection.into_parts().io.into_inner().into_inner();
         if tokio::time::timeout(LINGER_TIMEOUT, linger(stream))
             .await
