Let the feed queries of delegates end in turn

Cause: the bound on lost answers needs one delegate whose query ends soon, not all of them.

Change: queries wait for 10 s again where there are four delegates or more. After a change, which all hear at the same moment, the first query of each waits for a part of that by its place among the delegates, so that they end in turn, at most 2.5 s apart. The one that finds an answer lost reads the row and tells the others of changes.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,7 +1,6 @@
 //! Follows the operator's document through the store's feed.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::Rng;
 
@@ -11,7 +10,7 @@
 use crate::guard::Guard;
 use crate::model::Version;
 use crate::peer::apply_configuration;
-use crate::policy::member::{VersionDecision, read_probability};
+use crate::policy::member::{VersionDecision, delegate_position, feed_wait, read_probability};
 use crate::store::{Feed, Row};
 use crate::tables::Shared;
 use crate::task::{FollowedRow, follow_row};
@@ -24,22 +23,15 @@
 /// The author recorded for versions that come from the row.
 const ROW_AUTHOR: &str = "operator";
 
-/// How long one request for changes may stay open.
-///
-/// A request whose answer was lost looks like one without changes until then, and
-/// versions must be in force five seconds after the store works again. Only delegates
-/// send these requests, so that their number does not grow with the daemons.
-const FEED_WAIT: Duration = Duration::from_millis(2500);
-
 /// Applies each version of the operator's document; never returns.
 pub async fn watch_configuration(shared: Arc<Shared>, guard: Arc<Guard>, feed: Arc<dyn Feed>) {
     let followed = FollowedRow {
         key: CONFIGURATION_ROW,
         table: CONFIGURATION_TABLE,
-        wait: FEED_WAIT,
     };
     let may_query = || shared.store_role.borrow().uses_store() || may_read_first(&shared);
-    follow_row(&*feed, &followed, may_query, |row| {
+    let wait = |is_first| feed_wait(delegate_position(&shared.view.lock()), is_first);
+    follow_row(&*feed, &followed, may_query, wait, |row| {
         if let Err(e) = apply_row(&shared, &guard, row) {
             spdlog::error!("invalid configuration", kv: {
                 cause = e.to_string().as_str(), revision = row.revision.0
--- /dev/null
+++ b/src/policy/member/feed.rs
@@ -0,0 +1,28 @@
+//! How long queries for changes stay open at the store.
+
+use std::time::Duration;
+
+/// Time between the ends of two queries of an estate at most. A query whose answer was
+/// lost looks like one without changes until then, and versions must be in force five
+/// seconds after the store works again.
+const MAX_INTERVAL: Duration = Duration::from_millis(2500);
+/// How long one query may stay open.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Returns how long a query may stay open, by the index of this daemon among the delegates
+/// and their number, if it is one.
+///
+/// The first query after a change is shorter, since all delegates send it at the same
+/// moment: their queries end in turn, so that one of them soon finds that answers were
+/// lost, reads the row and tells the others what changes.
+pub fn feed_wait(position: Option<(usize, usize)>, is_first: bool) -> Duration {
+    let Some((index, count)) = position else {
+        return MAX_INTERVAL;
+    };
+    let wait = MAX_WAIT.min(MAX_INTERVAL * u32::try_from(count).unwrap_or(u32::MAX));
+    if is_first {
+        wait.mul_f64((index + 1) as f64 / count.max(1) as f64)
+    } else {
+        wait
+    }
+}
--- a/src/policy/member/mod.rs
+++ b/src/policy/member/mod.rs
@@ -1,6 +1,7 @@
 //! Membership, gossip neighbours and the rollout of the configuration.
 
 mod budget;
+mod feed;
 mod link;
 mod neighbours;
 mod presence;
@@ -11,8 +12,11 @@
 mod view;
 
 pub use budget::Budget;
+pub use feed::feed_wait;
 pub use link::{Link, LinkEvent, SyncPosition};
-pub use neighbours::{Neighbours, gossip_targets, is_delegate, neighbours, read_probability};
+pub use neighbours::{
+    Neighbours, delegate_position, gossip_targets, is_delegate, neighbours, read_probability,
+};
 pub use presence::{Announcement, AnnouncementEffect, Intent, Presence};
 pub use ranks::RankedMembers;
 pub use record::{Incarnation, Member, MemberState};
--- a/src/policy/member/neighbours.rs
+++ b/src/policy/member/neighbours.rs
@@ -145,3 +145,16 @@
     let mut first = view.running().members(&own.centre).take(DELEGATE_COUNT);
     first.any(|instance| instance == own.instance)
 }
+
+/// Returns the index of this daemon among the delegates of all data centres, and their
+/// number; `None` if it is not one of them.
+pub fn delegate_position(view: &View) -> Option<(usize, usize)> {
+    let running = view.running();
+    let delegates = running
+        .centres()
+        .flat_map(|centre| running.members(centre).take(DELEGATE_COUNT));
+    let delegates: Vec<Instance> = delegates.collect();
+    let own = view.own().instance;
+    let index = delegates.iter().position(|instance| *instance == own)?;
+    Some((index, delegates.len()))
+}
--- a/src/task/follow.rs
+++ b/src/task/follow.rs
@@ -29,25 +29,26 @@
     pub key: &'static str,
     /// The table of the row.
     pub table: &'static str,
-    /// How long one query for changes may stay open.
-    pub wait: Duration,
 }
 
 /// Passes each state of a row to `apply` as soon as the store reports it, forever.
 /// States that follow each other quickly may be skipped.
 ///
 /// The store isn't queried while `may_query` returns false; the whole row is read
-/// after that.
+/// after that. `wait` returns how long a query for changes may stay open, and is told
+/// whether it is the first one after a change.
 pub async fn follow_row(
     feed: &dyn Feed,
     followed: &FollowedRow,
     mut may_query: impl FnMut() -> bool,
+    wait: impl Fn(bool) -> Duration,
     mut apply: impl FnMut(&Row),
 ) {
     let mut budget =
         Budget::with_max_backoff(Instant::now(), QUERIES_PER_S, QUERY_BURST, MAX_BACKOFF);
     let mut known: Option<Revision> = None;
     let mut lost = false;
+    let mut is_first = true;
     let mut restored = feed.restores();
     let mut restores = *restored.borrow_and_update();
     loop {
@@ -62,13 +63,25 @@
         }
         let before = known;
         let failed = match known {
-            None => read_row(feed, followed, &mut known, &mut apply).await,
+            None => {
+                is_first = true;
+                read_row(feed, followed, &mut known, &mut apply).await
+            }
             // A store restored from a copy may give out the same positions in the
             // feed again, and would skip the changes before this one.
-            Some(after) => tokio::select! {
-                failed = read_changes(feed, followed, after, &mut known, &mut apply) => failed,
-                Ok(()) = restored.changed() => None,
-            },
+            Some(after) => {
+                let query = FeedQuery {
+                    after,
+                    wait: wait(is_first),
+                };
+                tokio::select! {
+                    read = read_changes(feed, followed, query, &mut known, &mut apply) => {
+                        is_first = read != Ok(false);
+                        read.err()
+                    }
+                    Ok(()) = restored.changed() => None,
+                }
+            }
         };
         let now = *restored.borrow_and_update();
         if now != restores {
@@ -119,15 +132,26 @@
     }
 }
 
-/// Queries the changes; returns the cause if that fails.
+/// A query for the changes of the table.
+#[derive(Clone, Copy, Debug)]
+struct FeedQuery {
+    after: Revision,
+    wait: Duration,
+}
+
+/// Queries the changes; returns whether there were any.
+///
+/// # Errors
+///
+/// Returns the cause if the platform doesn't answer.
 async fn read_changes(
     feed: &dyn Feed,
     followed: &FollowedRow,
-    after: Revision,
+    FeedQuery { after, wait }: FeedQuery,
     known: &mut Option<Revision>,
     apply: &mut impl FnMut(&Row),
-) -> Option<Box<str>> {
-    match feed.changes(followed.table, after, followed.wait).await {
+) -> Result<bool, Box<str>> {
+    match feed.changes(followed.table, after, wait).await {
         Ok(changes) => {
             for change in &changes.changes {
                 if *change.key == *followed.key
@@ -137,16 +161,16 @@
                 }
             }
             *known = Some(changes.revision.max(after));
-            None
+            Ok(!changes.changes.is_empty())
         }
         Err(FeedError::HistoryExpired) => {
             *known = None;
-            None
+            Ok(true)
         }
         Err(FeedError::Failed(cause)) => {
             // Changes may have been missed, so the whole row is read again.
             *known = None;
-            Some(cause)
+            Err(cause)
         }
     }
 }
