Shorten only the feed queries of the first delegates

Cause: each change costs a shorter query of each delegate; four that end 2.5 s apart hold the bound.

Change: the first query after a change waits 2.5 s more for each place, and 10 s at most. Places go round the data centres.

--- a/src/policy/member/feed.rs
+++ b/src/policy/member/feed.rs
@@ -12,17 +12,13 @@
 /// Returns how long a query may stay open, by the index of this daemon among the delegates
 /// and their number, if it is one.
 ///
-/// The first query after a change is shorter, since all delegates send it at the same
-/// moment: their queries end in turn, so that one of them soon finds that answers were
+/// All delegates send the first query after a change at the same moment. Those of the first
+/// ones are shorter, so that they end in turn: one of them soon finds that answers were
 /// lost, reads the row and tells the others what changes.
 pub fn feed_wait(position: Option<(usize, usize)>, is_first: bool) -> Duration {
     let Some((index, count)) = position else {
         return MAX_INTERVAL;
     };
-    let wait = MAX_WAIT.min(MAX_INTERVAL * u32::try_from(count).unwrap_or(u32::MAX));
-    if is_first {
-        wait.mul_f64((index + 1) as f64 / count.max(1) as f64)
-    } else {
-        wait
-    }
+    let turns = if is_first { index + 1 } else { count };
+    MAX_WAIT.min(MAX_INTERVAL * u32::try_from(turns).unwrap_or(u32::MAX))
 }
--- a/src/policy/member/neighbours.rs
+++ b/src/policy/member/neighbours.rs
@@ -147,14 +147,19 @@
 }
 
 /// Returns the index of this daemon among the delegates of all data centres, and their
-/// number; `None` if it is not one of them.
+/// number; `None` if it is not one of them. The first ones are of different data centres,
+/// since one may be cut off as a whole.
 pub fn delegate_position(view: &View) -> Option<(usize, usize)> {
     let running = view.running();
-    let delegates = running
-        .centres()
-        .flat_map(|centre| running.members(centre).take(DELEGATE_COUNT));
-    let delegates: Vec<Instance> = delegates.collect();
+    let ranked = running.centres().flat_map(|centre| {
+        let delegates = running.members(centre).take(DELEGATE_COUNT);
+        delegates.enumerate()
+    });
+    let mut delegates: Vec<(usize, Instance)> = ranked.collect();
+    delegates.sort_by_key(|(rank, _)| *rank);
     let own = view.own().instance;
-    let index = delegates.iter().position(|instance| *instance == own)?;
+    let index = delegates
+        .iter()
+        .position(|(_, instance)| *instance == own)?;
     Some((index, delegates.len()))
 }
