Read memory and descriptors of the VM from the settings

A daemon knew nothing of what it may use. `vm.memory` and `vm.descriptors` are filled from the platform's file by the template; where they are left out they are those of the smallest VMs (160 MB, 4,100 descriptors). Nothing uses them yet.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -5,8 +5,10 @@
 
 use serde_saphyr::Spanned;
 
-use super::file::{CallersEntry, ListenEntry, RatesEntry, RepeatsEntry};
+use super::VmLimits;
+use super::file::{CallersEntry, ListenEntry, RatesEntry, RepeatsEntry, VmEntry};
 use crate::declare::Errors;
+use crate::model::MemorySize;
 use crate::policy::rate::RateTolerance;
 use crate::policy::retry::AllowanceSettings;
 
@@ -14,6 +16,11 @@
 const MAX_PIPELINED: usize = 64;
 /// Maximum number of seeds that a platform lists.
 const MAX_SEEDS: usize = 16;
+/// What a daemon needs at least.
+const MIN_VM: VmLimits = VmLimits {
+    memory: MemorySize::from_megabytes(48),
+    descriptors: 256,
+};
 
 pub(super) fn check_pipelining(path: &Path, entry: CallersEntry, errors: &mut Errors) -> usize {
     let Some(max_pipelined) = entry.max_pipelined else {
@@ -43,6 +50,31 @@
         .collect()
 }
 
+pub(super) fn check_vm(path: &Path, entry: VmEntry, errors: &mut Errors) -> VmLimits {
+    if let Some(memory) = &entry.memory
+        && memory.value < MIN_VM.memory
+    {
+        let message = format!("memory must be {} or more, such as 160MB", MIN_VM.memory);
+        errors.push_at(path, memory, message);
+    }
+    if let Some(descriptors) = &entry.descriptors
+        && descriptors.value < MIN_VM.descriptors
+    {
+        let message = format!(
+            "descriptors must be {} or more, such as 4100",
+            MIN_VM.descriptors
+        );
+        errors.push_at(path, descriptors, message);
+    }
+    let default = VmLimits::default();
+    VmLimits {
+        memory: entry.memory.map_or(default.memory, |size| size.value),
+        descriptors: entry
+            .descriptors
+            .map_or(default.descriptors, |count| count.value),
+    }
+}
+
 pub(super) fn check_retry_allowance(
     path: &Path,
     entry: Option<RepeatsEntry>,
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -6,7 +6,7 @@
 use serde_saphyr::Spanned;
 
 use super::{LogFormat, LogLevel};
-use crate::model::{CentreName, HallName, PositiveDuration, ServiceName};
+use crate::model::{CentreName, HallName, MemorySize, PositiveDuration, ServiceName};
 use crate::policy::front::FrontMode;
 use crate::policy::rate::Sharing;
 use crate::policy::route::Balance;
@@ -39,6 +39,8 @@
     #[serde(default)]
     pub(super) grace: Option<PositiveDuration>,
     #[serde(default)]
+    pub(super) vm: VmEntry,
+    #[serde(default)]
     pub(super) log: LogEntry,
 }
 
@@ -61,6 +63,15 @@
     pub(super) max_pipelined: Option<Spanned<usize>>,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct VmEntry {
+    #[serde(default)]
+    pub(super) memory: Option<Spanned<MemorySize>>,
+    #[serde(default)]
+    pub(super) descriptors: Option<Spanned<usize>>,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct HostingEntry {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,4 +6,4 @@
 mod settings;
 
 pub use log::{LogFormat, LogLevel, close_log, dropped_lines, init_log};
-pub use settings::{Config, Hosting, ListenAddresses};
+pub use settings::{Config, Hosting, ListenAddresses, VmLimits};
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -5,12 +5,13 @@
 
 use super::check::{
     check_listen, check_pipelining, check_rate_tolerance, check_retry_allowance, check_seeds,
+    check_vm,
 };
 use super::file::File;
 use super::{LogFormat, LogLevel};
 use crate::declare::{Errors, parse, read};
 use crate::error::Error;
-use crate::model::{CentreName, HallName, PositiveDuration, ServiceName};
+use crate::model::{CentreName, HallName, MemorySize, PositiveDuration, ServiceName};
 use crate::policy::front::FrontMode;
 use crate::policy::rate::RateTolerance;
 use crate::policy::retry::AllowanceSettings;
@@ -49,6 +50,25 @@
     pub rate_tolerance: RateTolerance,
 }
 
+/// What a daemon may use of its VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmLimits {
+    /// Memory, with the bytes that sockets have received.
+    pub memory: MemorySize,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+impl Default for VmLimits {
+    /// Returns the limits on the smallest VMs.
+    fn default() -> Self {
+        Self {
+            memory: MemorySize::from_megabytes(160),
+            descriptors: 4100,
+        }
+    }
+}
+
 /// The settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -81,6 +101,8 @@
     pub max_pipelined: usize,
     /// Whether workspaces share the backend server's slot time in proportion to their rates.
     pub fair_sharing: bool,
+    /// What the daemon may use of its VM.
+    pub vm: VmLimits,
     /// How long a planned stop waits for calls in flight.
     pub grace: PositiveDuration,
     /// Whether the operators' interface may listen beyond loopback.
@@ -144,6 +166,7 @@
             None => 1,
         };
         let max_pipelined = check_pipelining(path, file.callers, &mut errors);
+        let vm = check_vm(path, file.vm, &mut errors);
         let mut neighbours: Vec<SocketAddr> = file.neighbours.iter().map(|n| n.value).collect();
         if let Some(entry) = &file.hosting {
             let peers = file.listen.peers.value;
@@ -176,6 +199,7 @@
             workers,
             max_pipelined,
             fair_sharing: file.fair_sharing,
+            vm,
             grace: file.grace.unwrap_or(PositiveDuration::from_millis(30_000)),
             remote_operators: file.listen.remote_operators,
             log_level: file.log.level,
--- a/src/emulator/site.rs
+++ b/src/emulator/site.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{BackendServer, Behaviour, Network, OnwardCall, Relay, Zone, free_address_on};
-use crate::config::{Config, ListenAddresses, LogFormat, LogLevel};
+use crate::config::{Config, ListenAddresses, LogFormat, LogLevel, VmLimits};
 use crate::daemon::Daemon;
 use crate::declare::{Estate, load, split};
 use crate::error::Error;
@@ -223,6 +223,7 @@
             workers: 1,
             max_pipelined: 1,
             fair_sharing: false,
+            vm: VmLimits::default(),
             grace: PositiveDuration::from_millis(10_000),
             remote_operators: false,
             log_level: LogLevel::Warn,
--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -6,7 +6,7 @@
 
 use bramleymount::config::Config;
 use bramleymount::declare::{diff, join, load, split};
-use bramleymount::model::{Percent, PositiveDuration};
+use bramleymount::model::{MemorySize, Percent, PositiveDuration};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -198,6 +198,16 @@
 )]
 #[case::front("hall: a", "hall: a\nfront: back", "must be levels, backoff, boost")]
 #[case::no_workers("hall: a", "hall: a\nworkers: 0", "workers must be from 1 to 64")]
+#[case::little_memory(
+    "hall: a",
+    "hall: a\nvm: {memory: 16MB}",
+    "memory must be 48MB or more"
+)]
+#[case::few_descriptors(
+    "hall: a",
+    "hall: a\nvm: {descriptors: 64}",
+    "descriptors must be 256 or more"
+)]
 fn config_refuses(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
     let text = SETTINGS.replace(from, to);
     let errors = Config::parse(Path::new("s.yaml"), text.as_bytes()).expect_err("an error");
@@ -217,6 +227,30 @@
     assert_eq!(duration, millis.map(PositiveDuration::from_millis));
 }
 
+#[rstest]
+#[case::megabytes("160MB", Some((160 << 20, "160MB")))]
+#[case::whole_gigabytes("2048MB", Some((2 << 30, "2GB")))]
+#[case::no_unit("160", None)]
+#[case::fraction("1.5GB", None)]
+#[case::zero("0MB", None)]
+#[case::too_large("18446744073709551615GB", None)]
+fn memory_size_parse(#[case] text: &str, #[case] size: Option<(u64, &str)>) {
+    let parsed = text.parse::<MemorySize>().ok();
+    let parsed = parsed.map(|size| (size.get(), size.to_string()));
+    assert_eq!(parsed, size.map(|(bytes, text)| (bytes, text.to_owned())));
+}
+
+#[rstest]
+#[case::left_out("", (160 << 20, 4100))]
+#[case::memory("vm: {memory: 1GB}", (1 << 30, 4100))]
+#[case::both("vm: {memory: 512MB, descriptors: 8192}", (512 << 20, 8192))]
+fn config_vm(#[case] line: &str, #[case] limits: (u64, usize)) {
+    let text = format!("{SETTINGS}{line}\n");
+    let config = Config::parse(Path::new("s.yaml"), text.as_bytes());
+    let vm = config.unwrap_or_else(|e| panic!("{e}")).vm;
+    assert_eq!((vm.memory.get(), vm.descriptors), limits);
+}
+
 #[rstest]
 #[case::usual("45%", Some(45))]
 #[case::most("100%", Some(100))]
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -93,6 +93,10 @@
         .replace("{{bounds.quotaWindowS}}", "5")
         .replace("{{bounds.quotaOverage}}", "0.1")
         .replace("{{bounds.quotaSlack}}", "20")
+        .replace("{{#limits.memoryMb}}\n", "")
+        .replace("{{/limits.memoryMb}}\n", "")
+        .replace("{{limits.memoryMb}}", "260")
+        .replace("{{limits.maxFds}}", "8192")
         .replace("{{seeds}}", "10.1.0.8:8306,10.2.0.9:8306")
         .replace("{{platform.address}}", "10.200.1.7:8309");
     assert!(!text.contains("{{"), "a placeholder is left in\n{text}");
@@ -110,6 +114,8 @@
         (0.1, 20.0)
     );
     assert_eq!(config.grace.get(), Duration::from_secs(6));
+    let vm = config.vm;
+    assert_eq!((vm.memory.get(), vm.descriptors), (260 << 20, 8192));
 }
 
 #[test]
