Tests: crowds of callers that hold memory and descriptors

Checked: the process lives, its peak memory and its open descriptors stay within the settings, ordinary requests are answered beside the crowd and after it. Nothing is checked that depends on speed.

--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -49,7 +49,8 @@
     service: String,
     pub callers: SocketAddr,
     pub backend: SocketAddr,
-    announcements: SocketAddr,
+    pub peers: SocketAddr,
+    pub announcements: SocketAddr,
     readiness: SocketAddr,
     log: PathBuf,
 }
@@ -62,17 +63,21 @@
 
     /// Starts a daemon that is killed `grace` after it is told to stop.
     pub async fn start_with_grace(service: &str, store: SocketAddr, grace: Duration) -> Self {
+        Self::start_with(service, store, &format!("grace: {}ms", grace.as_millis())).await
+    }
+
+    /// Starts a daemon with additional lines of settings.
+    pub async fn start_with(service: &str, store: SocketAddr, lines: &str) -> Self {
         let ip = own_ip();
         let port = || free_port(ip);
         let (callers, backend, announcements, readiness) = (port(), port(), port(), port());
+        let peers = port();
         let text = format!(
             "data_centre: hall-a\nhall: hall-a\nservice: {service}\nlisten:\n  callers: {callers}\n  \
-             peers: {}\n  operators: {}\nbackend: {backend}\nplatform: {store}\nhosting:\n  \
+             peers: {peers}\n  operators: {}\nbackend: {backend}\nplatform: {store}\nhosting:\n  \
              announcements: {announcements}\n  readiness: {readiness}\ncallers: {{ahead: 8}}\n\
-             grace: {}ms\nlog: {{level: info, format: json}}\n",
-            port(),
+             log: {{level: info, format: json}}\n{lines}\n",
             port(),
-            grace.as_millis(),
         );
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
         let settings = directory.join(format!("hosted-{callers}.yaml"));
@@ -89,6 +94,7 @@
             service: service.into(),
             callers,
             backend,
+            peers,
             announcements,
             readiness,
             log,
@@ -147,6 +153,12 @@
         kilobytes * 1024
     }
 
+    /// Returns the number of open descriptors of the process.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("descriptors").count()
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("a process").is_some()
