Bound the queues of streamed bodies by bytes

Seen: 160 uploads that stop after 3 MiB take 80 to 126 MB at the daemon that they reach.

Cause: up to eight chunks wait between the reader and the writer of a stream, and chunks have up to 64 KiB, the first one of a body without a length up to 1 MiB. Between daemons the same number of frames waits behind them.

Change: what waits has at most 128 KiB; chunks above 64 KiB are passed on in parts. Two frames wait between daemons.

--- a/examples/soak/backend.rs
+++ b/examples/soak/backend.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bramleymount::web::{
-    CallerAnswer, Chunks, Client, HttpListener, IncompleteBody, Payload, caller_body, caller_text,
+    CallerAnswer, ChunkSender, Chunks, Client, HttpListener, Payload, caller_body, caller_text,
     listen,
 };
 use bytes::Bytes;
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, oneshot};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -326,7 +326,7 @@
     }
 
     /// Streams an answer; the run ends with it.
-    async fn stream(self, body: Bytes, to: mpsc::Sender<Result<Bytes, IncompleteBody>>) {
+    async fn stream(self, body: Bytes, to: ChunkSender) {
         let time = Duration::from_millis(rand::rng().random_range(STREAM_TIME_MS));
         let count = body.len().div_ceil(CHUNK_SIZE);
         for chunk in body.chunks(CHUNK_SIZE) {
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -5,9 +5,8 @@
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 
-use crate::web::{Chunks, IncompleteBody, MAX_WHOLE_BODY, Payload};
+use crate::web::{ChunkSender, Chunks, IncompleteBody, MAX_WHOLE_BODY, Payload};
 
 /// Maximum body size of a once call, which is buffered whole.
 const MAX_ONCE_BODY_BYTES: usize = 1024 * 1024;
@@ -92,7 +91,7 @@
     buffered: Bytes,
     mut body: Incoming,
     length: Option<u64>,
-    sender: mpsc::Sender<Result<Bytes, IncompleteBody>>,
+    sender: ChunkSender,
 ) {
     let mut received_bytes = buffered.len() as u64;
     if !buffered.is_empty() && sender.send(Ok(buffered)).await.is_err() {
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -16,8 +16,8 @@
 use crate::call::CallHead;
 use crate::model::{CrashId, ServerId};
 use crate::web::{
-    Chunks, ConnectionPool, Dialer, IncompleteBody, MAX_WHOLE_BODY, Payload, PoolLimits,
-    RequestError,
+    ChunkSender, Chunks, ConnectionPool, Dialer, IncompleteBody, MAX_WHOLE_BODY, Payload,
+    PoolLimits, RequestError,
 };
 
 type RequestBody = UnsyncBoxBody<Bytes, IncompleteBody>;
@@ -206,17 +206,13 @@
     first: Bytes,
     body: Incoming,
     latest: Instant,
-    to: &tokio::sync::mpsc::Sender<Result<Bytes, IncompleteBody>>,
+    to: &ChunkSender,
 ) -> bool {
     let copied = tokio::time::timeout_at(latest, copy_chunks(first, body, to)).await;
     copied.unwrap_or(false)
 }
 
-async fn copy_chunks(
-    first: Bytes,
-    mut body: Incoming,
-    to: &tokio::sync::mpsc::Sender<Result<Bytes, IncompleteBody>>,
-) -> bool {
+async fn copy_chunks(first: Bytes, mut body: Incoming, to: &ChunkSender) -> bool {
     if !first.is_empty() && !send_chunk(to, first).await {
         return false;
     }
@@ -239,10 +235,7 @@
 }
 
 /// Sends a chunk; returns whether the receiver took it in time.
-async fn send_chunk(
-    to: &tokio::sync::mpsc::Sender<Result<Bytes, IncompleteBody>>,
-    chunk: Bytes,
-) -> bool {
+async fn send_chunk(to: &ChunkSender, chunk: Bytes) -> bool {
     matches!(
         tokio::time::timeout(PROGRESS_TIMEOUT, to.send(Ok(chunk))).await,
         Ok(Ok(()))
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -20,13 +20,13 @@
 use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::{AttemptId, Instance, OnceKey, ServiceName};
 use crate::policy::admission::Shed;
-use crate::web::{Chunks, IncompleteBody, Payload};
+use crate::web::{ChunkSender, Chunks, IncompleteBody, Payload};
 
 /// Timeout for the acknowledgement that a call has arrived. The other daemon
 /// sends it at once, but is paused for 0.1 s when its CPU quota is used up.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum number of frames queued for sending.
-const MAX_QUEUED_FRAMES: usize = 8;
+const MAX_QUEUED_FRAMES: usize = 2;
 
 /// Sends a call to the guard of `instance` and waits for the answer.
 ///
@@ -339,10 +339,7 @@
 }
 
 /// Receives a streamed answer, which is complete only if its tail matches.
-async fn receive_chunks(
-    mut frames: Streaming<AnswerFrame>,
-    to: mpsc::Sender<Result<Bytes, IncompleteBody>>,
-) {
+async fn receive_chunks(mut frames: Streaming<AnswerFrame>, to: ChunkSender) {
     let mut checksum = BodyChecksum::default();
     loop {
         let part = match frames.message().await {
--- a/src/peer/plain_client.rs
+++ b/src/peer/plain_client.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use tokio::sync::mpsc;
 
 use super::call::{CALL_PATH, CONNECT_TIMEOUT};
 use super::generated as wire;
@@ -15,7 +14,7 @@
 use super::http_stream::HttpStream;
 use super::message::{encode_body, take_message};
 use super::plain_pool::{PlainPool, RequestError};
-use crate::web::{Chunks, Dialer, IncompleteBody, Payload};
+use crate::web::{ChunkSender, Chunks, Dialer, IncompleteBody, Payload};
 
 /// Timeout for the TCP acknowledgement of sent bytes. The daemon on the other VM
 /// may be paused, but its network stack still acknowledges.
@@ -124,11 +123,7 @@
 }
 
 /// Receives a streamed answer, which is complete if the last chunk arrives.
-async fn receive_chunks(
-    mut http: HttpStream,
-    first: Bytes,
-    to: mpsc::Sender<Result<Bytes, IncompleteBody>>,
-) {
+async fn receive_chunks(mut http: HttpStream, first: Bytes, to: ChunkSender) {
     if !first.is_empty() && to.send(Ok(first)).await.is_err() {
         return;
     }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -27,10 +27,10 @@
 use crate::guard::Guard;
 use crate::model::{AttemptId, Instance, MintTime, OnceKey, Retries};
 use crate::tables::{Shared, mint_now};
-use crate::web::{Activity, Chunks, IncompleteBody, Payload};
+use crate::web::{Activity, ChunkSender, Chunks, IncompleteBody, Payload};
 
 /// Maximum number of frames queued for sending.
-const MAX_QUEUED_FRAMES: usize = 8;
+const MAX_QUEUED_FRAMES: usize = 2;
 
 /// The service that answers other daemons.
 pub struct PeerService {
@@ -138,10 +138,7 @@
 }
 
 /// Receives a streamed body, which is complete only if its tail matches.
-async fn receive_chunks(
-    mut frames: Streaming<wire::CallFrame>,
-    to: mpsc::Sender<Result<Bytes, IncompleteBody>>,
-) {
+async fn receive_chunks(mut frames: Streaming<wire::CallFrame>, to: ChunkSender) {
     let mut checksum = BodyChecksum::default();
     loop {
         let received = match frames.message().await {
@@ -167,7 +164,7 @@
 /// the frames, whose end has not arrived yet.
 fn receive_body(
     frames: Streaming<wire::CallFrame>,
-    body: Option<mpsc::Sender<Result<Bytes, IncompleteBody>>>,
+    body: Option<ChunkSender>,
 ) -> Option<Streaming<wire::CallFrame>> {
     let Some(sender) = body else {
         return Some(frames);
@@ -181,7 +178,7 @@
 fn confirm(
     start_requests: mpsc::Sender<Result<wire::AnswerFrame, Status>>,
     mut frames: Streaming<wire::CallFrame>,
-    body: Option<mpsc::Sender<Result<Bytes, IncompleteBody>>>,
+    body: Option<ChunkSender>,
 ) -> StartConfirmation {
     StartConfirmation::new(move || {
         Box::pin(async move {
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -29,7 +29,10 @@
 pub use listen::{
     CallerAnswer, CallerBody, HttpListener, caller_body, caller_text, listen, listen_pipelined,
 };
-pub use payload::{Chunks, IncompleteBody, MAX_WHOLE_BODY, Payload, collect};
+pub use payload::{
+    ChunkSender, Chunks, IncompleteBody, MAX_QUEUED_BYTES, MAX_WHOLE_BODY, Payload, StreamClosed,
+    collect,
+};
 pub use request_handler::{AnswerFuture, RequestHandler, UnsentAnswer};
 pub use threaded_server::{
     HttpRequest, HttpResponse, ThreadedServer, answer_json, answer_text, serve,
