Count what connections of callers hold, and close those that hold most

Seen: 160 callers whose bodies stop short of their end take 95 to 128 MB, in chunks or with a length; 1,500 heads without an end 84 MB; requests ahead with unread answers of 400,000 bytes more than 64 MiB; 600 idle connections 631 descriptors. Nothing ends this before the deadlines.

Cause: each connection has limits of its own, and nothing counts how many there are.

Change: one account for the process counts connections, and the memory of heads, bodies, bytes read ahead, streams and answers until they are sent. `policy::resource` decides, with the time passed in; `web::Resources` shares the account. 0.4 of the VM's memory may be held: requests that have not run may take 0.625 of that, answers with them 0.875, and the rest is for connections that hold little. Half of the descriptors that aren't for files are for callers. When there is no room, connections go that wait for their caller: those first that hold most for longest without moving 16 KiB, many of one address before few. One that waits for a server stays. A request whose body is refused gets 503 with the verdict not-run, since nothing of it was forwarded; other connections are closed. The log line `connections closed to free memory or descriptors` counts them.

Why it works: each holder draws on the account before it keeps more, and releases it on drop, so the sum is bounded whatever a crowd sends.

The decisions are tested in tests/resources.rs without a network.

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -72,13 +72,14 @@
     Reason::Timeout,
 ];
 
-const SHED_REASONS: [Shed; 6] = [
+const SHED_REASONS: [Shed; 7] = [
     Shed::Overload,
     Shed::Limited,
     Shed::Downstream,
     Shed::Deadline,
     Shed::Cancelled,
     Shed::Leaving,
+    Shed::Memory,
 ];
 
 const ONCE_REASONS: [OnceRefusal; 11] = [
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -26,6 +26,7 @@
 };
 use crate::policy::member::{Incarnation, Member, MemberState, RoleTracker, StoreRole, View};
 use crate::policy::rate::RateTolerance;
+use crate::policy::resource::ResourceLimits;
 use crate::store::{Feed, HttpPlatform, Platform};
 use crate::tables::{
     CallJournal, CallLogLimiter, CurrentConfiguration, OwnershipTable, ParentCalls, Readiness,
@@ -35,7 +36,7 @@
     StopParts, gossip, keep_member_row, keep_ownership, keep_store_role, keep_suspect_rows,
     latest_end, log_load, poll_configuration, refresh_targets, report_demand, stop, watch_lease,
 };
-use crate::web::{HttpListener, ThreadedServer, caller_text, listen};
+use crate::web::{HttpListener, Resources, ThreadedServer, caller_text, listen};
 
 /// Timeout of one request to the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -271,6 +272,10 @@
         ),
         journal: CallJournal::default(),
         log_limiter: CallLogLimiter::default(),
+        resources: Resources::new(ResourceLimits::new(
+            config.vm.memory.get(),
+            config.vm.descriptors,
+        )),
         metrics: Metrics::new(config.metrics)?,
         platform,
         lease_notify: Notify::new(),
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -1,12 +1,19 @@
 //! Bodies of requests.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::web::{ChunkSender, Chunks, IncompleteBody, MAX_WHOLE_BODY, Payload};
+use crate::policy::resource::{Full, Purpose, Side};
+use crate::web::{
+    Charge, ChunkSender, Chunks, Holder, IncompleteBody, MAX_QUEUED_BYTES, MAX_WHOLE_BODY, Payload,
+    StreamClosed,
+};
 
 /// Maximum body size of a once call, which is buffered whole.
 const MAX_ONCE_BODY_BYTES: usize = 1024 * 1024;
@@ -19,6 +26,20 @@
     TooLarge,
     /// The body ended early.
     Incomplete,
+    /// There is no room to hold it.
+    NoRoom,
+}
+
+impl From<Full> for BodyError {
+    fn from(Full: Full) -> Self {
+        Self::NoRoom
+    }
+}
+
+/// A body with the memory that is held for it; that of a stream is counted by the stream.
+pub(super) struct ChargedBody {
+    pub(super) payload: Payload,
+    pub(super) charge: Charge,
 }
 
 /// Reads a body: whole if it is small or must be buffered, else as a stream.
@@ -26,9 +47,12 @@
     headers: &HeaderMap,
     body: Option<Incoming>,
     must_buffer: bool,
-) -> Result<Payload, BodyError> {
-    let Some(mut body) = body else {
-        return Ok(Payload::empty());
+    holder: &Arc<Holder>,
+) -> Result<ChargedBody, BodyError> {
+    let mut charge = holder.charge(Purpose::Request);
+    let Some(mut body) = body.filter(|body| !body.is_end_stream()) else {
+        let payload = Payload::empty();
+        return Ok(ChargedBody { payload, charge });
     };
     let length = content_length(headers);
     if length.is_some_and(|n| n > MAX_BODY_BYTES) {
@@ -47,18 +71,43 @@
     let known = length.filter(|_| !large).unwrap_or_default();
     let mut buffered = BytesMut::with_capacity(usize::try_from(known).unwrap_or_default());
     while !large && buffered.len() <= limit {
-        match next_chunk(&mut body).await {
-            None => return check_length(buffered.freeze(), length),
-            Some(Err(_)) => return Err(BodyError::Incomplete),
-            Some(Ok(chunk)) => buffered.extend_from_slice(&chunk),
-        }
+        let Some(chunk) = next_in_time(&mut body, holder).await? else {
+            holder.wait_for(Side::Own);
+            let payload = check_length(buffered.freeze(), length)?;
+            return Ok(ChargedBody { payload, charge });
+        };
+        buffered.extend_from_slice(&chunk);
+        // Of what a length has allocated, only what was written takes memory.
+        charge.grow_to(match length {
+            Some(_) => buffered.len(),
+            None => buffered.capacity(),
+        })?;
     }
     if must_buffer {
         return Err(BodyError::TooLarge);
     }
+    charge.grow_to(MAX_QUEUED_BYTES)?;
     let (sender, chunks) = Chunks::channel();
-    tokio::spawn(forward_stream(buffered.freeze(), body, length, sender));
-    Ok(Payload::Stream { length, chunks })
+    let stream = BodyStream {
+        body,
+        length,
+        holder: Arc::clone(holder),
+        charge,
+    };
+    tokio::spawn(stream.forward(buffered.freeze(), sender));
+    Ok(ChargedBody {
+        payload: Payload::Stream { length, chunks },
+        charge: holder.charge(Purpose::Request),
+    })
+}
+
+/// Returns the next chunk of a body, unless its connection has to go before.
+async fn next_in_time(body: &mut Incoming, holder: &Holder) -> Result<Option<Bytes>, BodyError> {
+    tokio::select! {
+        biased;
+        next = next_chunk(body) => next.transpose().map_err(|_| BodyError::Incomplete),
+        () = holder.evicted() => Err(BodyError::NoRoom),
+    }
 }
 
 /// Returns the next chunk of a body, skipping trailers.
@@ -86,34 +135,60 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Forwards a streamed body as fast as the receiver reads it.
-async fn forward_stream(
-    buffered: Bytes,
-    mut body: Incoming,
+/// A body that is forwarded while it arrives.
+struct BodyStream {
+    body: Incoming,
     length: Option<u64>,
-    sender: ChunkSender,
-) {
-    let mut received_bytes = buffered.len() as u64;
-    if !buffered.is_empty() && sender.send(Ok(buffered)).await.is_err() {
-        return;
-    }
-    while let Some(chunk) = next_chunk(&mut body).await {
-        let Ok(chunk) = chunk else {
-            let _ = sender.send(Err(IncompleteBody)).await;
-            return;
-        };
-        received_bytes += chunk.len() as u64;
-        if received_bytes > MAX_BODY_BYTES {
-            let _ = sender.send(Err(IncompleteBody)).await;
-            return;
+    holder: Arc<Holder>,
+    charge: Charge,
+}
+
+impl BodyStream {
+    /// Forwards the body, of which `buffered` has arrived, as fast as the receiver reads
+    /// it.
+    async fn forward(mut self, buffered: Bytes, sender: ChunkSender) {
+        let mut received_bytes = buffered.len() as u64;
+        if !buffered.is_empty() {
+            if self.send(&sender, buffered).await.is_err() {
+                return;
+            }
+            self.charge.clear();
+            if self.charge.grow_to(MAX_QUEUED_BYTES).is_err() {
+                let _ = sender.send(Err(IncompleteBody)).await;
+                return;
+            }
         }
-        if !chunk.is_empty() && sender.send(Ok(chunk)).await.is_err() {
-            return;
+        loop {
+            let chunk = match next_in_time(&mut self.body, &self.holder).await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => break,
+                Err(_) => {
+                    let _ = sender.send(Err(IncompleteBody)).await;
+                    return;
+                }
+            };
+            received_bytes += chunk.len() as u64;
+            if received_bytes > MAX_BODY_BYTES {
+                let _ = sender.send(Err(IncompleteBody)).await;
+                return;
+            }
+            if !chunk.is_empty() && self.send(&sender, chunk).await.is_err() {
+                return;
+            }
         }
+        self.holder.wait_for(Side::Own);
+        let end = match self.length {
+            Some(length) if length != received_bytes => Err(IncompleteBody),
+            _ => Ok(Bytes::new()),
+        };
+        let _ = sender.send(end).await;
+    }
+
+    /// Sends a chunk, for which the caller can't be held to account.
+    async fn send(&self, sender: &ChunkSender, chunk: Bytes) -> Result<(), StreamClosed> {
+        self.holder.wait_for(Side::Own);
+        sender.send(Ok(chunk)).await?;
+        self.holder.wait_for(Side::Remote);
+        Ok(())
     }
-    let end = match length {
-        Some(length) if length != received_bytes => Err(IncompleteBody),
-        _ => Ok(Bytes::new()),
-    };
-    let _ = sender.send(end).await;
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -8,10 +8,11 @@
 use tokio::time::Instant;
 
 use super::front::FrontState;
-use crate::call::Refusal;
+use crate::call::{Reason, Refusal};
 use crate::guard::Guard;
 use crate::model::Verdict;
 use crate::peer::Pool;
+use crate::policy::admission::Shed;
 use crate::policy::member::Budget;
 use crate::tables::Shared;
 
@@ -61,10 +62,13 @@
     /// Adds a retry time to a refusal that has none, if a retry may help.
     pub(super) fn add_retry_after(&self, refusal: &mut Refusal) {
         let helps = refusal.verdict() == Verdict::NotRun && refusal.reason().is_transient();
-        if helps && refusal.retry_after.is_none() {
-            let time = MEAN_OUTAGE_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5));
-            refusal.retry_after = Some(time);
+        if !helps || refusal.retry_after.is_some() {
+            return;
         }
+        refusal.retry_after = Some(match refusal.reason() {
+            Reason::Shed(Shed::Memory) => self.random_retry_after(),
+            _ => MEAN_OUTAGE_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..1.5)),
+        });
     }
 
     /// Returns when a refused caller may retry, at random to spread the retries.
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -15,7 +15,7 @@
 use super::accept::{AcceptedRequest, accept};
 use super::answer::AnswerBuilder;
 use super::arrival::Arrival;
-use super::body::{BodyError, read_body};
+use super::body::{BodyError, ChargedBody, read_body};
 use super::call_trace::CallTrace;
 use super::context::Context;
 use super::forward::{CallOutcome, ForwardedCall};
@@ -33,7 +33,7 @@
 use crate::policy::retry::RepeatDetector;
 use crate::policy::route::TargetState;
 use crate::tables::{CallStep, LineKind, Shared, StepDetail, signed_ms};
-use crate::web::{CallerAnswer, Payload};
+use crate::web::{CallerAnswer, Holder, Payload};
 
 /// Metric label of callers and classes that are not declared.
 const OTHER_LABEL: &str = "other";
@@ -112,6 +112,7 @@
             parts,
             body,
             arrived_at,
+            holder,
         } = arrival;
         let answers = AnswerBuilder::new(&*shared.protocol, &parts.headers);
         let trace = CallTrace::default();
@@ -137,7 +138,7 @@
             .record(call, CallStep::Entered, StepDetail::None);
         let outcome = tokio::select! {
             biased;
-            outcome = self.run_within_rate(&mut accepted, &parts, body, &trace) => outcome,
+            outcome = self.run_within_rate(&mut accepted, &parts, (body, &holder), &trace) => outcome,
             () = self.wait_calls_end() => CallOutcome::given_up("this daemon ends"),
         };
         undecided.is_decided = true;
@@ -223,7 +224,7 @@
         &self,
         accepted: &mut AcceptedRequest,
         parts: &Parts,
-        body: Option<Incoming>,
+        body: (Option<Incoming>, &Arc<Holder>),
         trace: &CallTrace,
     ) -> CallOutcome {
         let charge = match self.context.charge_credit(accepted).await {
@@ -250,7 +251,7 @@
         &self,
         accepted: &mut AcceptedRequest,
         parts: &Parts,
-        body: Option<Incoming>,
+        body: (Option<Incoming>, &Arc<Holder>),
         trace: &CallTrace,
     ) -> CallOutcome {
         let refused = |reason| CallOutcome {
@@ -259,8 +260,14 @@
         };
         let must_buffer = accepted.head.once.is_some();
         let deadline = accepted.head.deadline;
-        let body = match timeout_at(deadline, read_body(&parts.headers, body, must_buffer)).await {
+        let (body, holder) = body;
+        let reading = read_body(&parts.headers, body, must_buffer, holder);
+        let ChargedBody {
+            payload: body,
+            charge: _charge,
+        } = match timeout_at(deadline, reading).await {
             Ok(Ok(body)) => body,
+            Ok(Err(BodyError::NoRoom)) => return refused(Reason::Shed(Shed::Memory)),
             Ok(Err(BodyError::TooLarge)) => return refused(Reason::TooLarge),
             Ok(Err(BodyError::Incomplete)) => return refused(Reason::IncompleteRequest),
             Err(_) => return refused(Reason::Shed(Shed::Deadline)),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -12,8 +12,11 @@
 use super::arrival::Arrival;
 use super::route_match::may_repeat;
 use crate::error::Error;
+use crate::policy::resource::ConnectionGroup;
 use crate::tables::LineKind;
-use crate::web::{AnswerFuture, HttpListener, RequestHandler, UnsentAnswer, listen_pipelined};
+use crate::web::{
+    AnswerFuture, Holder, HttpListener, ListenOptions, RequestHandler, UnsentAnswer, listen_within,
+};
 
 /// Serves callers over HTTP.
 ///
@@ -21,9 +24,13 @@
 ///
 /// Fails if the address cannot be bound.
 pub async fn serve_callers(entry: Arc<Entry>) -> Result<HttpListener, Error> {
-    let config = &entry.context.shared.config;
-    let (address, ahead) = (config.listen.callers, config.max_pipelined);
-    listen_pipelined(address, ahead, CallerService(entry)).await
+    let shared = &entry.context.shared;
+    let address = shared.config.listen.callers;
+    let options = ListenOptions {
+        max_pipelined: shared.config.max_pipelined,
+        ..ListenOptions::new(shared.resources.clone(), ConnectionGroup::Callers)
+    };
+    listen_within(address, options, CallerService(entry)).await
 }
 
 /// Handles the requests of callers.
@@ -50,7 +57,21 @@
         }
     }
 
-    fn start(&self, arrival: Arrival, from: SocketAddr) -> AnswerFuture {
+    /// Starts a request, whose head comes with the account of its connection.
+    fn start(
+        &self,
+        mut parts: Parts,
+        body: Option<Incoming>,
+        arrived_at: Instant,
+        from: SocketAddr,
+    ) -> AnswerFuture {
+        let holder = parts.extensions.remove::<Arc<Holder>>();
+        let arrival = Arrival {
+            parts,
+            body,
+            arrived_at,
+            holder: holder.expect("the listener adds it to each request"),
+        };
         // Boxed at once: the future is large and would be copied three times.
         Box::pin(Arc::clone(&self.0).handle(arrival, from.ip()))
     }
@@ -64,15 +85,7 @@
         from: SocketAddr,
     ) -> AnswerFuture {
         let (parts, body) = request.into_parts();
-        let body = Some(body);
-        self.start(
-            Arrival {
-                parts,
-                body,
-                arrived_at,
-            },
-            from,
-        )
+        self.start(parts, Some(body), arrived_at, from)
     }
 
     fn start_early(
@@ -85,15 +98,7 @@
             return None;
         }
         self.record_started(&parts);
-        let body = None;
-        Some(self.start(
-            Arrival {
-                parts,
-                body,
-                arrived_at,
-            },
-            from,
-        ))
+        Some(self.start(parts, None, arrived_at, from))
     }
 
     fn request_id(&self, answer: &HeaderMap) -> Box<str> {
--- a/src/policy/admission/shed.rs
+++ b/src/policy/admission/shed.rs
@@ -17,6 +17,8 @@
     Cancelled,
     /// The backend server is leaving and accepts no new calls.
     Leaving,
+    /// There is no memory to hold it.
+    Memory,
 }
 
 impl Shed {
@@ -29,6 +31,7 @@
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
             Self::Leaving => "leaving",
+            Self::Memory => "memory",
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,5 +7,6 @@
 pub mod member;
 pub mod once;
 pub mod rate;
+pub mod resource;
 pub mod retry;
 pub mod route;
--- a/src/tables/shared.rs
+++ b/src/tables/shared.rs
@@ -21,6 +21,7 @@
 use crate::policy::member::{RoleTracker, StoreRole, View};
 use crate::policy::rate::{CreditGrant, CreditQuery, HashRing};
 use crate::store::{Platform, Revision};
+use crate::web::Resources;
 
 /// The state shared by the entry, the guard, the peer server and the operators'
 /// interface.
@@ -53,6 +54,8 @@
     pub journal: CallJournal,
     /// Rate limit for log lines about single calls.
     pub log_limiter: CallLogLimiter,
+    /// The account of what is held for others.
+    pub resources: Resources,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The platform's store.
--- a/src/task/load.rs
+++ b/src/task/load.rs
@@ -6,6 +6,7 @@
 use crate::config::dropped_lines;
 use crate::guard::Guard;
 use crate::tables::Shared;
+use crate::web::EvictionCounts;
 
 /// How often the load is logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -20,6 +21,7 @@
         tokio::time::sleep(LOG_INTERVAL).await;
         guard.trim();
         guard.count_late_answers();
+        log_evictions(&shared);
         let load = guard.gate().report();
         let loaded = load.waiting > 0 || load.shed > 0;
         if loaded || busy {
@@ -50,6 +52,19 @@
     }
 }
 
+/// Logs the connections that had to go, or were refused, for what callers and other daemons
+/// hold.
+fn log_evictions(shared: &Shared) {
+    let counts = shared.resources.take_counts();
+    if counts != EvictionCounts::default() {
+        spdlog::warn!("connections closed to free memory or descriptors", kv: {
+            evicted = counts.evicted,
+            refused = counts.refused,
+            held_kb = shared.resources.used() / 1024
+        });
+    }
+}
+
 /// Logs how many lines about single calls were suppressed since the last such line.
 pub(super) fn log_suppressed(shared: &Shared) {
     let suppressed = shared.log_limiter.take_suppressed();
--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a caller.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,14 +19,15 @@
 use tokio::task::JoinError;
 use tokio::time::Instant;
 
-use super::early_request::EarlyRequest;
+use super::early_request::{ChargedAnswer, EarlyRequest, charge_answer};
 use super::pipeline::Pipeline;
 use super::pipelined_body::PipelinedBody;
 use super::pipelined_stream::PipelinedStream;
 use super::{
-    AnswerFuture, CallerAnswer, LINGER_TIMEOUT, MAX_HEAD, MAX_HEADERS, RequestHandler,
+    AnswerFuture, CallerAnswer, Holder, LINGER_TIMEOUT, MAX_HEAD, MAX_HEADERS, RequestHandler,
     UnsentAnswer, caller_text,
 };
+use crate::policy::resource::{Full, Side};
 
 /// Bytes of a header line besides name and value.
 const HEADER_LINE_OVERHEAD: usize = 4;
@@ -41,6 +43,38 @@
     Handler(AnswerFuture),
 }
 
+/// Why a request gets no answer.
+#[derive(Debug)]
+pub(super) enum NoAnswer {
+    /// Its handler panicked.
+    Panicked(JoinError),
+    /// There is no room to hold the answer until the caller reads it.
+    NoRoom,
+}
+
+impl From<JoinError> for NoAnswer {
+    fn from(error: JoinError) -> Self {
+        Self::Panicked(error)
+    }
+}
+
+impl From<Full> for NoAnswer {
+    fn from(Full: Full) -> Self {
+        Self::NoRoom
+    }
+}
+
+impl fmt::Display for NoAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Panicked(cause) => cause.fmt(f),
+            Self::NoRoom => f.write_str("no room for the answer"),
+        }
+    }
+}
+
+impl std::error::Error for NoAnswer {}
+
 /// One connection of a caller.
 #[derive(Clone)]
 pub(super) struct CallerConnection<S> {
@@ -49,6 +83,8 @@
     pub(super) pipeline: Arc<Mutex<Pipeline>>,
     /// Becomes true when connections are to close after their next answer.
     pub(super) closing: watch::Receiver<bool>,
+    /// The account of what is held for the connection.
+    pub(super) holder: Arc<Holder>,
 }
 
 impl<S: RequestHandler> CallerConnection<S> {
@@ -70,7 +106,13 @@
             .max_headers(MAX_HEADERS)
             .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(pipelined), service);
-        let served = (&mut connection).await;
+        let served = tokio::select! {
+            served = &mut connection => served,
+            () = self.wait_eviction() => {
+                self.pipeline.lock().end_connection();
+                return;
+            }
+        };
         let is_cut = served.as_ref().is_err_and(hyper::Error::is_user);
         if let Err(e) = served {
             spdlog::debug!("connection of a caller failed", kv: { cause = e.to_string().as_str() });
@@ -90,25 +132,41 @@
         }
     }
 
+    /// Waits until the connection has to go. A request whose body is refused for this
+    /// still gets its answer.
+    async fn wait_eviction(&self) {
+        self.holder.evicted().await;
+        if self.pipeline.lock().is_undecided() {
+            tokio::time::sleep(LINGER_TIMEOUT).await;
+        }
+    }
+
     /// Selects the source of the answer once a request becomes the current one.
-    fn answer_source(&self, request: Request<Incoming>) -> AnswerSource {
+    fn answer_source(&self, mut request: Request<Incoming>) -> AnswerSource {
         let is_large = head_size(&request) > MAX_HEAD;
         let is_last = is_large || is_last(&request);
         let (arrived_at, early) = self.pipeline.lock().record_current(&request, is_last);
+        if request.body().is_end_stream() {
+            self.holder.wait_for(Side::Own);
+        }
         match early {
             _ if is_large => AnswerSource::HeadTooLarge,
             Some(early) => AnswerSource::Early(early),
-            None => AnswerSource::Handler(self.handler.serve(request, arrived_at, self.from)),
+            None => {
+                request.extensions_mut().insert(Arc::clone(&self.holder));
+                AnswerSource::Handler(self.handler.serve(request, arrived_at, self.from))
+            }
         }
     }
 
-    async fn answer(&self, source: AnswerSource) -> Result<Response<PipelinedBody>, JoinError> {
+    async fn answer(&self, source: AnswerSource) -> Result<Response<PipelinedBody>, NoAnswer> {
         let is_large = matches!(source, AnswerSource::HeadTooLarge);
-        let mut answer = match source {
-            AnswerSource::HeadTooLarge => head_too_large(),
-            AnswerSource::Early(early) => early.await?,
-            AnswerSource::Handler(answer) => answer.await,
+        let ChargedAnswer { mut answer, charge } = match source {
+            AnswerSource::HeadTooLarge => charge_answer(head_too_large(), &self.holder)?,
+            AnswerSource::Early(early) => early.await??,
+            AnswerSource::Handler(answer) => charge_answer(answer.await, &self.holder)?,
         };
+        self.holder.wait_for(Side::Remote);
         let is_closing = *self.closing.borrow();
         // Whole answers are sent at once, except for the last ones before a process ends.
         let may_be_cut = is_closing || answer.body().size_hint().exact().is_none();
@@ -123,7 +181,7 @@
             is_incomplete: false,
         };
         let mut pipeline = self.pipeline.lock();
-        pipeline.record_decided(unsent);
+        pipeline.record_decided(unsent, charge);
         // Pipelined requests that were read are still answered, since their caller
         // cannot tell whether they were forwarded.
         if is_large || is_closing && !pipeline.has_buffered() {
--- a/src/web/early_request.rs
+++ b/src/web/early_request.rs
@@ -4,10 +4,38 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use std::sync::Arc;
+
 use http::{Method, Request, Uri};
+use http_body::Body;
 use tokio::task::{JoinError, JoinHandle};
 
-use super::CallerAnswer;
+use super::{AnswerFuture, CallerAnswer, Charge, Holder, MAX_QUEUED_BYTES};
+use crate::policy::resource::{Full, Purpose};
+
+/// An answer that is held until its caller has read it.
+#[derive(Debug)]
+pub(super) struct ChargedAnswer {
+    pub(super) answer: CallerAnswer,
+    pub(super) charge: Charge,
+}
+
+/// Charges an answer to its connection; one of unknown length for what may be queued of
+/// it.
+///
+/// # Errors
+///
+/// Fails if there is no room for the answer.
+pub(super) fn charge_answer(
+    answer: CallerAnswer,
+    holder: &Arc<Holder>,
+) -> Result<ChargedAnswer, Full> {
+    let mut charge = holder.charge(Purpose::Answer);
+    let length = answer.body().size_hint().exact();
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    charge.grow_to(length.unwrap_or(MAX_QUEUED_BYTES))?;
+    Ok(ChargedAnswer { answer, charge })
+}
 
 /// A pipelined request that was started early; dropping it aborts its task.
 #[derive(Debug)]
@@ -15,16 +43,25 @@
     start: u64,
     method: Method,
     target: Uri,
-    task: JoinHandle<CallerAnswer>,
+    task: JoinHandle<Result<ChargedAnswer, Full>>,
 }
 
 impl EarlyRequest {
-    /// Wraps the task of the request whose head begins at byte `start`.
-    pub(super) fn new(
+    /// Starts the request whose head begins at byte `start`. A connection whose answers
+    /// can't be held has to go.
+    pub(super) fn start(
         start: u64,
         (method, target): (Method, Uri),
-        task: JoinHandle<CallerAnswer>,
+        answer: AnswerFuture,
+        holder: Arc<Holder>,
     ) -> Self {
+        let task = tokio::spawn(async move {
+            let charged = charge_answer(answer.await, &holder);
+            if charged.is_err() {
+                holder.evict();
+            }
+            charged
+        });
         Self {
             start,
             method,
@@ -40,7 +77,7 @@
 }
 
 impl Future for EarlyRequest {
-    type Output = Result<CallerAnswer, JoinError>;
+    type Output = Result<Result<ChargedAnswer, Full>, JoinError>;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         Pin::new(&mut self.task).poll(cx)
--- a/src/web/listen.rs
+++ b/src/web/listen.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
@@ -21,16 +21,16 @@
 use super::activity::ConnectionCounts;
 use super::caller_connection::CallerConnection;
 use super::pipeline::Pipeline;
-use super::{IncompleteBody, Payload, RequestHandler};
+use super::{IncompleteBody, Payload, RequestHandler, Resources};
 use crate::error::Error;
+use crate::policy::resource::{ConnectionGroup, Purpose, ResourceLimits};
 
 /// The body of an answer to a caller.
 pub type CallerBody = UnsyncBoxBody<Bytes, IncompleteBody>;
 /// An answer to a caller.
 pub type CallerAnswer = Response<CallerBody>;
 
-/// Pause after a failure to accept a connection, such as for lack of file
-/// descriptors.
+/// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// An HTTP server that runs until it is dropped.
@@ -66,8 +66,31 @@
     }
 }
 
+/// How an HTTP server serves its connections.
+#[derive(Clone, Debug)]
+pub struct ListenOptions {
+    /// Maximum number of requests of one connection in progress; with 0 or 1 each waits
+    /// for the answer to the one before it.
+    pub max_pipelined: usize,
+    /// The account of what is held for connections.
+    pub resources: Resources,
+    /// Who connects.
+    pub group: ConnectionGroup,
+}
+
+impl ListenOptions {
+    /// Serves one request at a time for each connection, within the limits of `resources`.
+    pub fn new(resources: Resources, group: ConnectionGroup) -> Self {
+        Self {
+            max_pipelined: 1,
+            resources,
+            group,
+        }
+    }
+}
+
 /// Binds `address` and serves requests with `handler`, one at a time for each
-/// connection.
+/// connection and with no limits on what is held.
 ///
 /// When a caller closes its connection, the handler of its request is dropped.
 ///
@@ -83,7 +106,27 @@
 }
 
 /// Binds `address` and serves requests with `handler`, up to `limit` at a time
-/// for each connection; answers are sent in the order of the requests.
+/// for each connection and with no limits on what is held; answers are sent in the order
+/// of the requests.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn listen_pipelined<S: RequestHandler>(
+    address: SocketAddr,
+    limit: usize,
+    handler: S,
+) -> Result<HttpListener, Error> {
+    let resources = Resources::new(ResourceLimits::NONE);
+    let options = ListenOptions {
+        max_pipelined: limit,
+        ..ListenOptions::new(resources, ConnectionGroup::Callers)
+    };
+    listen_within(address, options, handler).await
+}
+
+/// Binds `address` and serves requests with `handler`; answers are sent in the order of
+/// the requests. Connections that hold too much have to go.
 ///
 /// When a caller closes its connection, the handlers of its requests are
 /// dropped.
@@ -91,9 +134,9 @@
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn listen_pipelined<S: RequestHandler>(
+pub async fn listen_within<S: RequestHandler>(
     address: SocketAddr,
-    limit: usize,
+    options: ListenOptions,
     handler: S,
 ) -> Result<HttpListener, Error> {
     let listen_error = |e| Error::io(format!("listen on {address}"), e);
@@ -107,25 +150,24 @@
         let mut connections = JoinSet::new();
         loop {
             while connections.try_join_next().is_some() {}
-            match listener.accept().await {
-                Ok((stream, from)) => {
-                    let connection = CallerConnection {
-                        from,
-                        handler: handler.clone(),
-                        pipeline: Arc::new(Mutex::new(Pipeline::new(
-                            limit,
-                            Instant::now(),
-                            shared_counts.clone(),
-                        ))),
-                        closing: closing_receiver.clone(),
-                    };
-                    connections.spawn(connection.run(stream));
-                }
-                Err(e) => {
-                    spdlog::warn!("cannot accept a connection", kv: { cause = e.to_string().as_str() });
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            let (stream, from) = accept(&listener, &options).await;
+            // Without room the connection closes before a request is read.
+            let Ok(holder) = options.resources.open(options.group, from.ip()) else {
+                continue;
+            };
+            let connection = CallerConnection {
+                from,
+                handler: handler.clone(),
+                pipeline: Arc::new(Mutex::new(Pipeline::new(
+                    options.max_pipelined,
+                    Instant::now(),
+                    shared_counts.clone(),
+                    holder.charge(Purpose::Request),
+                ))),
+                closing: closing_receiver.clone(),
+                holder,
+            };
+            connections.spawn(connection.run(stream));
         }
     });
     Ok(HttpListener {
@@ -136,6 +178,20 @@
     })
 }
 
+/// Accepts a connection; one that holds too much has to go if there is no descriptor.
+async fn accept(listener: &TcpListener, options: &ListenOptions) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(e) => {
+                spdlog::warn!("cannot accept a connection", kv: { cause = e.to_string().as_str() });
+                options.resources.evict_one(options.group);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Builds the body of an answer; an incomplete one closes its connection.
 pub fn caller_body(body: Payload) -> CallerBody {
     match body {
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -17,6 +17,7 @@
 mod pipelined_body;
 mod pipelined_stream;
 mod request_handler;
+mod resources;
 mod stage;
 mod threaded_server;
 
@@ -27,13 +28,15 @@
 pub use connection_pool::{ConnectionPool, MAX_BUFFER, PoolLimits, RequestError};
 pub use dialer::Dialer;
 pub use listen::{
-    CallerAnswer, CallerBody, HttpListener, caller_body, caller_text, listen, listen_pipelined,
+    CallerAnswer, CallerBody, HttpListener, ListenOptions, caller_body, caller_text, listen,
+    listen_pipelined, listen_within,
 };
 pub use payload::{
     ChunkSender, Chunks, IncompleteBody, MAX_QUEUED_BYTES, MAX_WHOLE_BODY, Payload, StreamClosed,
     collect,
 };
 pub use request_handler::{AnswerFuture, RequestHandler, UnsentAnswer};
+pub use resources::{Charge, EvictionCounts, Holder, Resources};
 pub use threaded_server::{
     HttpRequest, HttpResponse, ThreadedServer, answer_json, answer_text, serve,
 };
--- a/src/web/pipeline.rs
+++ b/src/web/pipeline.rs
@@ -10,18 +10,20 @@
 use http_body::Body;
 use tokio::time::Instant;
 
-use super::MAX_HEAD;
-use super::UnsentAnswer;
 use super::activity::{ActivityGuard, ConnectionCounts};
 use super::early_head::parse_early_head;
 use super::early_request::EarlyRequest;
 use super::head_scanner::HeadScanner;
 use super::stage::Stage;
+use super::{Charge, MAX_HEAD, UnsentAnswer};
+use crate::policy::resource::Full;
 
 /// Maximum number of bytes buffered for one connection.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Maximum number of reads whose times are kept.
 const MAX_READ_TIMES: usize = 64;
+/// Memory that is held for a byte that was read and not parsed: buffers grow by doubling.
+const BUFFER_FACTOR: usize = 2;
 /// Reads closer together than this count as one.
 const READ_MERGE_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -41,6 +43,12 @@
     owes_answer: bool,
     /// The last answer that was decided, until all of it has been sent.
     unsent: Option<UnsentAnswer>,
+    /// The memory of the current answer.
+    answer_charge: Option<Charge>,
+    /// The memory of earlier answers that the HTTP server has not sent completely.
+    unsent_charges: Vec<Charge>,
+    /// The memory of what was read and not parsed.
+    read_charge: Charge,
     /// Whether the connection ends with the current request.
     is_last: bool,
     counts: ConnectionCounts,
@@ -54,6 +62,8 @@
     arrived_at: Instant,
     /// End of the bytes that the server has read.
     read_position: u64,
+    /// How far that was when the last request was answered.
+    answered_position: u64,
     /// The bytes received after `read_position`.
     buffer: BytesMut,
     /// End and time of each read that filled the buffer.
@@ -81,8 +91,13 @@
 
 impl Pipeline {
     /// Creates the pipeline of a new connection; nothing is read ahead if `limit` is
-    /// 0 or 1.
-    pub(super) fn new(limit: usize, now: Instant, counts: ConnectionCounts) -> Self {
+    /// 0 or 1. `read_charge` counts the memory of what is read.
+    pub(super) fn new(
+        limit: usize,
+        now: Instant,
+        counts: ConnectionCounts,
+        read_charge: Charge,
+    ) -> Self {
         Self {
             limit,
             stage: if limit > 1 {
@@ -93,6 +108,9 @@
             is_answered: false,
             owes_answer: false,
             unsent: None,
+            answer_charge: None,
+            unsent_charges: Vec::new(),
+            read_charge,
             is_last: false,
             counts,
             counted: None,
@@ -100,6 +118,7 @@
             start: 0,
             arrived_at: now,
             read_position: 0,
+            answered_position: 0,
             buffer: BytesMut::new(),
             reads: VecDeque::new(),
             next_start: 0,
@@ -129,13 +148,19 @@
 
     /// Accepts bytes just received for the server; returns how many of them it may
     /// read, and buffers the rest.
-    pub(super) fn consume(&mut self, bytes: &[u8], now: Instant) -> usize {
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room to hold them.
+    pub(super) fn consume(&mut self, bytes: &[u8], now: Instant) -> Result<usize, Full> {
         let count = self.stage.consume(bytes);
         self.record_read(count, now);
         if count < bytes.len() {
-            self.push(&bytes[count..], now);
+            self.push(&bytes[count..], now)?;
+        } else {
+            self.charge_unparsed()?;
         }
-        count
+        Ok(count)
     }
 
     /// Takes buffered bytes for the server, at most `max_bytes`.
@@ -155,17 +180,44 @@
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
         }
+        self.release_parsed();
         bytes
     }
 
+    /// Charges what was read and belongs to no request that the server has parsed.
+    fn charge_unparsed(&mut self) -> Result<(), Full> {
+        let unparsed = self.unparsed().saturating_mul(BUFFER_FACTOR);
+        self.read_charge.grow_to(unparsed)
+    }
+
+    fn release_parsed(&mut self) {
+        if self.unparsed() == 0 {
+            self.read_charge.clear();
+        }
+    }
+
+    /// Returns how many bytes were read and not parsed.
+    fn unparsed(&self) -> usize {
+        let head = match self.owes_answer {
+            true => 0,
+            false => self.read_position - self.answered_position,
+        };
+        usize::try_from(head).unwrap_or(usize::MAX) + self.buffer.len()
+    }
+
     /// Buffers bytes that were read ahead.
-    pub(super) fn push(&mut self, bytes: &[u8], now: Instant) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room to hold them.
+    pub(super) fn push(&mut self, bytes: &[u8], now: Instant) -> Result<(), Full> {
         self.buffer.extend_from_slice(bytes);
         let end = self.read_position + self.buffer.len() as u64;
         match self.reads.back_mut() {
             Some((to, at)) if now.saturating_duration_since(*at) < READ_MERGE_INTERVAL => *to = end,
             _ => self.reads.push_back((end, now)),
         }
+        self.charge_unparsed()
     }
 
     /// Records the current request once the server has parsed its head; returns when
@@ -179,6 +231,7 @@
             self.counted = Some(self.counts.busy.begin());
         }
         self.owes_answer = true;
+        self.release_parsed();
         if matches!(self.stage, Stage::Unbounded) {
             return (Instant::now(), None);
         }
@@ -204,8 +257,14 @@
     }
 
     /// Records the answer to the current request before any of it is sent.
-    pub(super) fn record_decided(&mut self, answer: UnsentAnswer) {
+    pub(super) fn record_decided(&mut self, answer: UnsentAnswer, charge: Charge) {
         self.unsent = Some(answer);
+        self.answer_charge = Some(charge);
+    }
+
+    /// Returns whether the answer to the current request isn't decided.
+    pub(super) fn is_undecided(&self) -> bool {
+        self.owes_answer && self.unsent.is_none()
     }
 
     /// Records that the body of the answer ended before it was complete.
@@ -224,11 +283,14 @@
     pub(super) fn record_answer(&mut self) {
         self.is_answered = true;
         self.owes_answer = false;
+        self.answered_position = self.read_position;
+        self.unsent_charges.extend(self.answer_charge.take());
         self.advance();
     }
 
     /// Records that the HTTP server has nothing left to send.
     pub(super) fn record_flush(&mut self) {
+        self.unsent_charges.clear();
         if self.owes_answer || self.counted.is_none() {
             return;
         }
--- a/src/web/pipelined_stream.rs
+++ b/src/web/pipelined_stream.rs
@@ -13,6 +13,7 @@
 use super::caller_connection::CallerConnection;
 use super::early_request::EarlyRequest;
 use super::pipeline::Pipeline;
+use crate::policy::resource::Full;
 
 /// The stream that the HTTP server reads, which passes it one request at a time and
 /// buffers pipelined ones.
@@ -34,12 +35,19 @@
 
     /// Starts the buffered requests that may run now.
     fn start_early(&self, pipeline: &mut Pipeline) {
-        let CallerConnection { from, handler, .. } = &self.connection;
-        while let Some(next) = pipeline.next_early() {
+        let CallerConnection {
+            from,
+            handler,
+            holder,
+            ..
+        } = &self.connection;
+        while let Some(mut next) = pipeline.next_early() {
             let request_line = (next.head.method.clone(), next.head.uri.clone());
+            next.head.extensions.insert(Arc::clone(holder));
             let answer = handler.start_early(next.head, next.arrived_at, *from);
-            let early = answer
-                .map(|answer| EarlyRequest::new(next.start, request_line, tokio::spawn(answer)));
+            let early = answer.map(|answer| {
+                EarlyRequest::start(next.start, request_line, answer, Arc::clone(holder))
+            });
             pipeline.record_early(next.start, early);
         }
     }
@@ -62,7 +70,12 @@
                 pipeline.end_connection();
                 return Poll::Ready(read);
             }
-            pipeline.push(&buf.filled()[before..], Instant::now());
+            if pipeline
+                .push(&buf.filled()[before..], Instant::now())
+                .is_err()
+            {
+                self.connection.holder.evict();
+            }
             buf.set_filled(before);
             self.start_early(pipeline);
         }
@@ -92,8 +105,15 @@
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-        let count = pipeline.consume(&buf.filled()[before..], Instant::now());
-        buf.set_filled(before + count);
+        let holder = &this.connection.holder;
+        holder.record_moved(buf.filled().len() - before);
+        match pipeline.consume(&buf.filled()[before..], Instant::now()) {
+            Ok(count) => buf.set_filled(before + count),
+            Err(Full) => {
+                holder.evict();
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -104,7 +124,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let written = ready!(Pin::new(&mut this.stream).poll_write(cx, buf))?;
+        this.connection.holder.record_moved(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -112,7 +135,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let written = ready!(Pin::new(&mut this.stream).poll_write_vectored(cx, bufs))?;
+        this.connection.holder.record_moved(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
