Count what other daemons' calls hold, and don't copy their bodies

Seen: 160 requests at the peers' port that stop one byte short take 92 MB at the daemon beside the server; 600 idle connections there more than 500 descriptors; six bodies ahead on each of 160 connections 140 to 168 MB.

Cause: a guard reads up to 4 MiB of each call before it knows whether it has room, and counts neither calls nor connections. The entry copies each body into the message to the guard, and the guard each answer into that to the entry.

Message and payload are sent one after the other without a copy. A guard without room reads the call to its end, keeps nothing of it and answers 503; the entry refuses it as not-run, which is true since nothing was looked at, and tries no other guard. Where an answer of the backend server can't be held, it is streamed. A daemon of an earlier version takes the 503 for a lost answer, which promises nothing.

--- a/src/call/attempt.rs
+++ b/src/call/attempt.rs
@@ -82,7 +82,8 @@
     /// Returns the attempt to its unsent state.
     ///
     /// Only for when it is certain that the call didn't run: no connection was
-    /// made, or the backend server itself said that it has not run the call.
+    /// made, the guard dropped it unread, or the backend server itself said that it has
+    /// not run the call.
     pub fn revert_sent(self) -> Attempt<Planned> {
         Attempt::with_id(self.id)
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -92,7 +92,11 @@
         let handle = tokio::runtime::Handle::current();
         let shared = Arc::new(build_shared(config, platform, protocol)?);
         let guard = Guard::new(Arc::clone(&shared), handle.clone());
-        let pool = Arc::new(Pool::new(handle, shared.config.listen.peers.ip()));
+        let pool = Arc::new(Pool::new(
+            handle,
+            shared.config.listen.peers.ip(),
+            shared.resources.clone(),
+        ));
         let entry = Entry::new(Arc::clone(&shared), Arc::clone(&guard), Arc::clone(&pool));
         let (stop_peers, stopped) = oneshot::channel();
         let service = PeerService::new(Arc::clone(&shared), Arc::clone(&guard));
--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -16,7 +16,7 @@
 use crate::call::CallHead;
 use crate::model::{CrashId, ServerId};
 use crate::web::{
-    ChunkSender, Chunks, ConnectionPool, Dialer, IncompleteBody, MAX_WHOLE_BODY, Payload,
+    Charge, ChunkSender, Chunks, ConnectionPool, Dialer, IncompleteBody, MAX_WHOLE_BODY, Payload,
     PoolLimits, RequestError,
 };
 
@@ -179,8 +179,11 @@
     Large(Bytes, Incoming),
 }
 
-/// Reads the complete body of an answer if it is small.
-pub(super) async fn read_small(mut body: Incoming) -> Result<AnswerBody, BackendError> {
+/// Reads the complete body of an answer if it is small and there is room to hold it.
+pub(super) async fn read_small(
+    mut body: Incoming,
+    mut charge: Charge,
+) -> Result<AnswerBody, BackendError> {
     if body.size_hint().lower() > MAX_WHOLE_BODY as u64 {
         return Ok(AnswerBody::Large(Bytes::new(), body));
     }
@@ -191,7 +194,7 @@
         if let Ok(data) = frame.into_data() {
             whole.extend_from_slice(&data);
         }
-        if whole.len() > MAX_WHOLE_BODY {
+        if whole.len() > MAX_WHOLE_BODY || charge.grow_to(whole.len()).is_err() {
             return Ok(AnswerBody::Large(whole.freeze(), body));
         }
     }
--- a/src/guard/server_request.rs
+++ b/src/guard/server_request.rs
@@ -8,6 +8,7 @@
 use super::backend::{AnswerBody, BackendError, read_small};
 use crate::call::{AnswerMeaning, CallHead, strip_hop_headers};
 use crate::model::ServerId;
+use crate::policy::resource::Purpose;
 use crate::web::Payload;
 
 /// Answer of the backend server; a small body has been read completely.
@@ -99,7 +100,7 @@
             status: parts.status,
             headers: strip_hop_headers(parts.headers),
             length,
-            body: read_small(body).await?,
+            body: read_small(body, self.shared.resources.charge(Purpose::Answer)).await?,
         })
     }
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -20,6 +20,7 @@
 use crate::call::{Attempt, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::{AttemptId, Instance, OnceKey, ServiceName};
 use crate::policy::admission::Shed;
+use crate::policy::resource::Purpose;
 use crate::web::{ChunkSender, Chunks, IncompleteBody, Payload};
 
 /// Timeout for the acknowledgement that a call has arrived. The other daemon
@@ -63,6 +64,14 @@
     let Some(mut client) = pool.client(instance.address) else {
         return Err(attempt.refuse(Reason::Unreachable, "the address is invalid"));
     };
+    let mut charge = pool.resources.charge(Purpose::Request);
+    let copied = match &message.body {
+        Payload::Whole(body) => body.len(),
+        Payload::Stream { .. } => 0,
+    };
+    if charge.grow_to(copied).is_err() {
+        return Err(attempt.refuse(Reason::Shed(Shed::Memory), ""));
+    }
     let deadline = message.head.deadline;
     let needs_confirm = message.needs_confirm;
     let (frames, rest) = call_frames(instance, attempt.id(), message);
--- a/src/peer/http_stream.rs
+++ b/src/peer/http_stream.rs
@@ -6,6 +6,7 @@
 
 use std::future::poll_fn;
 use std::io;
+use std::sync::Arc;
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadBuf};
@@ -15,6 +16,8 @@
 use super::http_head::{
     BodyLength, RequestHead, ResponseHead, invalid_data, parse_request, parse_response,
 };
+use super::message::PlainBody;
+use crate::web::{Charge, Holder};
 
 /// Maximum size of a head.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -32,13 +35,30 @@
 pub(super) struct HttpStream {
     stream: TcpStream,
     buffer: BytesMut,
+    /// The account of the connection, if the other end opened it.
+    holder: Option<Arc<Holder>>,
 }
 
 impl HttpStream {
     /// Creates a stream on a connection from which nothing was read yet.
     pub(super) fn new(stream: TcpStream) -> Self {
-        let buffer = BytesMut::new();
-        Self { stream, buffer }
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+            holder: None,
+        }
+    }
+
+    /// Sets the account that what moves on the connection is recorded with.
+    pub(super) fn with_holder(self, holder: Arc<Holder>) -> Self {
+        let holder = Some(holder);
+        Self { holder, ..self }
+    }
+
+    fn record_moved(&self, bytes: usize) {
+        if let Some(holder) = &self.holder {
+            holder.record_moved(bytes);
+        }
     }
 
     /// Returns the connection if nothing was read beyond the last message.
@@ -75,7 +95,10 @@
         self.buffer.reserve(capacity);
         match self.stream.read_buf(&mut self.buffer).await? {
             0 => Err(io::ErrorKind::UnexpectedEof.into()),
-            _ => Ok(()),
+            count => {
+                self.record_moved(count);
+                Ok(())
+            }
         }
     }
 
@@ -120,33 +143,61 @@
         self.read_more(READ_BYTES).await
     }
 
-    /// Reads a complete body.
+    /// Reads a complete body, and counts the memory that it takes. Returns `None` if
+    /// there is no room for it, once it has arrived.
     ///
     /// # Errors
     ///
     /// Fails if the connection fails, or if the body is too long.
-    pub(super) async fn read_body(&mut self, length: BodyLength) -> io::Result<Bytes> {
+    pub(super) async fn read_body(
+        &mut self,
+        length: BodyLength,
+        charge: &mut Charge,
+    ) -> io::Result<Option<Bytes>> {
         let length = match length {
             BodyLength::Known(length) if length <= MAX_MESSAGE_BYTES => length,
             BodyLength::Known(_) => return Err(invalid_data("the body is too long")),
-            BodyLength::Chunked => return self.read_chunks().await,
+            BodyLength::Chunked => return self.read_chunks(charge).await,
         };
-        while self.buffer.len() < length {
-            let rest = length - self.buffer.len();
-            self.read_more(rest).await?;
+        loop {
+            let arrived = length.min(self.buffer.len());
+            if charge.grow_to(arrived).is_err() {
+                charge.clear();
+                return self.skip(length).await.map(|()| None);
+            }
+            if arrived == length {
+                return Ok(Some(self.buffer.split_to(length).freeze()));
+            }
+            self.read_more(length - arrived).await?;
         }
-        Ok(self.buffer.split_to(length).freeze())
     }
 
-    async fn read_chunks(&mut self) -> io::Result<Bytes> {
+    /// Reads `length` bytes and drops them.
+    async fn skip(&mut self, mut length: usize) -> io::Result<()> {
+        loop {
+            let count = length.min(self.buffer.len());
+            self.buffer.advance(count);
+            length -= count;
+            if length == 0 {
+                return Ok(());
+            }
+            self.buffer = BytesMut::new();
+            self.read_more(READ_BYTES).await?;
+        }
+    }
+
+    async fn read_chunks(&mut self, charge: &mut Charge) -> io::Result<Option<Bytes>> {
         let mut whole = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
             whole.extend_from_slice(&chunk);
             if whole.len() > MAX_MESSAGE_BYTES {
                 return Err(invalid_data("the body is too long"));
             }
+            if charge.grow_to(whole.capacity()).is_err() {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
         }
-        Ok(whole.freeze())
+        Ok(Some(whole.freeze()))
     }
 
     /// Reads the next chunk of a body. Returns `None` at its end.
@@ -183,19 +234,20 @@
         Ok((length > 0).then_some(chunk))
     }
 
-    /// Sends a head and a body.
+    /// Sends a head and a body, which is a message and a payload.
     ///
     /// # Errors
     ///
     /// Fails if the connection fails; the error tells whether any byte was sent.
-    pub(super) async fn send(&mut self, head: &[u8], body: &[u8]) -> Result<(), SendError> {
-        let mut rest = Buf::chain(head, body);
+    pub(super) async fn send(&mut self, head: &[u8], body: &PlainBody) -> Result<(), SendError> {
+        let mut rest = Buf::chain(Buf::chain(head, &*body.message), &*body.payload);
+        let length = rest.remaining();
         while rest.has_remaining() {
-            let any_sent = rest.remaining() < head.len() + body.len();
+            let any_sent = rest.remaining() < length;
             let failed = |cause| SendError { any_sent, cause };
             match self.stream.write_buf(&mut rest).await {
                 Ok(0) => return Err(failed(io::ErrorKind::WriteZero.into())),
-                Ok(_) => {}
+                Ok(count) => self.record_moved(count),
                 Err(e) => return Err(failed(e)),
             }
         }
@@ -213,7 +265,9 @@
         }
         let line = format!("{:x}\r\n", chunk.len());
         let mut whole = Buf::chain(Buf::chain(line.as_bytes(), chunk), LINE_END);
-        self.stream.write_all_buf(&mut whole).await
+        self.stream.write_all_buf(&mut whole).await?;
+        self.record_moved(chunk.len());
+        Ok(())
     }
 }
 
--- a/src/peer/listen.rs
+++ b/src/peer/listen.rs
@@ -23,10 +23,12 @@
 use super::generated::peer_server::PeerServer;
 use super::server::PeerService;
 use crate::error::Error;
+use crate::policy::resource::{ConnectionGroup, Side};
+use crate::web::Holder;
 
 /// Maximum number of concurrent calls on one connection.
 const MAX_STREAMS: u32 = 8192;
-/// Pause after accepting a connection failed, for lack of file descriptors.
+/// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// The HTTP/2 connection preface, with which a connection of streams begins.
@@ -57,14 +59,36 @@
 }
 
 impl ConnectionHandler {
-    async fn serve_connection(&self, stream: TcpStream, mut stop: watch::Receiver<()>) {
+    /// Serves a connection until it ends or has to go.
+    async fn serve_connection(
+        &self,
+        stream: TcpStream,
+        stop: watch::Receiver<()>,
+        holder: Arc<Holder>,
+    ) {
+        tokio::select! {
+            () = self.serve_until(stream, stop, &holder) => {}
+            () = holder.evicted() => {}
+        }
+    }
+
+    async fn serve_until(
+        &self,
+        stream: TcpStream,
+        mut stop: watch::Receiver<()>,
+        holder: &Arc<Holder>,
+    ) {
         // A dropped sender also means that the daemon stops.
         let stop = async move { stop.changed().await.unwrap_or_default() };
         let result = match is_http2(&stream).await {
             // Boxed, since plain connections are many and need a smaller future.
-            Ok(true) => Box::pin(self.serve_streams(stream, stop)).await,
+            Ok(true) => {
+                // Streams are not seen here, and any may wait for this daemon.
+                holder.wait_for(Side::Own);
+                Box::pin(self.serve_streams(stream, stop)).await
+            }
             Ok(false) => {
-                self.serve_plain(stream, stop).await;
+                self.serve_plain(stream, stop, holder).await;
                 Ok(())
             }
             Err(e) => Err(e.into()),
@@ -94,9 +118,14 @@
 
     /// Serves plain requests. When the daemon stops, only the one in progress is
     /// completed.
-    async fn serve_plain(&self, stream: TcpStream, stop: impl Future<Output = ()>) {
+    async fn serve_plain(
+        &self,
+        stream: TcpStream,
+        stop: impl Future<Output = ()>,
+        holder: &Arc<Holder>,
+    ) {
         let busy = AtomicBool::new(false);
-        let mut serving = std::pin::pin!(self.peers.serve_plain(stream, &busy));
+        let mut serving = std::pin::pin!(self.peers.serve_plain(stream, &busy, holder));
         tokio::select! {
             biased;
             () = serving.as_mut() => return,
@@ -161,13 +190,20 @@
             accepted = listener.accept() => accepted,
             _ = &mut stop => break,
         };
+        let resources = &handler.peers.shared.resources;
         match accepted.and_then(with_nodelay) {
-            Ok(stream) => {
+            Ok((stream, from)) => {
+                // Without room the connection closes before a request is read.
+                let Ok(holder) = resources.open(ConnectionGroup::Peers, from.ip()) else {
+                    continue;
+                };
                 let (handler, stopped) = (Arc::clone(&handler), stopped.clone());
-                connections.spawn(async move { handler.serve_connection(stream, stopped).await });
+                connections
+                    .spawn(async move { handler.serve_connection(stream, stopped, holder).await });
             }
             Err(e) => {
                 spdlog::warn!("cannot accept a peer connection", kv: { cause = e.to_string().as_str() });
+                resources.evict_one(ConnectionGroup::Peers);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -191,8 +227,10 @@
     http_builder
 }
 
-fn with_nodelay((stream, _): (TcpStream, SocketAddr)) -> std::io::Result<TcpStream> {
+fn with_nodelay(
+    (stream, from): (TcpStream, SocketAddr),
+) -> std::io::Result<(TcpStream, SocketAddr)> {
     // Messages are small, and the sender waits for each answer.
     stream.set_nodelay(true)?;
-    Ok(stream)
+    Ok((stream, from))
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -24,14 +24,32 @@
     tag << 3 | 2
 }
 
-/// Encodes a message with its length, followed by the payload.
-pub(super) fn encode_body(message: &impl Message, payload: &[u8]) -> Bytes {
+/// The body of a plain request or response. The payload is not copied, since it may be
+/// large.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PlainBody {
+    /// The message with its length.
+    pub(super) message: Bytes,
+    pub(super) payload: Bytes,
+}
+
+impl PlainBody {
+    /// Returns the length in bytes.
+    pub(super) fn len(&self) -> usize {
+        self.message.len() + self.payload.len()
+    }
+}
+
+/// Encodes a message with its length.
+pub(super) fn encode_body(message: &impl Message) -> PlainBody {
     let length = message.encoded_len();
-    let mut body = buffer_for(length, payload);
+    let mut body = buffer_for(length);
     append_length(length, &mut body);
     append_message(message, &mut body);
-    body.extend_from_slice(payload);
-    body.freeze()
+    PlainBody {
+        message: body.freeze(),
+        payload: Bytes::new(),
+    }
 }
 
 /// Encodes the head of a call, whose own headers are empty, with `headers`,
@@ -39,15 +57,17 @@
 pub(super) fn encode_call_body(
     head: &wire::CallHead,
     headers: &HeaderMap,
-    payload: &[u8],
-) -> Bytes {
+    payload: Bytes,
+) -> PlainBody {
     let length = head.encoded_len() + headers_len(headers);
-    let mut body = buffer_for(length, payload);
+    let mut body = buffer_for(length);
     append_length(length, &mut body);
     append_message(head, &mut body);
     append_headers(CALL_HEADERS_KEY, headers, &mut body);
-    body.extend_from_slice(payload);
-    body.freeze()
+    PlainBody {
+        message: body.freeze(),
+        payload,
+    }
 }
 
 /// Encodes a frame with the head of an answer, whose own headers are empty, with
@@ -55,21 +75,23 @@
 pub(super) fn encode_answer_body(
     head: &wire::AnswerHead,
     headers: &HeaderMap,
-    payload: &[u8],
-) -> Bytes {
+    payload: Bytes,
+) -> PlainBody {
     let head_length = head.encoded_len() + headers_len(headers);
     let length = field_len(head_length);
-    let mut body = buffer_for(length, payload);
+    let mut body = buffer_for(length);
     append_length(length, &mut body);
     begin_field(ANSWER_HEAD_KEY, head_length, &mut body);
     append_message(head, &mut body);
     append_headers(ANSWER_HEADERS_KEY, headers, &mut body);
-    body.extend_from_slice(payload);
-    body.freeze()
+    PlainBody {
+        message: body.freeze(),
+        payload,
+    }
 }
 
-fn buffer_for(length: usize, payload: &[u8]) -> BytesMut {
-    BytesMut::with_capacity(length_delimiter_len(length) + length + payload.len())
+fn buffer_for(length: usize) -> BytesMut {
+    BytesMut::with_capacity(length_delimiter_len(length) + length)
 }
 
 fn append_message(message: &impl Message, to: &mut BytesMut) {
--- a/src/peer/plain_call.rs
+++ b/src/peer/plain_call.rs
@@ -14,10 +14,11 @@
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::id::encode_id;
 use super::message::encode_call_body;
-use super::plain_pool::RequestError;
+use super::plain_pool::{RequestError, RequestProgress};
 use super::pool::Pool;
 use crate::call::{Attempt, CallHead, Planned, Reason, Refusal, Reply, Sent};
 use crate::model::Instance;
+use crate::policy::admission::Shed;
 use crate::web::Payload;
 
 /// Sends a call with a complete body to the guard of `instance`, and waits for
@@ -34,14 +35,16 @@
     head: wire::CallHead,
     body: Bytes,
 ) -> Result<Reply, Refusal> {
-    let request = encode_call_body(&head, &call.headers, &body);
-    drop((head, body));
+    let request = encode_call_body(&head, &call.headers, body);
+    drop(head);
     let client = pool.plain(instance.address);
     let attempt = attempt.mark_sent();
     match timeout_at(call.deadline + ANSWER_SLACK, client.call(request)).await {
         Ok(Ok((part, payload))) => read_answer(attempt, part, payload),
         Ok(Err(failed)) => {
-            pool.replace(instance.address);
+            if failed.progress != RequestProgress::NotHeld {
+                pool.replace(instance.address);
+            }
             Err(refuse_failed(attempt, failed))
         }
         Err(_) => Err(attempt.abandon(Reason::Timeout, "no answer before the deadline")),
@@ -49,12 +52,14 @@
 }
 
 fn refuse_failed(attempt: Attempt<Sent>, failed: RequestError) -> Refusal {
-    if failed.connected {
-        attempt.abandon(Reason::IncompleteAnswer, failed.cause)
-    } else {
-        attempt
+    match failed.progress {
+        RequestProgress::Sent => attempt.abandon(Reason::IncompleteAnswer, failed.cause),
+        RequestProgress::NotSent => attempt
             .revert_sent()
-            .refuse(Reason::Unreachable, failed.cause)
+            .refuse(Reason::Unreachable, failed.cause),
+        RequestProgress::NotHeld => attempt
+            .revert_sent()
+            .refuse(Reason::Shed(Shed::Memory), failed.cause),
     }
 }
 
--- a/src/peer/plain_client.rs
+++ b/src/peer/plain_client.rs
@@ -12,24 +12,29 @@
 use super::generated::answer_frame::Frame as AnswerPart;
 use super::http_head::BodyLength;
 use super::http_stream::HttpStream;
-use super::message::{encode_body, take_message};
+use super::message::{PlainBody, encode_body, take_message};
 use super::plain_pool::{PlainPool, RequestError};
-use crate::web::{ChunkSender, Chunks, Dialer, IncompleteBody, Payload};
+use crate::policy::resource::Purpose;
+use crate::web::{ChunkSender, Chunks, Dialer, IncompleteBody, Payload, Resources};
 
 /// Timeout for the TCP acknowledgement of sent bytes. The daemon on the other VM
 /// may be paused, but its network stack still acknowledges.
 const ACK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Error text for an answer that can't be held.
+const NO_ROOM: &str = "no room for the answer";
 
 /// Sends plain requests to one daemon.
 #[derive(Clone, Debug)]
 pub(super) struct PlainClient {
     connections: Arc<PlainPool>,
+    /// The account of the answers that are read.
+    resources: Resources,
 }
 
 impl PlainClient {
     /// Creates a client of the daemon at `address`, whose connections are bound to
     /// `local_ip`.
-    pub(super) fn new(address: SocketAddr, local_ip: IpAddr) -> Self {
+    pub(super) fn new(address: SocketAddr, local_ip: IpAddr, resources: Resources) -> Self {
         let dial = Dialer {
             address,
             local_ip: Some(local_ip),
@@ -38,6 +43,7 @@
         };
         Self {
             connections: Arc::new(PlainPool::new(dial)),
+            resources,
         }
     }
 
@@ -48,11 +54,13 @@
         message: &impl prost::Message,
     ) -> Result<A, QueryError> {
         let failed = |cause: &dyn std::fmt::Display| QueryError::Failed(cause.to_string().into());
-        let request = encode_body(message, &[]);
+        let request = encode_body(message);
         let answer = self.connections.request(path, &request).await;
         let (answer, mut http) = answer.map_err(|e| QueryError::Failed(e.cause))?;
-        let body = http.read_body(answer.length).await;
-        let mut body = body.map_err(|e| failed(&e))?;
+        let mut charge = self.resources.charge(Purpose::Answer);
+        let body = http.read_body(answer.length, &mut charge).await;
+        let body = body.map_err(|e| failed(&e))?;
+        let mut body = body.ok_or_else(|| failed(&NO_ROOM))?;
         if answer.keep_alive {
             self.connections.put_back(http);
         }
@@ -71,18 +79,23 @@
     /// stream.
     pub(super) async fn call(
         self,
-        call: Bytes,
+        call: PlainBody,
     ) -> Result<(Option<AnswerPart>, Payload), RequestError> {
         let (answer, mut http) = self.connections.request(CALL_PATH, &call).await?;
         drop(call);
         if answer.length == BodyLength::Chunked {
             return read_stream(http).await;
         }
-        let whole = http.read_body(answer.length).await;
-        let mut whole = whole.map_err(|e| RequestError::no_answer(&e))?;
+        let mut charge = self.resources.charge(Purpose::Answer);
+        let whole = http.read_body(answer.length, &mut charge).await;
+        let whole = whole.map_err(|e| RequestError::no_answer(&e))?;
         if answer.keep_alive {
             self.connections.put_back(http);
         }
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(RequestError::not_held());
+        }
+        let mut whole = whole.ok_or_else(|| RequestError::no_answer(&NO_ROOM))?;
         let frame: wire::AnswerFrame =
             take_message(&mut whole).map_err(|e| RequestError::no_answer(&e))?;
         Ok((frame.frame, Payload::Whole(whole)))
--- a/src/peer/plain_pool.rs
+++ b/src/peer/plain_pool.rs
@@ -11,6 +11,7 @@
 
 use super::http_head::{ResponseHead, request_head};
 use super::http_stream::HttpStream;
+use super::message::PlainBody;
 use crate::web::Dialer;
 
 /// Maximum number of idle connections to one daemon.
@@ -18,26 +19,46 @@
 /// Maximum idle time of a connection.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(5);
 
+/// How far a request that got no answer has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestProgress {
+    /// No connection was open.
+    NotSent,
+    /// It may have arrived.
+    Sent,
+    /// The other daemon had no room to hold it.
+    NotHeld,
+}
+
 /// Why a request got no answer.
 #[derive(Debug)]
 pub(super) struct RequestError {
-    /// Whether a connection was open, so that the request may have arrived.
-    pub(super) connected: bool,
+    pub(super) progress: RequestProgress,
     pub(super) cause: Box<str>,
 }
 
 impl RequestError {
     /// Creates the error of a request that may have arrived.
     pub(super) fn no_answer(cause: &dyn std::fmt::Display) -> Self {
-        let cause = format!("no answer: {cause}").into();
-        let connected = true;
-        Self { connected, cause }
+        Self {
+            progress: RequestProgress::Sent,
+            cause: format!("no answer: {cause}").into(),
+        }
+    }
+
+    /// Creates the error of a request that the other daemon had no room to hold.
+    pub(super) fn not_held() -> Self {
+        Self {
+            progress: RequestProgress::NotHeld,
+            cause: "the other daemon has no room for the request".into(),
+        }
     }
 
     fn not_connected(cause: &io::Error) -> Self {
-        let cause = format!("cannot connect: {cause}").into();
-        let connected = false;
-        Self { connected, cause }
+        Self {
+            progress: RequestProgress::NotSent,
+            cause: format!("cannot connect: {cause}").into(),
+        }
     }
 }
 
@@ -76,7 +97,7 @@
     pub(super) async fn request(
         &self,
         path: &str,
-        body: &[u8],
+        body: &PlainBody,
     ) -> Result<(ResponseHead, HttpStream), RequestError> {
         let head = request_head(path, &self.host, body.len());
         while let Some(stream) = self.take_idle() {
--- a/src/peer/plain_server.rs
+++ b/src/peer/plain_server.rs
@@ -1,6 +1,7 @@
 //! Serves plain requests of other daemons.
 
 use std::io;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
@@ -16,12 +17,13 @@
 use super::http_head::{BodyLength, response_head};
 use super::http_stream::HttpStream;
 use super::id::decode_attempt_id;
-use super::message::{encode_answer_body, encode_body, take_message};
+use super::message::{PlainBody, encode_answer_body, encode_body, take_message};
 use super::query::EXCHANGE_PATH;
 use super::server::PeerService;
 use crate::call::{Attempt, Call, Refusal, Reply};
 use crate::model::{AttemptId, Retries};
-use crate::web::{Chunks, IncompleteBody, Payload};
+use crate::policy::resource::{Purpose, Side};
+use crate::web::{Chunks, Holder, IncompleteBody, MAX_QUEUED_BYTES, Payload};
 
 /// The answer to a plain request.
 #[derive(Debug)]
@@ -29,9 +31,9 @@
     /// A status without a body.
     Status(StatusCode),
     /// A complete body.
-    Whole(Bytes),
+    Whole(PlainBody),
     /// The first part of a body, and a stream of the rest.
-    Stream(Bytes, Chunks),
+    Stream(PlainBody, Chunks),
 }
 
 /// The kind of a plain request.
@@ -42,6 +44,17 @@
     Exchange,
 }
 
+impl PlainAnswer {
+    /// Returns the memory that is held until the answer is sent, in bytes.
+    fn held_bytes(&self) -> usize {
+        match self {
+            Self::Status(_) => 0,
+            Self::Whole(body) => body.len(),
+            Self::Stream(first, _) => first.len() + MAX_QUEUED_BYTES,
+        }
+    }
+}
+
 impl RequestKind {
     fn from_path(path: &str) -> Option<Self> {
         match path {
@@ -56,11 +69,16 @@
 impl PeerService {
     /// Serves plain requests on one connection until it ends or the daemon stops.
     /// `busy` is set while a request is in progress.
-    pub(super) async fn serve_plain(&self, stream: TcpStream, busy: &AtomicBool) {
-        let mut http = HttpStream::new(stream);
+    pub(super) async fn serve_plain(
+        &self,
+        stream: TcpStream,
+        busy: &AtomicBool,
+        holder: &Arc<Holder>,
+    ) {
+        let mut http = HttpStream::new(stream).with_holder(Arc::clone(holder));
         while http.wait_readable().await.is_ok() {
             busy.store(true, Ordering::Relaxed);
-            let more = self.serve_request(&mut http).await;
+            let more = self.serve_request(&mut http, holder).await;
             busy.store(false, Ordering::Relaxed);
             match more {
                 Ok(true) if !self.stopping.load(Ordering::Relaxed) => {}
@@ -75,12 +93,17 @@
 
     /// Serves one request, and returns whether another may follow. If the other
     /// daemon closes the connection, the request is cancelled.
-    async fn serve_request(&self, http: &mut HttpStream) -> io::Result<bool> {
+    async fn serve_request(&self, http: &mut HttpStream, holder: &Arc<Holder>) -> io::Result<bool> {
         let Some(request) = http.read_request().await? else {
             return Ok(false);
         };
         let _active = self.activity.begin();
-        let body = http.read_body(request.length).await?;
+        let mut charge = holder.charge(Purpose::Request);
+        let Some(body) = http.read_body(request.length, &mut charge).await? else {
+            send(http, PlainAnswer::Status(StatusCode::SERVICE_UNAVAILABLE)).await?;
+            return Ok(request.keep_alive);
+        };
+        holder.wait_for(Side::Own);
         // Boxed, so that idle connections do not hold space for it.
         let answer = Box::pin(self.answer_plain(&request.path, body));
         let answer = tokio::select! {
@@ -89,6 +112,12 @@
             () = http.wait_closed() => return Ok(false),
         };
         http.release_buffer();
+        drop(charge);
+        let mut charge = holder.charge(Purpose::Answer);
+        if charge.grow_to(answer.held_bytes()).is_err() {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        holder.wait_for(Side::Remote);
         send(http, answer).await?;
         Ok(request.keep_alive)
     }
@@ -135,7 +164,7 @@
 
 async fn send(http: &mut HttpStream, answer: PlainAnswer) -> io::Result<()> {
     let (status, body) = match answer {
-        PlainAnswer::Status(status) => (status, Bytes::new()),
+        PlainAnswer::Status(status) => (status, PlainBody::default()),
         PlainAnswer::Whole(body) => (StatusCode::OK, body),
         PlainAnswer::Stream(first, rest) => return send_stream(http, first, rest).await,
     };
@@ -144,10 +173,11 @@
 }
 
 /// Sends a streamed answer. If it is incomplete, the last chunk is not sent.
-async fn send_stream(http: &mut HttpStream, first: Bytes, mut rest: Chunks) -> io::Result<()> {
+async fn send_stream(http: &mut HttpStream, first: PlainBody, mut rest: Chunks) -> io::Result<()> {
     let head = response_head(StatusCode::OK, BodyLength::Chunked);
-    http.send(&head, &[]).await.map_err(|e| e.cause)?;
-    http.send_chunk(&first).await?;
+    let sent = http.send(&head, &PlainBody::default()).await;
+    sent.map_err(|e| e.cause)?;
+    http.send_chunk(&first.message).await?;
     loop {
         let next = tokio::select! {
             biased;
@@ -170,7 +200,7 @@
     B: prost::Message,
 {
     let message = take_message(&mut body).ok()?;
-    Some(PlainAnswer::Whole(encode_body(&answer(&message), &[])))
+    Some(PlainAnswer::Whole(encode_body(&answer(&message))))
 }
 
 fn encode_answer(attempt: AttemptId, result: Result<Reply, Refusal>) -> PlainAnswer {
@@ -179,18 +209,19 @@
         Err(refusal) => {
             let part = AnswerPart::Refusal(encode_refusal(attempt, &refusal));
             let frame = wire::AnswerFrame { frame: Some(part) };
-            return PlainAnswer::Whole(encode_body(&frame, &[]));
+            return PlainAnswer::Whole(encode_body(&frame));
         }
     };
     match body {
         Payload::Whole(bytes) => {
             let mut message = encode_reply(attempt, &head, Some(bytes));
             let bytes = std::mem::take(&mut message.body);
-            PlainAnswer::Whole(encode_answer_body(&message, &head.headers, &bytes))
+            PlainAnswer::Whole(encode_answer_body(&message, &head.headers, bytes))
         }
         Payload::Stream { chunks, .. } => {
             let message = encode_reply(attempt, &head, None);
-            PlainAnswer::Stream(encode_answer_body(&message, &head.headers, &[]), chunks)
+            let first = encode_answer_body(&message, &head.headers, Bytes::new());
+            PlainAnswer::Stream(first, chunks)
         }
     }
 }
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -12,6 +12,7 @@
 use super::call::{CONNECT_TIMEOUT, MAX_MESSAGE_BYTES};
 use super::generated::peer_client::PeerClient;
 use super::plain_client::PlainClient;
+use crate::web::Resources;
 
 /// Interval of keep-alive pings on a connection with calls in flight.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -41,6 +42,8 @@
 pub struct Pool {
     handle: Handle,
     local_ip: IpAddr,
+    /// The account of what is held for calls and answers.
+    pub(super) resources: Resources,
     clients: Mutex<BTreeMap<SocketAddr, StreamConnection>>,
     plain: Mutex<BTreeMap<SocketAddr, PlainClient>>,
 }
@@ -48,10 +51,11 @@
 impl Pool {
     /// Creates an empty pool whose connections are bound to `local_ip` and driven
     /// on `handle`.
-    pub fn new(handle: Handle, local_ip: IpAddr) -> Self {
+    pub fn new(handle: Handle, local_ip: IpAddr, resources: Resources) -> Self {
         Self {
             handle,
             local_ip,
+            resources,
             clients: Mutex::default(),
             plain: Mutex::default(),
         }
@@ -60,7 +64,7 @@
     /// Returns the client of plain calls to `address`.
     pub(super) fn plain(&self, address: SocketAddr) -> PlainClient {
         let mut plain = self.plain.lock();
-        let new_plain = || PlainClient::new(address, self.local_ip);
+        let new_plain = || PlainClient::new(address, self.local_ip, self.resources.clone());
         plain.entry(address).or_insert_with(new_plain).clone()
     }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -26,8 +26,10 @@
 use crate::error::Error;
 use crate::guard::Guard;
 use crate::model::{AttemptId, Instance, MintTime, OnceKey, Retries};
+use crate::policy::admission::Shed;
+use crate::policy::resource::Purpose;
 use crate::tables::{Shared, mint_now};
-use crate::web::{Activity, ChunkSender, Chunks, IncompleteBody, Payload};
+use crate::web::{Activity, ChunkSender, Chunks, IncompleteBody, MAX_QUEUED_BYTES, Payload};
 
 /// Maximum number of frames queued for sending.
 const MAX_QUEUED_FRAMES: usize = 2;
@@ -227,6 +229,17 @@
                 return Ok(respond(attempt, Err(refusal)));
             }
         };
+        let held = if streamed {
+            MAX_QUEUED_BYTES
+        } else {
+            bytes.len()
+        };
+        let mut charge = self.shared.resources.charge(Purpose::Request);
+        if charge.grow_to(held).is_err() {
+            let mut refusal = Attempt::with_id(attempt).refuse(Reason::Shed(Shed::Memory), "");
+            refusal.returned_retries = Retries::new(granted_retries);
+            return Ok(respond(attempt, Err(refusal)));
+        }
         let (body, sender) = if streamed {
             let (sender, chunks) = Chunks::channel();
             let length = None;
@@ -252,6 +265,7 @@
         let active = self.activity.begin();
         let served = futures_util::stream::once(async move {
             let result = guard.serve(call).await;
+            drop(charge);
             // Dropped only after the call, since unread frames count as a reset.
             drop(frames);
             respond(attempt, result).into_inner()
