Limit the connections of the platform's endpoints

Seen: 600 idle connections at the port of announcements leave 631 descriptors open where the settings allow 400.

Cause: the listeners for announcements, readiness and metrics have no limit of connections.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -26,7 +26,7 @@
 };
 use crate::policy::member::{Incarnation, Member, MemberState, RoleTracker, StoreRole, View};
 use crate::policy::rate::RateTolerance;
-use crate::policy::resource::ResourceLimits;
+use crate::policy::resource::{ConnectionGroup, ResourceLimits};
 use crate::store::{Feed, HttpPlatform, Platform};
 use crate::tables::{
     CallJournal, CallLogLimiter, CurrentConfiguration, OwnershipTable, ParentCalls, Readiness,
@@ -36,7 +36,9 @@
     StopParts, gossip, keep_member_row, keep_ownership, keep_store_role, keep_suspect_rows,
     latest_end, log_load, poll_configuration, refresh_targets, report_demand, stop, watch_lease,
 };
-use crate::web::{HttpListener, Resources, ThreadedServer, caller_text, listen};
+use crate::web::{
+    HttpListener, ListenOptions, Resources, ThreadedServer, caller_text, listen_within,
+};
 
 /// Timeout of one request to the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -216,7 +218,8 @@
     shared: Arc<Shared>,
     guard: Arc<Guard>,
 ) -> Result<HttpListener, Error> {
-    listen(address, move |_, _| {
+    let options = ListenOptions::new(shared.resources.clone(), ConnectionGroup::Platform);
+    let handler = move |_, _| {
         let gauges = Gauges {
             load: guard.gate().load(),
             rate: guard.gate().rate(),
@@ -226,8 +229,8 @@
         text += &workspace_page(&guard.usages());
         text += &shared.metrics.loss_page();
         async move { caller_text(StatusCode::OK, "text/plain; version=0.0.4", text) }
-    })
-    .await
+    };
+    listen_within(address, options, handler).await
 }
 
 /// Returns how long a daemon waits before it uses the platform's store. One with
--- a/src/guard/serve.rs
+++ b/src/guard/serve.rs
@@ -19,7 +19,7 @@
 use crate::policy::member::Presence;
 use crate::policy::once::LedgerLimits;
 use crate::tables::{CallStep, ParentCall, Shared, StepDetail};
-use crate::web::Payload;
+use crate::web::{Payload, Resources};
 
 /// How long after a call's deadline its backend server may still answer: it counts the
 /// same time from when it reads the call. Entries wait for guards a little longer.
@@ -76,6 +76,11 @@
         &self.shared.config.service
     }
 
+    /// Returns the account of what the daemon holds for others.
+    pub fn resources(&self) -> &Resources {
+        &self.shared.resources
+    }
+
     /// Returns the gate.
     pub fn gate(&self) -> &Arc<Gate> {
         &self.gate
--- a/src/platform/announcement.rs
+++ b/src/platform/announcement.rs
@@ -13,7 +13,8 @@
 use crate::guard::Guard;
 use crate::model::{ServerId, ServerStart, ServiceName, Slots};
 use crate::policy::member::{Announcement, AnnouncementEffect, Intent};
-use crate::web::{CallerAnswer, HttpListener, caller_text, listen};
+use crate::policy::resource::ConnectionGroup;
+use crate::web::{CallerAnswer, HttpListener, ListenOptions, caller_text, listen_within};
 
 /// Path prefix of announcements; the server's id follows.
 const PATH_PREFIX: &str = "/instances/";
@@ -77,11 +78,12 @@
     address: SocketAddr,
     guard: Arc<Guard>,
 ) -> Result<HttpListener, Error> {
-    listen(address, move |request, _| {
+    let options = ListenOptions::new(guard.resources().clone(), ConnectionGroup::Platform);
+    let handler = move |request, _| {
         let guard = Arc::clone(&guard);
         async move { handle(&guard, request).await }
-    })
-    .await
+    };
+    listen_within(address, options, handler).await
 }
 
 async fn handle(guard: &Guard, request: Request<Incoming>) -> CallerAnswer {
--- a/src/platform/readiness.rs
+++ b/src/platform/readiness.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::StatusCode;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
 
 use crate::error::Error;
+use crate::policy::resource::ConnectionGroup;
 use crate::tables::Shared;
-use crate::web::{HttpListener, caller_text, listen};
+use crate::web::{HttpListener, ListenOptions, caller_text, listen_within};
 
 const READINESS_PATH: &str = "/readyz";
 const TEXT_CONTENT_TYPE: &str = "text/plain; charset=utf-8";
@@ -21,7 +23,8 @@
     address: SocketAddr,
     shared: Arc<Shared>,
 ) -> Result<HttpListener, Error> {
-    listen(address, move |request, _| {
+    let options = ListenOptions::new(shared.resources.clone(), ConnectionGroup::Platform);
+    let handler = move |request: Request<Incoming>, _| {
         let ready = shared.is_ready();
         async move {
             match (request.uri().path(), ready) {
@@ -38,6 +41,6 @@
                 ),
             }
         }
-    })
-    .await
+    };
+    listen_within(address, options, handler).await
 }
