End large answers without a length where their server ended them

Seen: an answer of 700,000 bytes in chunks, or one that ends with the server's connection, is cut at the caller though the server sent all of it: the last chunk never comes, and a caller that speaks HTTP/1.0 gets 696,206 bytes that look whole.

Cause: after the last part the guard asks the library's body whether its stream has ended, to tell an end from a pause that was too long. For a body without a length the library always says no, so each of these was taken for a cut one.

Change: the end and the pause are told apart by what the wait for the next part returned. A connection that ends in the middle of a chunk, or by a reset, is an error of the library and still cuts the answer.

--- a/src/guard/backend.rs
+++ b/src/guard/backend.rs
@@ -219,10 +219,15 @@
     if !first.is_empty() && !send_chunk(to, first).await {
         return false;
     }
-    while let Ok(Some(frame)) = tokio::time::timeout(PROGRESS_TIMEOUT, body.frame()).await {
-        let Ok(frame) = frame else {
-            let _ = to.send(Err(IncompleteBody)).await;
-            return false;
+    loop {
+        let frame = match tokio::time::timeout(PROGRESS_TIMEOUT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => {
+                let _ = to.send(Err(IncompleteBody)).await;
+                return false;
+            }
+            Ok(None) => break,
+            Err(_) => return false,
         };
         let Ok(data) = frame.into_data() else {
             continue;
@@ -231,9 +236,6 @@
             return false;
         }
     }
-    if !body.is_end_stream() {
-        return false;
-    }
     send_chunk(to, Bytes::new()).await
 }
 
