Refuse statuses above 599 of backend servers

Seen: answers of backend servers with the status 600 or 999 reach callers as answers, over one daemon and over two, for requests that may be repeated and for others.

Cause: the library takes each status of three digits from 100 on. A status is one from 100 to 599 (RFC 9110, section 15), and one outside is invalid.

Change: the guard treats such an answer like one that isn't HTTP: 502, which promises nothing, and another attempt where that does no harm.

Measured: of status_at_caller the cases 600 and 999 fail before (the caller got them) and pass now; 000, 099, statuses of two and four digits gave 502 before, and 599 passes.

--- a/src/guard/server_request.rs
+++ b/src/guard/server_request.rs
@@ -11,6 +11,9 @@
 use crate::policy::resource::Purpose;
 use crate::web::Payload;
 
+/// Highest status code (RFC 9110, section 15); the library accepts three digits.
+const MAX_STATUS: u16 = 599;
+
 /// Answer of the backend server; a small body has been read completely.
 pub(super) struct ServerAnswer {
     pub(super) status: StatusCode,
@@ -76,6 +79,10 @@
         let (run, sent_at) = (self.run(), Instant::now());
         let answer = self.backend.send(head, headers, body).await?;
         let (parts, body) = answer.into_parts();
+        if parts.status.as_u16() > MAX_STATUS {
+            let cause = format!("{} is no status code", parts.status.as_u16());
+            return Err(BackendError::InvalidAnswer(cause.into()));
+        }
         let meaning = protocol.answer_meaning(head, parts.status, &parts.headers);
         let notice = protocol.read_notice(&parts.headers);
         if matches!(meaning, AnswerMeaning::Answer | AnswerMeaning::NotRun) && run == self.run() {
--- a/tests/mixed_answers.rs
+++ b/tests/mixed_answers.rs
@@ -157,6 +157,28 @@
     (vec![serving, other], listening)
 }
 
+/// Guards against statuses that no answer may have, which callers would take for answers.
+#[rstest]
+#[case::zero("000", None)]
+#[case::below_informational("099", None)]
+#[case::two_digits("20", None)]
+#[case::four_digits("2000", None)]
+#[case::highest("599", Some(599))]
+#[case::above_highest("600", None)]
+#[case::three_nines("999", None)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_at_caller(#[case] code: &str, #[case] expected: Option<u16>) {
+    let (vms, _store) = start_vms().await;
+    for vm in &vms {
+        for line in ["GET /read", "POST /write"] {
+            let line = format!("{line}/status/{code} HTTP/1.1");
+            let received = ask(vm.callers, &line, 0).await.expect("an answer");
+            assert_eq!(received.status, expected.unwrap_or(502), "{line}");
+            assert!(received.looks_whole(), "{line}");
+        }
+    }
+}
+
 #[rstest]
 #[case::chunks("chunks")]
 #[case::without_length("close")]
