Reset connections of HTTP/1.0 callers when an answer is cut

Seen: a server answers 200 without a length or in chunks, sends 700,000 bytes and resets its connection, beside an upload or without one. A caller that speaks HTTP/1.0 gets what came as a complete answer.

Cause: to HTTP/1.0 an answer without a length is framed by the end of its connection, and the daemon closes the connection of a cut answer as it does that of a whole one.

Change: before such an answer is sent, its connection is set to be reset when it closes; once the answer was sent whole, it is set to close in order. So a cut looks cut whatever causes it, the end of the process included.

--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -3,9 +3,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::header::CONNECTION;
+use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Body;
 use hyper::body::Incoming;
@@ -13,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -85,6 +87,8 @@
     pub(super) closing: watch::Receiver<bool>,
     /// The account of what is held for the connection.
     pub(super) holder: Arc<Holder>,
+    /// Whether the answer ends with the connection, which must be reset if it is cut.
+    pub(super) ends_answer: Arc<AtomicBool>,
 }
 
 impl<S: RequestHandler> CallerConnection<S> {
@@ -97,8 +101,9 @@
         let unsent = UnsentReport(&self);
         let pipelined = PipelinedStream::new(stream, self.clone());
         let service = service_fn(|request| {
+            let version = request.version();
             let source = self.answer_source(request);
-            Box::pin(self.answer(source))
+            Box::pin(self.answer(source, version))
         });
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -113,6 +118,7 @@
                 return;
             }
         };
+        let is_whole = served.is_ok();
         let is_cut = served.as_ref().is_err_and(hyper::Error::is_user);
         if let Err(e) = served {
             spdlog::debug!("connection of a caller failed", kv: { cause = e.to_string().as_str() });
@@ -124,6 +130,9 @@
             return;
         }
         let stream = connection.into_parts().io.into_inner().into_inner();
+        if is_whole && self.ends_answer.load(Ordering::Relaxed) {
+            set_reset(&stream, false);
+        }
         if tokio::time::timeout(LINGER_TIMEOUT, linger(stream))
             .await
             .is_err()
@@ -159,7 +168,11 @@
         }
     }
 
-    async fn answer(&self, source: AnswerSource) -> Result<Response<PipelinedBody>, NoAnswer> {
+    async fn answer(
+        &self,
+        source: AnswerSource,
+        version: Version,
+    ) -> Result<Response<PipelinedBody>, NoAnswer> {
         let is_large = matches!(source, AnswerSource::HeadTooLarge);
         let ChargedAnswer { mut answer, charge } = match source {
             AnswerSource::HeadTooLarge => charge_answer(head_too_large(), &self.holder)?,
@@ -168,6 +181,11 @@
         };
         self.holder.wait_for(Side::Remote);
         let is_closing = *self.closing.borrow();
+        let has_length = answer.body().size_hint().exact().is_some()
+            || answer.headers().contains_key(CONTENT_LENGTH);
+        if version < Version::HTTP_11 && !has_length {
+            self.ends_answer.store(true, Ordering::Relaxed);
+        }
         // Whole answers are sent at once, except for the last ones before a process ends.
         let may_be_cut = is_closing || answer.body().size_hint().exact().is_none();
         let unsent = UnsentAnswer {
@@ -238,6 +256,14 @@
     )
 }
 
+/// Sets whether a connection is reset when it closes.
+pub(super) fn set_reset(stream: &TcpStream, is_reset: bool) {
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(e) = SockRef::from(stream).set_linger(linger) {
+        spdlog::debug!("cannot set linger", kv: { cause = e.to_string().as_str() });
+    }
+}
+
 /// Reads and discards what the caller still sends after the last answer.
 ///
 /// Closing with unread bytes would reset the connection, and the caller could lose
--- a/src/web/listen.rs
+++ b/src/web/listen.rs
@@ -166,6 +166,7 @@
                 ))),
                 closing: closing_receiver.clone(),
                 holder,
+                ends_answer: Arc::default(),
             };
             connections.spawn(connection.run(stream));
         }
--- a/src/web/pipelined_stream.rs
+++ b/src/web/pipelined_stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -10,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::RequestHandler;
-use super::caller_connection::CallerConnection;
+use super::caller_connection::{CallerConnection, set_reset};
 use super::early_request::EarlyRequest;
 use super::pipeline::Pipeline;
 use crate::policy::resource::Full;
@@ -20,12 +21,18 @@
 pub(super) struct PipelinedStream<S> {
     stream: TcpStream,
     connection: CallerConnection<S>,
+    /// Whether the connection is reset when it closes.
+    resets: bool,
 }
 
 impl<S: RequestHandler> PipelinedStream<S> {
     /// Wraps `stream`.
     pub(super) const fn new(stream: TcpStream, connection: CallerConnection<S>) -> Self {
-        Self { stream, connection }
+        Self {
+            stream,
+            connection,
+            resets: false,
+        }
     }
 
     /// Returns the underlying stream.
@@ -33,6 +40,15 @@
         self.stream
     }
 
+    /// Makes sure that the end of the connection isn't taken for the end of the answer,
+    /// also if this process is killed.
+    fn prepare_end(&mut self) {
+        if !self.resets && self.connection.ends_answer.load(Ordering::Relaxed) {
+            self.resets = true;
+            set_reset(&self.stream, true);
+        }
+    }
+
     /// Starts the buffered requests that may run now.
     fn start_early(&self, pipeline: &mut Pipeline) {
         let CallerConnection {
@@ -125,6 +141,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.prepare_end();
         let written = ready!(Pin::new(&mut this.stream).poll_write(cx, buf))?;
         this.connection.holder.record_moved(written);
         Poll::Ready(Ok(written))
@@ -136,6 +153,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        this.prepare_end();
         let written = ready!(Pin::new(&mut this.stream).poll_write_vectored(cx, bufs))?;
         this.connection.holder.record_moved(written);
         Poll::Ready(Ok(written))
--- a/tests/mixed_answers.rs
+++ b/tests/mixed_answers.rs
@@ -179,6 +179,32 @@
     }
 }
 
+/// Guards against answers that end early and look whole, beside uploads that the server
+/// leaves unread and without one.
+#[rstest]
+#[case::chunks("chunks")]
+#[case::without_length("close")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_answer_looks_cut(
+    #[case] framing: &str,
+    #[values("HTTP/1.0", "HTTP/1.1")] version: &str,
+    #[values(SMALL_PART, LARGE_PART)] part: usize,
+) {
+    let (vms, _store) = start_vms().await;
+    for vm in &vms {
+        for upload in [0, 300_000, 2 * 1024 * 1024] {
+            for line in ["GET /read", "PUT /read", "POST /write"] {
+                let line = format!("{line}/{framing}/reset/{part} {version}");
+                let received = ask(vm.callers, &line, upload).await;
+                let is_cut = received
+                    .as_ref()
+                    .is_none_or(|received| received.status != 200 || !received.looks_whole());
+                assert!(is_cut, "{line} with {upload} bytes looks whole");
+            }
+        }
+    }
+}
+
 #[rstest]
 #[case::chunks("chunks")]
 #[case::without_length("close")]
