Let idle connections go whose body ended after its answer

A connection counted as waiting for this daemon until its next request, if the last part of a body came after the answer had been sent; so it couldn't be closed to make room. It waits for its caller again as soon as the server reads for the next head. Found by reading; no test shows it.

`Holder` keeps the side that has to act next, so that telling it the same again takes no lock. A request's body comes with the account of its connection as one value.

--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -36,6 +36,14 @@
     }
 }
 
+/// The body of a request, as its connection receives it.
+pub(super) struct RequestBody<'h> {
+    /// `None` if no body can follow.
+    pub(super) incoming: Option<Incoming>,
+    /// The account of the connection.
+    pub(super) holder: &'h Arc<Holder>,
+}
+
 /// A body with the memory that is held for it; that of a stream is counted by the stream.
 pub(super) struct ChargedBody {
     pub(super) payload: Payload,
@@ -45,12 +53,11 @@
 /// Reads a body: whole if it is small or must be buffered, else as a stream.
 pub(super) async fn read_body(
     headers: &HeaderMap,
-    body: Option<Incoming>,
+    RequestBody { incoming, holder }: RequestBody<'_>,
     must_buffer: bool,
-    holder: &Arc<Holder>,
 ) -> Result<ChargedBody, BodyError> {
     let mut charge = holder.charge(Purpose::Request);
-    let Some(mut body) = body.filter(|body| !body.is_end_stream()) else {
+    let Some(mut body) = incoming.filter(|body| !body.is_end_stream()) else {
         let payload = Payload::empty();
         return Ok(ChargedBody { payload, charge });
     };
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::sync::Notify;
@@ -15,7 +14,7 @@
 use super::accept::{AcceptedRequest, accept};
 use super::answer::AnswerBuilder;
 use super::arrival::Arrival;
-use super::body::{BodyError, ChargedBody, read_body};
+use super::body::{BodyError, ChargedBody, RequestBody, read_body};
 use super::call_trace::CallTrace;
 use super::context::Context;
 use super::forward::{CallOutcome, ForwardedCall};
@@ -33,7 +32,7 @@
 use crate::policy::retry::RepeatDetector;
 use crate::policy::route::TargetState;
 use crate::tables::{CallStep, LineKind, Shared, StepDetail, signed_ms};
-use crate::web::{CallerAnswer, Holder, Payload};
+use crate::web::{CallerAnswer, Payload};
 
 /// Metric label of callers and classes that are not declared.
 const OTHER_LABEL: &str = "other";
@@ -136,9 +135,13 @@
         shared
             .journal
             .record(call, CallStep::Entered, StepDetail::None);
+        let body = RequestBody {
+            incoming: body,
+            holder: &holder,
+        };
         let outcome = tokio::select! {
             biased;
-            outcome = self.run_within_rate(&mut accepted, &parts, (body, &holder), &trace) => outcome,
+            outcome = self.run_within_rate(&mut accepted, &parts, body, &trace) => outcome,
             () = self.wait_calls_end() => CallOutcome::given_up("this daemon ends"),
         };
         undecided.is_decided = true;
@@ -224,7 +227,7 @@
         &self,
         accepted: &mut AcceptedRequest,
         parts: &Parts,
-        body: (Option<Incoming>, &Arc<Holder>),
+        body: RequestBody<'_>,
         trace: &CallTrace,
     ) -> CallOutcome {
         let charge = match self.context.charge_credit(accepted).await {
@@ -251,7 +254,7 @@
         &self,
         accepted: &mut AcceptedRequest,
         parts: &Parts,
-        body: (Option<Incoming>, &Arc<Holder>),
+        body: RequestBody<'_>,
         trace: &CallTrace,
     ) -> CallOutcome {
         let refused = |reason| CallOutcome {
@@ -260,8 +263,7 @@
         };
         let must_buffer = accepted.head.once.is_some();
         let deadline = accepted.head.deadline;
-        let (body, holder) = body;
-        let reading = read_body(&parts.headers, body, must_buffer, holder);
+        let reading = read_body(&parts.headers, body, must_buffer);
         let ChargedBody {
             payload: body,
             charge: _charge,
--- a/src/web/pipeline.rs
+++ b/src/web/pipeline.rs
@@ -262,6 +262,11 @@
         self.answer_charge = Some(charge);
     }
 
+    /// Returns whether no request waits for its answer.
+    pub(super) const fn is_idle(&self) -> bool {
+        !self.owes_answer
+    }
+
     /// Returns whether the answer to the current request isn't decided.
     pub(super) fn is_undecided(&self) -> bool {
         self.owes_answer && self.unsent.is_none()
--- a/src/web/pipelined_stream.rs
+++ b/src/web/pipelined_stream.rs
@@ -14,7 +14,7 @@
 use super::caller_connection::{CallerConnection, set_reset};
 use super::early_request::EarlyRequest;
 use super::pipeline::Pipeline;
-use crate::policy::resource::Full;
+use crate::policy::resource::{Full, Side};
 
 /// The stream that the HTTP server reads, which passes it one request at a time and
 /// buffers pipelined ones.
@@ -112,6 +112,10 @@
         let this = self.get_mut();
         let shared = Arc::clone(&this.connection.pipeline);
         let mut pipeline = shared.lock();
+        if pipeline.is_idle() {
+            // A body may end after its answer, when this daemon seems to be next.
+            this.connection.holder.wait_for(Side::Remote);
+        }
         if pipeline.reads_ahead() {
             return this.read_ahead(&mut pipeline, cx, buf);
         }
--- a/src/web/resources.rs
+++ b/src/web/resources.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -84,6 +85,7 @@
             resources: self.clone(),
             id,
             eviction,
+            waits_for_own: AtomicBool::new(false),
         }))
     }
 
@@ -126,6 +128,8 @@
     resources: Resources,
     id: HolderId,
     eviction: watch::Receiver<bool>,
+    /// Whether this daemon has to act next.
+    waits_for_own: AtomicBool,
 }
 
 impl Holder {
@@ -147,8 +151,11 @@
 
     /// Records which side of the connection has to act next.
     pub fn wait_for(&self, side: Side) {
-        self.resources
-            .update(|table, now| table.wait_for(now, self.id, side));
+        let is_own = side == Side::Own;
+        if self.waits_for_own.swap(is_own, Ordering::Relaxed) != is_own {
+            self.resources
+                .update(|table, now| table.wait_for(now, self.id, side));
+        }
     }
 
     /// Makes this connection go.
