--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -142,7 +142,13 @@
         }
         let instance = shared.instance.to_string();
         let service = shared.config.service.as_str();
-        spdlog::info!("daemon runs", kv: { instance = instance.as_str(), service });
+        let vm = shared.config.vm;
+        spdlog::info!("daemon runs", kv: {
+            instance = instance.as_str(),
+            service,
+            memory = vm.memory.to_string().as_str(),
+            descriptors = vm.descriptors
+        });
         Ok(Self {
             parts: StopParts {
                 shared,
