Don't let unread streams block all others between two daemons

Seen: 160 callers ask with unsafe requests for answers of 16 MiB and read nothing of them. From then on no unsafe request of an ordinary caller is answered that goes to the same guard, for as long as the crowd stays: none in 60 s, though the slots of its server are free after 10 s.

Cause: answers to calls that need a word before their start are streams of one HTTP/2 connection, with a window of 1 MiB each and of 4 MiB for all. Four that nobody reads use up the window of the connection, and the guard can send no byte of any other. An entry waits for its caller without a deadline. Uploads that a guard doesn't read share a window of 1 MiB in the same way.

Change: the window of a connection is 1 GiB in both directions; that of a stream 512 KiB, in which a whole body fits, so that whole bodies and answers go as before. What a stream may hold by its window is charged to the account, in whose terms those that stand still have to go.

Measured: crowd_stays_within_memory::case_13_unsafe_download fails before ("timed out waiting for an answer to an ordinary caller") and passes now; all 18 cases of tests/crowds.rs pass (158.8 s). New beside it and not seen to fail: case_11_unsafe_whole, case_12_download. Ordinary callers of these tests now also send an unsafe upload.

--- a/src/peer/call.rs
+++ b/src/peer/call.rs
@@ -5,7 +5,7 @@
 use crate::call::CallHead;
 use crate::model::{RelayedNotice, Retries};
 use crate::policy::crash::Suspect;
-use crate::web::Payload;
+use crate::web::{MAX_WHOLE_BODY, Payload};
 
 /// Time to wait for an answer after the deadline, so that the guard's own
 /// refusal can arrive.
@@ -14,6 +14,11 @@
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a message.
 pub(super) const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// Flow control window of a stream, in bytes: a whole body fits.
+pub(super) const STREAM_WINDOW: u32 = MAX_WHOLE_BODY as u32;
+/// Flow control window of a connection, in bytes; so large that bodies which nobody reads
+/// can't use it up, which would block all others. The account of the daemon limits them.
+pub(super) const CONNECTION_WINDOW: u32 = 1024 * 1024 * 1024;
 /// The path of plain calls.
 pub(super) const CALL_PATH: &str = "/call";
 
--- a/src/peer/listen.rs
+++ b/src/peer/listen.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinSet;
 use tonic::body::Body;
 
-use super::call::MAX_MESSAGE_BYTES;
+use super::call::{CONNECTION_WINDOW, MAX_MESSAGE_BYTES, STREAM_WINDOW};
 use super::generated::peer_server::PeerServer;
 use super::server::PeerService;
 use crate::error::Error;
@@ -220,6 +220,8 @@
     http_builder
         .http2()
         .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(MAX_STREAMS)
         // Entries reset the streams of calls that are given up. With more resets than this
         // before it takes the streams, a connection ends, and with it all other calls.
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use tonic::transport::{Channel, Endpoint};
 
-use super::call::{CONNECT_TIMEOUT, MAX_MESSAGE_BYTES};
+use super::call::{CONNECT_TIMEOUT, CONNECTION_WINDOW, MAX_MESSAGE_BYTES, STREAM_WINDOW};
 use super::generated::peer_client::PeerClient;
 use super::plain_client::PlainClient;
 use crate::web::Resources;
@@ -19,9 +19,6 @@
 /// Timeout of a keep-alive ping. All calls on a connection end with it, and a daemon on
 /// a busy VM may only stand still for a moment.
 const PING_TIMEOUT: Duration = Duration::from_secs(3);
-/// Flow control windows of a stream and of a connection, in bytes.
-const STREAM_WINDOW: u32 = 1024 * 1024;
-const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
 /// Maximum idle time of a connection of streams, which costs both daemons about
 /// 50 KB.
 const MAX_UNUSED_TIME: Duration = Duration::from_secs(20);
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -29,7 +29,7 @@
 use crate::policy::admission::Shed;
 use crate::policy::resource::Purpose;
 use crate::tables::{Shared, mint_now};
-use crate::web::{Activity, ChunkSender, Chunks, IncompleteBody, MAX_QUEUED_BYTES, Payload};
+use crate::web::{Activity, ChunkSender, Chunks, IncompleteBody, MAX_STREAMED_BYTES, Payload};
 
 /// Maximum number of frames queued for sending.
 const MAX_QUEUED_FRAMES: usize = 2;
@@ -230,7 +230,7 @@
             }
         };
         let held = if streamed {
-            MAX_QUEUED_BYTES
+            MAX_STREAMED_BYTES
         } else {
             bytes.len()
         };
--- a/src/web/early_request.rs
+++ b/src/web/early_request.rs
@@ -10,7 +10,7 @@
 use http_body::Body;
 use tokio::task::{JoinError, JoinHandle};
 
-use super::{AnswerFuture, CallerAnswer, Charge, Holder, MAX_QUEUED_BYTES};
+use super::{AnswerFuture, CallerAnswer, Charge, Holder, MAX_STREAMED_BYTES};
 use crate::policy::resource::{Full, Purpose};
 
 /// An answer that is held until its caller has read it.
@@ -20,8 +20,7 @@
     pub(super) charge: Charge,
 }
 
-/// Charges an answer to its connection; one of unknown length for what may be queued of
-/// it.
+/// Charges an answer to its connection; a streamed one for what is held of it at a time.
 ///
 /// # Errors
 ///
@@ -33,7 +32,7 @@
     let mut charge = holder.charge(Purpose::Answer);
     let length = answer.body().size_hint().exact();
     let length = length.and_then(|length| usize::try_from(length).ok());
-    charge.grow_to(length.unwrap_or(MAX_QUEUED_BYTES))?;
+    charge.grow_to(length.unwrap_or(MAX_STREAMED_BYTES))?;
     Ok(ChargedAnswer { answer, charge })
 }
 
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -32,8 +32,8 @@
     listen_pipelined, listen_within,
 };
 pub use payload::{
-    ChunkSender, Chunks, IncompleteBody, MAX_QUEUED_BYTES, MAX_WHOLE_BODY, Payload, StreamClosed,
-    collect,
+    ChunkSender, Chunks, IncompleteBody, MAX_QUEUED_BYTES, MAX_STREAMED_BYTES, MAX_WHOLE_BODY,
+    Payload, StreamClosed, collect,
 };
 pub use request_handler::{AnswerFuture, RequestHandler, UnsentAnswer};
 pub use resources::{Charge, EvictionCounts, Holder, Resources};
--- a/src/web/payload.rs
+++ b/src/web/payload.rs
@@ -15,6 +15,9 @@
 const MAX_QUEUED_CHUNKS: usize = 8;
 /// Maximum size of the queued chunks, in bytes.
 pub const MAX_QUEUED_BYTES: usize = 128 * 1024;
+/// What is held of a body that is streamed between daemons, in bytes: the queued chunks,
+/// and what their connection has received of it.
+pub const MAX_STREAMED_BYTES: usize = MAX_QUEUED_BYTES + MAX_WHOLE_BODY;
 /// Maximum size of a queued chunk, in bytes; larger ones are split.
 const MAX_CHUNK: usize = 64 * 1024;
 
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -46,6 +46,8 @@
 const HEAD_BYTES: usize = 15_000;
 /// Length of a large answer, in bytes.
 const ANSWER_BYTES: usize = 400_000;
+/// Length of an answer that is streamed, in bytes.
+const DOWNLOAD_BYTES: usize = 16 * 1024 * 1024;
 /// Requests sent ahead on one connection, with large answers, with small ones, and with
 /// large bodies.
 const LARGE_AHEAD: usize = 200;
@@ -74,6 +76,8 @@
     Length,
     /// A whole body for a slow server.
     Whole,
+    /// A whole body for a slow server, in a request that must not run twice.
+    UnsafeWhole,
     /// A body in large chunks without the last one.
     LargeChunks,
     /// A body in small chunks without the last one.
@@ -86,6 +90,10 @@
     Head,
     /// Requests with large answers, none of which is read.
     LargeAnswers,
+    /// A request with an answer that is streamed, and not read.
+    Download,
+    /// The same with a request that must not run twice.
+    UnsafeDownload,
     /// Many requests with small answers, none of which is read.
     SmallAnswers,
     /// Requests with large bodies, no answer to which is read.
@@ -125,6 +133,7 @@
         match self {
             Self::Length => put("/read/x", BODY_BYTES, BODY_BYTES - 1),
             Self::Whole => put("/read/slow", BODY_BYTES, BODY_BYTES),
+            Self::UnsafeWhole => put("/write/slow", BODY_BYTES, BODY_BYTES),
             Self::LargeChunks => chunked("/read/x", LARGE_CHUNK, BODY_BYTES - LARGE_CHUNK),
             Self::SmallChunks => chunked("/read/x", SMALL_CHUNK, BODY_BYTES - SMALL_CHUNK),
             Self::Upload => put("/read/x", UPLOAD_BYTES, SENT_BYTES),
@@ -139,6 +148,10 @@
             Self::LargeAnswers => head("GET", "/read/large", "")
                 .repeat(LARGE_AHEAD)
                 .into_bytes(),
+            Self::Download => head("GET", "/read/download", "").into_bytes(),
+            Self::UnsafeDownload => {
+                head("POST", "/write/download", "content-length: 0\r\n").into_bytes()
+            }
             Self::SmallAnswers => head("GET", "/read/x", "").repeat(SMALL_AHEAD).into_bytes(),
             Self::BodiesAhead => put("/read/large", BODY_BYTES, BODY_BYTES).repeat(BODIES_AHEAD),
             Self::Nothing => Vec::new(),
@@ -185,9 +198,10 @@
         if head.uri.path().ends_with("/slow") {
             sleep(SERVER_TIME).await;
         }
-        let body: Bytes = match head.uri.path().ends_with("/large") {
-            true => vec![b'x'; ANSWER_BYTES].into(),
-            false => Bytes::from_static(b"whole answer"),
+        let body: Bytes = match head.uri.path().rsplit('/').next() {
+            Some("large") => vec![b'x'; ANSWER_BYTES].into(),
+            Some("download") => vec![b'x'; DOWNLOAD_BYTES].into(),
+            _ => Bytes::from_static(b"whole answer"),
         };
         let mut answer = caller_text(StatusCode::OK, "text/plain", body);
         let id = head.headers["x-request-id"].clone();
@@ -203,8 +217,13 @@
 /// Waits until an ordinary caller is served, without a body and with one.
 async fn serve_ordinary(callers: SocketAddr) {
     let upload = Bytes::from(vec![b'x'; ORDINARY_BYTES]);
-    for (method, body) in [(Method::GET, Bytes::new()), (Method::POST, upload)] {
-        let url = format!("http://{callers}/read/x");
+    let requests = [
+        (Method::GET, "read", Bytes::new()),
+        (Method::POST, "read", upload.clone()),
+        (Method::POST, "write", upload),
+    ];
+    for (method, route, body) in requests {
+        let url = format!("http://{callers}/{route}/x");
         eventually("an answer to an ordinary caller", || async {
             let sent: HeaderMap = headers(&[
                 ("host", "a.example"),
@@ -289,6 +308,9 @@
 #[case::large_answers(Form::LargeAnswers, 40)]
 #[case::small_answers(Form::SmallAnswers, 60)]
 #[case::bodies_ahead(Form::BodiesAhead, 160)]
+#[case::unsafe_whole(Form::UnsafeWhole, 160)]
+#[case::download(Form::Download, 160)]
+#[case::unsafe_download(Form::UnsafeDownload, 160)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowd_stays_within_memory(#[case] form: Form, #[case] count: usize) {
     let _alone = ALONE.lock().await;
