Tests: stop a daemon beside crowds

160 bodies that don't end, answers that nobody reads, or idle connections don't keep a daemon from ending by itself after SIGTERM: the three cases pass on. They were not seen to fail.

--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -371,3 +371,23 @@
     drop(crowd);
     site.check_memory("no crowd").await;
 }
+
+/// Guards against crowds that keep a daemon from stopping: it ends by itself.
+#[rstest]
+#[case::length(Form::Length)]
+#[case::download(Form::Download)]
+#[case::nothing(Form::Nothing)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_beside_crowd(#[case] form: Form) {
+    let _alone = ALONE.lock().await;
+    let site = Site::start(MEMORY_SETTINGS).await;
+    let crowd = gather(site.entry.callers, 160, &form.bytes().into()).await;
+    site.check_memory("crowd").await;
+    site.entry.signal("TERM");
+    eventually("the end of the process", || async {
+        site.entry.is_zombie().then_some(())
+    })
+    .await;
+    drop(crowd);
+    serve_ordinary(site.serving.callers).await;
+}
--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -166,6 +166,13 @@
         std::fs::read_dir(path).expect("descriptors").count()
     }
 
+    /// Returns whether the process has exited and was not waited for.
+    pub fn is_zombie(&self) -> bool {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("a status");
+        status.lines().any(|line| line.starts_with("State:\tZ"))
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("a process").is_some()
