Enter a new connection into the account under one lock

With several worker threads another connection could make a new one go before the account knew how to tell it: it would never hear of it, and count as leaving for as long as it stayed. In the same way the side that has to act next could be told in one order and recorded in the other. Both now happen under the lock of the account. With one worker, as on the users' VMs, nothing changes.

Found by reading; no test shows it.

--- a/src/web/resources.rs
+++ b/src/web/resources.rs
@@ -73,9 +73,11 @@
     ///
     /// Fails if there is no room for the connection.
     pub fn open(&self, group: ConnectionGroup, address: IpAddr) -> Result<Arc<Holder>, Full> {
-        let opened = self.update(|table, now| table.open(now, group, address));
         let (sender, eviction) = watch::channel(false);
+        // Locked once: the new connection may have to go as soon as it is in the table.
         let mut account = self.0.lock();
+        let opened = account.table.open(Instant::now(), group, address);
+        account.notify();
         if opened.is_err() {
             account.counts.refused += 1;
         }
@@ -152,9 +154,12 @@
     /// Records which side of the connection has to act next.
     pub fn wait_for(&self, side: Side) {
         let is_own = side == Side::Own;
-        if self.waits_for_own.swap(is_own, Ordering::Relaxed) != is_own {
-            self.resources
-                .update(|table, now| table.wait_for(now, self.id, side));
+        // Checked without the lock, since most calls change nothing.
+        if self.waits_for_own.load(Ordering::Relaxed) != is_own {
+            self.resources.update(|table, now| {
+                self.waits_for_own.store(is_own, Ordering::Relaxed);
+                table.wait_for(now, self.id, side);
+            });
         }
     }
 
