--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -108,7 +108,7 @@
     })
 }
 
-/// Returns the next chunk of a body, unless its connection has to go before.
+/// Returns the next chunk of a body, unless its connection is evicted before.
 async fn next_in_time(body: &mut Incoming, holder: &Holder) -> Result<Option<Bytes>, BodyError> {
     tokio::select! {
         biased;
--- a/src/peer/listen.rs
+++ b/src/peer/listen.rs
@@ -59,7 +59,7 @@
 }
 
 impl ConnectionHandler {
-    /// Serves a connection until it ends or has to go.
+    /// Serves a connection until it ends or is evicted.
     async fn serve_connection(
         &self,
         stream: TcpStream,
--- a/src/policy/resource/holder.rs
+++ b/src/policy/resource/holder.rs
@@ -71,7 +71,7 @@
     moved_at: Instant,
     /// Bytes moved since then.
     moved: usize,
-    /// Whether it was told to go.
+    /// Whether it is evicted; it counts until it has closed.
     pub(super) is_evicted: bool,
 }
 
@@ -104,7 +104,7 @@
         self.waits_for = side;
     }
 
-    /// Returns whether it may be told to go: only the other end holds it up.
+    /// Returns whether it may be evicted: only the other end holds it up.
     pub(super) fn is_evictable(&self) -> bool {
         self.waits_for == Side::Remote && !self.is_evicted
     }
--- a/src/policy/resource/mod.rs
+++ b/src/policy/resource/mod.rs
@@ -1,4 +1,4 @@
-//! What a daemon may hold for others, and who has to go when it holds too much.
+//! Limits on what a daemon holds for others, and eviction of connections beyond them.
 
 mod holder;
 mod limits;
--- a/src/policy/resource/table.rs
+++ b/src/policy/resource/table.rs
@@ -10,19 +10,19 @@
 
 /// Memory of an open connection, in bytes: its task, and its buffers while they are small.
 const CONNECTION_BYTES: usize = 16 * 1024;
-/// Divides a limit: so much more may belong to connections that have to go and have not
-/// closed yet.
+/// Divides a limit: so much more may belong to evicted connections that have not closed
+/// yet.
 const LEAVING_DIVISOR: usize = 8;
 /// Divides the memory: one connection may hold so much of it.
 const CONNECTION_DIVISOR: usize = 8;
 
-/// Nothing more can be held, and nobody who holds more has to go.
+/// Nothing more can be held, and there is nobody to evict for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Full;
 
 /// The account of memory and connections of one daemon.
 ///
-/// When it is full, connections have to go: those that hold most memory for longest
+/// When it is full, connections are evicted: those that hold most memory for longest
 /// without moving, many of one address before few. Ones that wait for this daemon stay.
 #[derive(Debug)]
 pub struct ResourceTable {
@@ -32,13 +32,13 @@
     addresses: HashMap<IpAddr, usize>,
     /// Connections by group.
     connections: [usize; ConnectionGroup::COUNT],
-    /// Those of them that have to go.
+    /// Those of them that are evicted.
     leaving_connections: [usize; ConnectionGroup::COUNT],
     /// Memory that is held, in bytes.
     used: usize,
-    /// Part of it that belongs to connections that have to go.
+    /// Part of it that belongs to evicted connections.
     leaving: usize,
-    /// Connections that have to go and have not been told.
+    /// Evicted connections that were not notified.
     evicted: Vec<HolderId>,
     next_id: u64,
 }
@@ -69,7 +69,7 @@
         self.connections[group.index()]
     }
 
-    /// Returns the connections that have to go since the last call.
+    /// Returns the connections that were evicted since the last call.
     pub fn take_evicted(&mut self) -> Vec<HolderId> {
         std::mem::take(&mut self.evicted)
     }
@@ -127,7 +127,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no room for them, or if the connection itself has to go.
+    /// Fails if there is no room for them, or if the connection itself is evicted.
     pub fn hold(
         &mut self,
         now: Instant,
@@ -185,13 +185,13 @@
         }
     }
 
-    /// Selects a connection of a group that has to go; returns whether there is one.
+    /// Evicts the costliest connection of a group; returns whether there is one.
     pub fn evict_one(&mut self, now: Instant, group: ConnectionGroup) -> bool {
         let worst = self.costliest(now, |holder| holder.group == group);
         worst.is_some_and(|(id, _)| self.evict(id))
     }
 
-    /// Makes a connection go; returns whether it hadn't to go before.
+    /// Evicts a connection; returns whether it wasn't evicted before.
     pub fn evict(&mut self, id: HolderId) -> bool {
         let Some(holder) = self.holders.get_mut(&id) else {
             return false;
@@ -206,7 +206,7 @@
         true
     }
 
-    /// Selects who has to go so that `id` can hold `bytes` more within `limit`.
+    /// Evicts connections until `id` can hold `bytes` more within `limit`.
     fn make_room(
         &mut self,
         now: Instant,
@@ -246,7 +246,7 @@
     }
 }
 
-/// Returns how much beyond a limit may belong to connections that have to go.
+/// Returns how much beyond a limit may belong to evicted connections.
 const fn max_leaving(limit: usize) -> usize {
     limit / LEAVING_DIVISOR
 }
--- a/src/task/load.rs
+++ b/src/task/load.rs
@@ -52,8 +52,7 @@
     }
 }
 
-/// Logs the connections that had to go, or were refused, for what callers and other daemons
-/// hold.
+/// Logs the connections that were evicted or refused because the account was full.
 fn log_evictions(shared: &Shared) {
     let counts = shared.resources.take_counts();
     if counts != EvictionCounts::default() {
--- a/src/web/caller_connection.rs
+++ b/src/web/caller_connection.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// Waits until the connection has to go. A request whose body is refused for this
+    /// Waits until the connection is evicted. A request whose body is refused for this
     /// still gets its answer.
     async fn wait_eviction(&self) {
         self.holder.evicted().await;
--- a/src/web/early_request.rs
+++ b/src/web/early_request.rs
@@ -46,8 +46,8 @@
 }
 
 impl EarlyRequest {
-    /// Starts the request whose head begins at byte `start`. A connection whose answers
-    /// can't be held has to go.
+    /// Starts the request whose head begins at byte `start`. Evicts a connection whose
+    /// answers can't be held.
     pub(super) fn start(
         start: u64,
         (method, target): (Method, Uri),
--- a/src/web/listen.rs
+++ b/src/web/listen.rs
@@ -126,7 +126,7 @@
 }
 
 /// Binds `address` and serves requests with `handler`; answers are sent in the order of
-/// the requests. Connections that hold too much have to go.
+/// the requests. Connections that hold too much are evicted.
 ///
 /// When a caller closes its connection, the handlers of its requests are
 /// dropped.
@@ -179,7 +179,7 @@
     })
 }
 
-/// Accepts a connection; one that holds too much has to go if there is no descriptor.
+/// Accepts a connection; evicts one if there is no descriptor left.
 async fn accept(listener: &TcpListener, options: &ListenOptions) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
--- a/src/web/resources.rs
+++ b/src/web/resources.rs
@@ -24,7 +24,7 @@
 
 struct Account {
     table: ResourceTable,
-    /// Tell connections that they have to go.
+    /// Notify connections of their eviction.
     evictions: HashMap<HolderId, watch::Sender<bool>>,
     counts: EvictionCounts,
 }
@@ -32,14 +32,14 @@
 /// Connections that a full account has cost.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EvictionCounts {
-    /// Connections that had to go.
+    /// Connections that were evicted.
     pub evicted: u64,
     /// Connections that were closed at once.
     pub refused: u64,
 }
 
 impl Account {
-    /// Tells the connections that have to go.
+    /// Notifies the connections that were evicted.
     fn notify(&mut self) {
         for id in self.table.take_evicted() {
             self.counts.evicted += 1;
@@ -74,7 +74,7 @@
     /// Fails if there is no room for the connection.
     pub fn open(&self, group: ConnectionGroup, address: IpAddr) -> Result<Arc<Holder>, Full> {
         let (sender, eviction) = watch::channel(false);
-        // Locked once: the new connection may have to go as soon as it is in the table.
+        // Locked once: the new connection may be evicted as soon as it is in the table.
         let mut account = self.0.lock();
         let opened = account.table.open(Instant::now(), group, address);
         account.notify();
@@ -91,8 +91,7 @@
         }))
     }
 
-    /// Makes a connection of a group go to free its descriptor; returns whether there is
-    /// one.
+    /// Evicts a connection of a group to free its descriptor; returns whether there is one.
     pub fn evict_one(&self, group: ConnectionGroup) -> bool {
         self.update(|table, now| table.evict_one(now, group))
     }
@@ -112,7 +111,7 @@
         self.0.lock().table.used()
     }
 
-    /// Returns how many connections had to go or were refused since the last call.
+    /// Returns how many connections were evicted or refused since the last call.
     pub fn take_counts(&self) -> EvictionCounts {
         std::mem::take(&mut self.0.lock().counts)
     }
@@ -163,12 +162,12 @@
         }
     }
 
-    /// Makes this connection go.
+    /// Evicts this connection.
     pub fn evict(&self) {
         self.resources.update(|table, _| table.evict(self.id));
     }
 
-    /// Waits until the connection has to go.
+    /// Waits until the connection is evicted.
     pub async fn evicted(&self) {
         let mut eviction = self.eviction.clone();
         // The sender lives as long as this account.
@@ -199,7 +198,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no room for them, or if the connection has to go; the charge
+    /// Fails if there is no room for them, or if the connection is evicted; the charge
     /// stays as it was.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), Full> {
         if bytes <= self.bytes.max(SMALL_BYTES) {
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -1,4 +1,4 @@
-//! Who has to go when a daemon holds too much for others.
+//! Limits on what a daemon holds for others, and who is evicted beyond them.
 
 #![allow(missing_docs)]
 
@@ -169,7 +169,7 @@
     assert!(world.table.open(world.now, group, address(3)).is_ok());
 }
 
-/// Connections that have to go still have their descriptors.
+/// Evicted connections still have their descriptors.
 #[test]
 fn open_waits_for_connections_that_have_to_go() {
     let mut world = World::new();
@@ -184,7 +184,7 @@
 }
 
 proptest! {
-    /// Whatever happens, no more is held than the limits and what has to go.
+    /// Whatever happens, no more is held than the limits and what is evicted.
     #[test]
     fn table_stays_within_limits(
         steps in proptest::collection::vec((0u8..6, 0usize..64, 0usize..1_000_000), 0..300)
