--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -391,3 +391,30 @@
     drop(crowd);
     serve_ordinary(site.serving.callers).await;
 }
+
+/// Guards against limits that a single request of the largest size meets.
+#[rstest]
+#[case::idempotent("/read/x")]
+#[case::unsafe_request("/write/x")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn largest_request_is_served_in_calm(#[case] path: &str) {
+    let _alone = ALONE.lock().await;
+    let site = Site::start(MEMORY_SETTINGS).await;
+    let upload = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+    let more = "x".repeat(HEAD_BYTES);
+    for callers in [site.entry.callers, site.serving.callers] {
+        let url = format!("http://{callers}{path}");
+        eventually("an answer to the largest request", || async {
+            let sent: HeaderMap = headers(&[
+                ("host", "a.example"),
+                ("x-request-id", "l1"),
+                ("x-deadline-ms", "10000"),
+                ("x-more", &more),
+            ]);
+            let answer = request(Method::PUT, &url, sent, upload.clone()).await?;
+            (answer.status == StatusCode::OK).then_some(())
+        })
+        .await;
+    }
+    site.check_memory("calm").await;
+}
